--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"honeybridge"
+	"honeybridge/internal/config"
 )
 
 type batch struct {
@@ -17,28 +17,28 @@
 
 // event is any wire event; a nil field was absent or null.
 type event struct {
-	Type        *string      `json:"type"`
-	InitiatorID *string      `json:"initiatorId"`
-	InitSeed    *json.Number `json:"initSeed"`
-	Options     *options     `json:"options"`
-	Mode        *string      `json:"mode"`
-	Records     []record     `json:"records"`
-	Rid         *string      `json:"rid"`
-	Tier        *string      `json:"tier"`
-	Writers     *float64     `json:"writers"`
-	Chunk       *string      `json:"chunk"`
-	Vol         *string      `json:"vol"`
-	BudgetUs    *int64       `json:"budgetUs"`
-	Weight      *float64     `json:"weight"`
-	Grade       *string      `json:"grade"`
-	GroupNo     *int         `json:"groupNo"`
-	Leg         *int         `json:"leg"`
-	Target      *string      `json:"target"`
-	StateCode   *string      `json:"stateCode"`
-	SpentUs     *int64       `json:"spentUs"`
-	Complete    *bool        `json:"complete"`
-	Used        *int         `json:"used"`
-	ServerStats *stats       `json:"serverStats"`
+	Type        *string         `json:"type"`
+	InitiatorID *string         `json:"initiatorId"`
+	InitSeed    *json.Number    `json:"initSeed"`
+	Options     *config.Options `json:"options"`
+	Mode        *string         `json:"mode"`
+	Records     []record        `json:"records"`
+	Rid         *string         `json:"rid"`
+	Tier        *string         `json:"tier"`
+	Writers     *float64        `json:"writers"`
+	Chunk       *string         `json:"chunk"`
+	Vol         *string         `json:"vol"`
+	BudgetUs    *int64          `json:"budgetUs"`
+	Weight      *float64        `json:"weight"`
+	Grade       *string         `json:"grade"`
+	GroupNo     *int            `json:"groupNo"`
+	Leg         *int            `json:"leg"`
+	Target      *string         `json:"target"`
+	StateCode   *string         `json:"stateCode"`
+	SpentUs     *int64          `json:"spentUs"`
+	Complete    *bool           `json:"complete"`
+	Used        *int            `json:"used"`
+	ServerStats *stats          `json:"serverStats"`
 }
 
 // stats is a load report; a nil field was absent.
@@ -55,52 +55,6 @@
 	LaunchedUs    *int64  `json:"launchedUs"`
 }
 
-type options struct {
-	PeersTotal *int `json:"peersTotal"`
-	Classes    []struct {
-		Name       string  `json:"name"`
-		PromiseUs  int64   `json:"promiseUs"`
-		DeadlineUs int64   `json:"deadlineUs"`
-		Effect     string  `json:"effect"`
-		Group      string  `json:"group"`
-		WindowUs   int64   `json:"windowUs"`
-		Serial     bool    `json:"serialByKey"`
-		Worth      float64 `json:"worth"`
-	} `json:"classes"`
-	Contracts []struct {
-		Name        string  `json:"name"`
-		UsualRate   float64 `json:"usualRate"`
-		Reservation float64 `json:"reservation"`
-		Parts       float64 `json:"parts"`
-		Pays        float64 `json:"pays"`
-		CeilingRate float64 `json:"ceilingRate"`
-		LimitBurst  float64 `json:"limitBurst"`
-	} `json:"contracts"`
-	Extra struct {
-		ColdBears  float64 `json:"coldBears"`
-		Largest    float64 `json:"largest"`
-		MeanUnits  float64 `json:"meanUnits"`
-		FairWorth  float64 `json:"fairWorth"`
-		IdleWorth  float64 `json:"idleWorth"`
-		MeteringUs int64   `json:"meteringUs"`
-	} `json:"extra"`
-	Limits struct {
-		SendCap int `json:"sendCap"`
-	} `json:"limits"`
-	RegistryMode string `json:"registryMode"`
-	Rules        struct {
-		ColdShare          float64  `json:"coldShare"`
-		WarmWithinUs       int64    `json:"warmWithinUs"`
-		FallUs             int64    `json:"fallUs"`
-		TipMultiple        float64  `json:"tipMultiple"`
-		SettleAfterDoubtUs int64    `json:"settleAfterDoubtUs"`
-		ResendRatio        *float64 `json:"resendRatio"`
-		ExtraFree          float64  `json:"extraFree"`
-		ResendSpanUs       int64    `json:"resendSpanUs"`
-	} `json:"rules"`
-	TickUs int64 `json:"tickUs"`
-}
-
 type action struct {
 	Type        string `json:"type"`
 	InitiatorID string `json:"initiatorId"`
@@ -118,11 +72,9 @@
 	Outbox []action `json:"outbox"`
 }
 
-var errMissing = errors.New("required field is missing")
-
-func missing(field string) error { return fmt.Errorf("%s: %w", field, errMissing) }
+func missing(field string) error { return config.Missing(field) }
 
-func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+func us(n int64) time.Duration { return config.Us(n) }
 
 // link hosts the instances of one process. They share nothing but the line they are spoken to on.
 type link struct {
@@ -196,7 +148,7 @@
 		if err != nil {
 			return err
 		}
-		set, err := settings(e.Options)
+		set, err := e.Options.Module()
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,132 @@
+// Package config reads what the program is told (environment, JSON, the operator's file) once, at the
+// start, into the typed values that the rest uses, and refuses what cannot be served, naming the field.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"honeybridge"
+)
+
+// Options is the settings object as the platform writes it, in the simulator's first message and in the
+// configuration alike. Unknown fields are skipped.
+type Options struct {
+	PeersTotal *int `json:"peersTotal"`
+	Classes    []struct {
+		Name       string  `json:"name"`
+		PromiseUs  int64   `json:"promiseUs"`
+		DeadlineUs int64   `json:"deadlineUs"`
+		Effect     string  `json:"effect"`
+		Group      string  `json:"group"`
+		WindowUs   int64   `json:"windowUs"`
+		Serial     bool    `json:"serialByKey"`
+		Worth      float64 `json:"worth"`
+	} `json:"classes"`
+	Contracts []struct {
+		Name        string  `json:"name"`
+		UsualRate   float64 `json:"usualRate"`
+		Reservation float64 `json:"reservation"`
+		Parts       float64 `json:"parts"`
+		Pays        float64 `json:"pays"`
+		CeilingRate float64 `json:"ceilingRate"`
+		LimitBurst  float64 `json:"limitBurst"`
+	} `json:"contracts"`
+	Extra struct {
+		ColdBears  float64 `json:"coldBears"`
+		Largest    float64 `json:"largest"`
+		MeanUnits  float64 `json:"meanUnits"`
+		FairWorth  float64 `json:"fairWorth"`
+		IdleWorth  float64 `json:"idleWorth"`
+		MeteringUs int64   `json:"meteringUs"`
+	} `json:"extra"`
+	Limits struct {
+		SendCap       int   `json:"sendCap"`
+		MostHeld      int   `json:"mostHeld"`
+		ConnIdleUs    int64 `json:"connIdleUs"`
+		DialTimeoutUs int64 `json:"dialTimeoutUs"`
+	} `json:"limits"`
+	RegistryMode string `json:"registryMode"`
+	Rules        struct {
+		ColdShare          float64  `json:"coldShare"`
+		WarmWithinUs       int64    `json:"warmWithinUs"`
+		FallUs             int64    `json:"fallUs"`
+		TipMultiple        float64  `json:"tipMultiple"`
+		SettleAfterDoubtUs int64    `json:"settleAfterDoubtUs"`
+		ResendRatio        *float64 `json:"resendRatio"`
+		ExtraFree          float64  `json:"extraFree"`
+		ResendSpanUs       int64    `json:"resendSpanUs"`
+	} `json:"rules"`
+	TickUs int64 `json:"tickUs"`
+}
+
+// ErrMissing is wrapped by the errors about absent fields.
+var ErrMissing = errors.New("required field is missing")
+
+// Missing names an absent field.
+func Missing(field string) error { return fmt.Errorf("%s: %w", field, ErrMissing) }
+
+// Us turns the platform's microseconds into a duration.
+func Us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// Module turns the options into the module's settings.
+func (o *Options) Module() (honeybridge.Settings, error) {
+	if o.PeersTotal == nil {
+		return honeybridge.Settings{}, Missing("options.peersTotal")
+	}
+	s := honeybridge.Settings{
+		Initiators:   *o.PeersTotal,
+		Tick:         Us(o.TickUs),
+		MaxAttempts:  o.Limits.SendCap,
+		MeanUnits:    o.Extra.MeanUnits,
+		FairWorth:    o.Extra.FairWorth,
+		IdleWorth:    o.Extra.IdleWorth,
+		LargestUnits: o.Extra.Largest,
+		ColdUnits:    o.Extra.ColdBears,
+		Meter:        Us(o.Extra.MeteringUs),
+		AskForList:   o.RegistryMode == "on_request",
+		Rules: honeybridge.Rules{
+			ColdShare:    o.Rules.ColdShare,
+			WarmWithin:   Us(o.Rules.WarmWithinUs),
+			FallWithin:   Us(o.Rules.FallUs),
+			FallMultiple: o.Rules.TipMultiple,
+			Settle:       Us(o.Rules.SettleAfterDoubtUs),
+			BudgetFree:   o.Rules.ExtraFree,
+			BudgetSpan:   Us(o.Rules.ResendSpanUs),
+		},
+	}
+	if o.Rules.ResendRatio != nil {
+		s.Rules.Budget, s.Rules.BudgetShare = true, *o.Rules.ResendRatio
+	}
+	for i, c := range o.Classes {
+		k := honeybridge.Class{Name: c.Name, Aim: Us(c.PromiseUs), Deadline: Us(c.DeadlineUs),
+			Window: Us(c.WindowUs), InOrder: c.Serial, Worth: c.Worth}
+		switch c.Effect {
+		case "pure":
+			k.Effect = honeybridge.Pure
+		case "token":
+			k.Effect = honeybridge.Keyed
+		case "side_effect":
+			k.Effect = honeybridge.Unsafe
+		default:
+			return s, fmt.Errorf("options.classes[%d].effect: unknown effect %q", i, c.Effect)
+		}
+		switch c.Group {
+		case "", "all":
+			k.Group = honeybridge.GroupAll
+		case "zone":
+			k.Group = honeybridge.GroupZone
+		case "cell":
+			k.Group = honeybridge.GroupCell
+		default:
+			return s, fmt.Errorf("options.classes[%d].group: unknown group %q", i, c.Group)
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	for _, p := range o.Contracts {
+		s.Plans = append(s.Plans, honeybridge.Plan{Name: p.Name, Rate: p.UsualRate, Reserve: p.Reservation,
+			Weight: p.Parts, Price: p.Pays, Limit: p.CeilingRate, LimitBurst: p.LimitBurst})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,271 @@
+// Package core drives the decision module on a real clock. It owns every request from the moment a front
+// hands it over until its one final answer, and it knows no wire: fronts and upstreams meet it through Job,
+// Answer, Attempt and Result, whose payloads it passes on unread.
+package core
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"honeybridge"
+	"honeybridge/internal/mailbox"
+)
+
+// Ending says how a request ended.
+type Ending int
+
+const (
+	// Served carries the target's answer.
+	Served Ending = iota
+	// Refused tells the client that trying again is harmless.
+	Refused
+	// Failed makes no promise about the effect.
+	Failed
+)
+
+// Answer is the one final answer of a request.
+type Answer struct {
+	Ending     Ending
+	Payload    any           // of a served request: what the upstream brought
+	RetryAfter time.Duration // of a refusal: when the client should come back; 0: no advice
+	Last       honeybridge.Code
+	Attempts   int // how many were started
+}
+
+// Job is a request as a front hands it over. ID, Budget and Initiators' clock belong to the core.
+type Job struct {
+	honeybridge.Request
+	Arrived  time.Time     // when its last byte was here
+	Patience time.Duration // how long the client waits from then on
+	Payload  any           // for the upstream
+	Done     func(Answer)  // called once, from the core's goroutine: must not wait
+}
+
+// Attempt is one try of a request at a target.
+type Attempt struct {
+	Request string
+	Number  int
+	Node    string
+	Started time.Time
+	Until   time.Time // given up then
+	Payload any
+}
+
+// Result ends an attempt. By the time it is handed over, nothing of the attempt may be on its way any more.
+type Result struct {
+	Request string
+	Number  int
+	Node    string
+	Code    honeybridge.Code
+	Load    *honeybridge.Load
+	Used    int
+	Payload any
+}
+
+// Upstream carries attempts out. Send must not wait; exactly one Result follows each.
+type Upstream interface {
+	Send(Attempt)
+}
+
+// Clock maps the process's monotone clock onto the module's: Unix time as read once at the start, since
+// the list tells starts of targets in Unix time, and steps of the wall clock must not move deadlines.
+type Clock struct{ base time.Time }
+
+// NewClock reads the wall clock, for the only time.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// At returns the module's time for t.
+func (c Clock) At(t time.Time) time.Duration {
+	return time.Duration(c.base.UnixNano()) + t.Sub(c.base)
+}
+
+// Options are the core's bounds.
+type Options struct {
+	MostHeld int           // requests open at a time
+	Margin   time.Duration // an answer must be written this long before the client leaves
+}
+
+// Core is the module's actor.
+type Core struct {
+	module   *honeybridge.Scheduler
+	up       Upstream
+	clock    Clock
+	opt      Options
+	box      *mailbox.Box[any]
+	open     map[string]*entry
+	held     atomic.Int64
+	seq      uint64
+	timerAt  time.Time // zero: none
+	events   []honeybridge.Event
+	lists    []honeybridge.Event
+	lastStep time.Duration
+}
+
+// entry is one request's record; it goes when it is answered and nothing of it is out.
+type entry struct {
+	job      *Job
+	attempts int
+	out      bool
+	sentAt   time.Time
+	last     honeybridge.Code
+	answered bool
+}
+
+type submitted struct{ job *Job }
+
+// New returns a core; Run starts it.
+func New(m *honeybridge.Scheduler, up Upstream, clock Clock, opt Options) *Core {
+	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{}}
+}
+
+// Submit hands a request over. It returns false when too many are open; then Done is not called.
+func (c *Core) Submit(j *Job) bool {
+	if c.opt.MostHeld > 0 && c.held.Add(1) > int64(c.opt.MostHeld) {
+		c.held.Add(-1)
+		return false
+	}
+	c.box.Put(submitted{j})
+	return true
+}
+
+// Depart tells that the job's client is gone. Its Done may still be called, if the answer came first.
+func (c *Core) Depart(j *Job) { c.box.Put(j) }
+
+// Report hands over the end of an attempt.
+func (c *Core) Report(r Result) { c.box.Put(r) }
+
+// List hands over news of the targets.
+func (c *Core) List(l honeybridge.NodeList) { c.box.Put(l) }
+
+// Open tells how many requests are not finished with.
+func (c *Core) Open() int { return int(c.held.Load()) }
+
+// Run steps the module until the context ends. It is the only goroutine that touches it.
+func (c *Core) Run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var spare []any
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.box.Wake():
+		case <-timer.C:
+		}
+		msgs := c.box.Take(spare)
+		c.step(time.Now(), msgs)
+		spare = msgs
+		if !c.timerAt.IsZero() {
+			timer.Reset(time.Until(c.timerAt))
+		}
+	}
+}
+
+// step turns what has come in into one batch of events and carries out what the module decides.
+func (c *Core) step(now time.Time, msgs []any) {
+	c.events, c.lists = c.events[:0], c.lists[:0]
+	for _, m := range msgs {
+		switch m := m.(type) {
+		case submitted:
+			c.take(now, m.job)
+		case *Job:
+			c.depart(m)
+		case Result:
+			c.result(now, m)
+		case honeybridge.NodeList:
+			// Ahead of all else in the batch: no send is decided on a list older than the one at hand.
+			c.lists = append(c.lists, m)
+		}
+	}
+	if !c.timerAt.IsZero() && !now.Before(c.timerAt) {
+		c.timerAt = time.Time{}
+		c.events = append(c.events, honeybridge.Timer{})
+	}
+	if len(c.events)+len(c.lists) == 0 {
+		return
+	}
+	// The module's clock never goes back, whatever the platform's does.
+	c.lastStep = max(c.lastStep, c.clock.At(now))
+	for _, a := range c.module.Step(c.lastStep, append(c.lists, c.events...)) {
+		c.act(now, a)
+	}
+}
+
+func (c *Core) take(now time.Time, j *Job) {
+	c.seq++
+	j.ID = strconv.FormatUint(c.seq, 10)
+	// The client's time runs from the arrival, and the answer has to be out before it ends.
+	j.Budget = j.Patience - now.Sub(j.Arrived) - c.opt.Margin
+	c.open[j.ID] = &entry{job: j}
+	c.events = append(c.events, j.Request)
+}
+
+func (c *Core) depart(j *Job) {
+	if e := c.open[j.ID]; e != nil && e.job == j && !e.answered {
+		e.answered = true
+		c.events = append(c.events, honeybridge.Departed{ID: j.ID})
+		c.tidy(j.ID, e)
+	}
+}
+
+func (c *Core) result(now time.Time, r Result) {
+	e := c.open[r.Request]
+	if e == nil || !e.out || r.Number != e.attempts-1 {
+		return
+	}
+	e.out, e.last = false, r.Code
+	if r.Code == honeybridge.Delivered {
+		c.answer(e, Answer{Ending: Served, Payload: r.Payload})
+	}
+	c.events = append(c.events, honeybridge.Outcome{ID: r.Request, Attempt: r.Number, Node: r.Node, Code: r.Code,
+		Took: now.Sub(e.sentAt), Closed: e.answered, Load: r.Load, Used: r.Used})
+	c.tidy(r.Request, e)
+}
+
+func (c *Core) act(now time.Time, a honeybridge.Action) {
+	e := c.open[a.Request]
+	switch a.Kind {
+	case honeybridge.SetTimer:
+		if at := now.Add(a.Wait); c.timerAt.IsZero() || at.Before(c.timerAt) {
+			c.timerAt = at
+		}
+		return
+	case honeybridge.Subscribe, honeybridge.Log:
+		return // the list is always watched
+	}
+	if e == nil || e.answered || e.out {
+		return
+	}
+	switch a.Kind {
+	case honeybridge.Send:
+		e.out, e.sentAt = true, now
+		e.attempts++
+		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node, Started: now,
+			Until: now.Add(a.Wait), Payload: e.job.Payload})
+	case honeybridge.Refuse:
+		c.answer(e, Answer{Ending: Refused})
+		c.tidy(a.Request, e)
+	case honeybridge.Fail:
+		c.answer(e, Answer{Ending: Failed})
+		c.tidy(a.Request, e)
+	}
+}
+
+// answer gives the final answer, once.
+func (c *Core) answer(e *entry, a Answer) {
+	if e.answered {
+		return
+	}
+	e.answered = true
+	a.Last, a.Attempts = e.last, e.attempts
+	e.job.Done(a)
+}
+
+func (c *Core) tidy(id string, e *entry) {
+	if e.answered && !e.out {
+		delete(c.open, id)
+		c.held.Add(-1)
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,166 @@
+// Package discovery keeps the list of targets: one actor watches it and tells what changes.
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"honeybridge"
+)
+
+const (
+	// watchFor is how long a watch may wait. Longer ones are asked for less often.
+	watchFor = 20 * time.Second
+	// graceFor is how long an answer may be overdue before the call is given up: discovery is silent while
+	// it is down, and what it has to say counts as told that long after the wait.
+	graceFor = 1500 * time.Millisecond
+	// retryAfter is the pause after a call that failed.
+	retryAfter = 100 * time.Millisecond
+	maxList    = 4 << 20
+)
+
+// Entry is a target as the list tells it.
+type Entry struct {
+	ID      string `json:"id"`
+	Addr    string `json:"addr"`
+	Zone    string `json:"zone"`
+	Cell    *int   `json:"cell"`
+	State   string `json:"state"`
+	Started int64  `json:"started_ms"`
+}
+
+// List is the whole list or a change of it.
+type List struct {
+	Version *int64  `json:"version"`
+	Full    bool    `json:"full"`
+	Servers []Entry `json:"servers"`
+}
+
+// Decode reads a list and checks it: a list that is not understood whole is not used at all.
+func Decode(b []byte) (*List, error) {
+	var l List
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(b, &l); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	return &l, l.Check()
+}
+
+// Check names the first field that cannot be used.
+func (l *List) Check() error {
+	if l.Version == nil {
+		return fmt.Errorf("list: version is missing")
+	}
+	for i, e := range l.Servers {
+		_, known := states[e.State]
+		switch {
+		case e.ID == "":
+			return fmt.Errorf("list: servers[%d].id is missing", i)
+		case !known:
+			return fmt.Errorf("list: servers[%d].state: unknown state %q", i, e.State)
+		case e.State == "DELETED":
+		case e.Cell == nil:
+			return fmt.Errorf("list: servers[%d].cell is missing", i)
+		}
+		if _, _, err := net.SplitHostPort(e.Addr); err != nil && e.State != "DELETED" {
+			return fmt.Errorf("list: servers[%d].addr: %w", i, err)
+		}
+	}
+	return nil
+}
+
+var states = map[string]honeybridge.NodeState{
+	"SERVING": honeybridge.Up, "DRAINING": honeybridge.Draining, "DELETED": honeybridge.Removed,
+}
+
+// Node is the entry as the module knows it.
+func (e Entry) Node() honeybridge.Node {
+	n := honeybridge.Node{ID: e.ID, Zone: e.Zone, State: states[e.State],
+		Started: time.Duration(e.Started) * time.Millisecond}
+	if e.Cell != nil {
+		n.Shard = *e.Cell
+	}
+	return n
+}
+
+// Watcher is the list's actor.
+type Watcher struct {
+	addr string
+	tell func(*List)
+	log  *slog.Logger
+	call http.Client
+	has  int64 // the version told last
+}
+
+// New returns a watcher of discovery at addr that has told the list known. What comes later goes to tell.
+func New(addr string, known *List, tell func(*List), log *slog.Logger) *Watcher {
+	w := &Watcher{addr: addr, tell: tell, log: log, has: -1}
+	if known != nil && known.Version != nil {
+		w.has = *known.Version
+	}
+	w.call.Transport = &http.Transport{MaxConnsPerHost: 2, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return w
+}
+
+// Run watches until the context ends. After any doubt (a call that failed or was given up, a list that makes
+// no sense, a version that went back) it asks for the whole list; otherwise it goes on where it is, at once,
+// since a gap of 200 ms between two calls would end the watch.
+func (w *Watcher) Run(ctx context.Context) {
+	sure := false
+	for ctx.Err() == nil {
+		path, wait := "/api/targets", time.Duration(0)
+		if sure {
+			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", w.has, watchFor.Milliseconds())
+			wait = watchFor
+		}
+		l, err := w.fetch(ctx, path, wait+graceFor)
+		if err == nil && !l.Full && (!sure || *l.Version < w.has) {
+			err = fmt.Errorf("a change to version %d where %d is held and the whole list was due", *l.Version, w.has)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			w.log.Warn("list call failed", slog.String("reason", "LIST_FAILED"), slog.Any("error", err))
+			sure = false
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryAfter):
+			}
+			continue
+		}
+		sure, w.has = true, *l.Version
+		if l.Full || len(l.Servers) > 0 {
+			w.tell(l)
+		}
+	}
+}
+
+func (w *Watcher) fetch(ctx context.Context, path string, within time.Duration) (*List, error) {
+	ctx, stop := context.WithTimeout(ctx, within)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := w.call.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	switch {
+	case err != nil:
+		return nil, err
+	case resp.StatusCode != http.StatusOK:
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return Decode(body)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,150 @@
+// Package front is the platform's HTTP/1.1 side: it accepts, parses and answers, and decides nothing.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"honeybridge/internal/core"
+	"honeybridge/internal/upstream"
+)
+
+const (
+	maxTimeoutMs = 10 * 60 * 1000
+	maxHead      = 16 << 10
+	// lingerFor is how long after SIGTERM clients may still come with new connections.
+	lingerFor = 400 * time.Millisecond
+)
+
+// Options set up the front.
+type Options struct {
+	Classes  map[string]bool
+	Plans    map[string]bool
+	MostConn int // clients' connections at a time
+	Log      *slog.Logger
+}
+
+// Core is what the front needs of the core.
+type Core interface {
+	Submit(*core.Job) bool
+	Depart(*core.Job)
+}
+
+// Server is the front.
+type Server struct {
+	opt     Options
+	core    Core
+	http    http.Server
+	conns   *connTable
+	leaving atomic.Bool
+}
+
+// New returns a front for the core.
+func New(c Core, opt Options) *Server {
+	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.Log)}
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHead,
+		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelDebug)}
+	return s
+}
+
+// Serve accepts until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(listener{l, s.conns})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop leaves ready at once, keeps accepting while clients may still come, then finishes what was taken
+// until the context ends.
+func (s *Server) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
+	select {
+	case <-time.After(lingerFor):
+	case <-ctx.Done():
+	}
+	s.conns.leave()
+	return s.http.Shutdown(ctx)
+}
+
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := arrival(r.Context())
+	if r.URL.Path == "/-/ready" {
+		s.ready(w)
+		return
+	}
+	j, m, err := s.parse(r)
+	if err == nil {
+		m.Body, err = readBody(w, r, arrived.Add(j.Patience))
+	}
+	if err != nil {
+		refuseBad(w, err)
+		return
+	}
+	if len(m.Body) > 0 {
+		arrived = arrival(r.Context())
+	}
+	// The core's goroutine must not wait for a client: the answer has a place of its own.
+	final := make(chan core.Answer, 1)
+	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
+	if !s.core.Submit(j) {
+		// Nothing of it was taken or sent: a repeat is harmless.
+		write(w, core.Answer{Ending: core.Refused, RetryAfter: time.Second})
+		return
+	}
+	select {
+	case a := <-final:
+		write(w, a)
+	case <-r.Context().Done():
+		s.core.Depart(j)
+	}
+}
+
+func (s *Server) ready(w http.ResponseWriter) {
+	if s.leaving.Load() {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// refuseBad answers what could not be taken. None of these is a 429 or 503: a repeat would fare no better.
+func refuseBad(w http.ResponseWriter, err error) {
+	var f *fault
+	if !errors.As(err, &f) {
+		f = &fault{http.StatusBadRequest, "body: not readable"}
+	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, f.text, f.status)
+}
+
+// write gives the one final answer. Its length is told ahead, so that a cut one shows.
+func write(w http.ResponseWriter, a core.Answer) {
+	switch a.Ending {
+	case core.Served:
+		body, _ := a.Payload.([]byte)
+		h := w.Header()
+		h.Set("Content-Type", "application/octet-stream")
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(http.StatusOK)
+		w.Write(body)
+	case core.Refused:
+		if a.RetryAfter > 0 {
+			w.Header().Set("Retry-After", fmt.Sprintf("%.3f", a.RetryAfter.Seconds()))
+		}
+		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
+	default:
+		http.Error(w, "failed: it may have run", http.StatusBadGateway)
+	}
+}
+
+var _ Core = (*core.Core)(nil)
+var _ core.Upstream = (*upstream.Registry)(nil)
--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,135 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"honeybridge"
+	"honeybridge/internal/core"
+	"honeybridge/internal/upstream"
+)
+
+// fault is a request that cannot be taken: what the client is told.
+type fault struct {
+	status int
+	text   string
+}
+
+func (f *fault) Error() string { return f.text }
+
+func bad(status int, format string, args ...any) error {
+	return &fault{status, fmt.Sprintf(format, args...)}
+}
+
+// parse reads the head of a request into a job; the body comes later.
+func (s *Server) parse(r *http.Request) (*core.Job, *upstream.Message, error) {
+	if r.Method != http.MethodGet && r.Method != http.MethodPut {
+		return nil, nil, bad(http.StatusMethodNotAllowed, "method %s: GET and PUT are served", r.Method)
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, nil, bad(http.StatusBadRequest, "the request's target must be a path")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	class, rest, found := strings.Cut(path[1:], "/")
+	key := rest[strings.LastIndexByte(rest, '/')+1:]
+	if !found || class == "" || !isHex16(key) {
+		return nil, nil, bad(http.StatusBadRequest, "path: wanted /class/…/key with a key of 16 hex digits")
+	}
+	id := r.Header.Get("Request-Id")
+	if id == "" || len(id) > 64 || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) {
+		return nil, nil, bad(http.StatusBadRequest, "Request-Id: wanted 1 to 64 visible characters")
+	}
+	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeoutMs {
+		return nil, nil, bad(http.StatusBadRequest, "Request-Timeout-Ms: wanted whole milliseconds, 1 to %d", maxTimeoutMs)
+	}
+	j := &core.Job{Patience: time.Duration(ms) * time.Millisecond}
+	if j.Request, err = parseInfo(r.Header.Get("IO-Info")); err != nil {
+		return nil, nil, err
+	}
+	j.Class, j.Plan, j.Extent = class, r.Header.Get("Tier"), key
+	if !s.opt.Classes[j.Class] {
+		return nil, nil, bad(http.StatusNotFound, "class %q is not served here", j.Class)
+	}
+	if !s.opt.Plans[j.Plan] {
+		return nil, nil, bad(http.StatusUnprocessableEntity, "Tier: plan %q is not known here", j.Plan)
+	}
+	return j, &upstream.Message{Method: r.Method, URI: r.RequestURI, ID: id}, nil
+}
+
+// parseInfo reads IO-Info: volume, units, shard and hosts, in any order; other fields are skipped.
+func parseInfo(s string) (honeybridge.Request, error) {
+	var q honeybridge.Request
+	var seen [4]bool
+	for field := range strings.SplitSeq(s, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		var err error
+		at := -1
+		switch name {
+		case "volume":
+			if at, q.Volume = 0, value; !isHex16(value) {
+				err = errors.New("wanted 16 hex digits")
+			}
+		case "units":
+			at = 1
+			if q.Units, err = strconv.ParseFloat(value, 64); err == nil && !(q.Units >= 0 && q.Units < 1e6) {
+				err = errors.New("out of range")
+			}
+		case "shard":
+			at = 2
+			if q.Shard, err = strconv.Atoi(value); err == nil && (q.Shard < -1 || q.Shard > 1e6) {
+				err = errors.New("out of range")
+			}
+		case "hosts":
+			at = 3
+			if q.Initiators, err = strconv.Atoi(value); err == nil && (q.Initiators < 0 || q.Initiators > 1e6) {
+				err = errors.New("out of range")
+			}
+		default:
+			continue
+		}
+		if err != nil || seen[at] {
+			return q, bad(http.StatusBadRequest, "IO-Info: %s=%.40q: not usable", name, value)
+		}
+		seen[at] = true
+	}
+	for i, name := range []string{"volume", "units", "shard", "hosts"} {
+		if !seen[i] {
+			return q, bad(http.StatusBadRequest, "IO-Info: %s is missing", name)
+		}
+	}
+	return q, nil
+}
+
+func isHex16(s string) bool {
+	if len(s) != 16 {
+		return false
+	}
+	_, err := strconv.ParseUint(s, 16, 64)
+	return err == nil
+}
+
+// readBody reads the request's body, until the client's own time is up at the latest.
+func readBody(w http.ResponseWriter, r *http.Request, until time.Time) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(until); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, upstream.MaxBody))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, bad(http.StatusRequestEntityTooLarge, "body: over %d bytes", upstream.MaxBody)
+	case err != nil:
+		return nil, bad(http.StatusBadRequest, "body: not whole")
+	}
+	return body, rc.SetReadDeadline(time.Time{})
+}
--- /dev/null
+++ b/internal/upstream/http.go
@@ -0,0 +1,251 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"honeybridge"
+	"honeybridge/internal/core"
+)
+
+const (
+	// MaxBody is the largest body of any message.
+	MaxBody = 64 << 10
+	maxHead = 16 << 10
+)
+
+// Message is the payload of a job on this wire: what passes on unchanged.
+type Message struct {
+	Method string
+	URI    string
+	ID     string
+	Body   []byte
+}
+
+// attempt carries one attempt through dial, write, head and body, each bounded by the attempt's time, and
+// reports its outcome. Where it ends early, the connection is closed first: one attempt out at a time.
+func (t *target) attempt(y *try, c *conn) {
+	r := core.Result{Request: y.Request, Number: y.Number, Node: t.id}
+	var again *conn
+	var reason string
+	r.Code, reason = honeybridge.NoConnection, "CONNECT_FAILED"
+	used := 0
+	if c == nil {
+		c = t.dial(y)
+	}
+	if c != nil {
+		used = c.used + 1
+		var reuse bool
+		if reuse, reason = t.exchange(y, c, &r); reuse {
+			again = c
+		} else {
+			c.Close()
+		}
+	}
+	if y.calledOff() && r.Code != honeybridge.Delivered && r.Code != honeybridge.Moot && r.Code != honeybridge.NoConnection {
+		r.Code, reason = honeybridge.Cancelled, "CANCELLED"
+	}
+	if again == nil {
+		t.logEnd(used, reason)
+	}
+	// The pool hears first, so that a send decided on this outcome finds the connection.
+	t.box.Put(done{y, again})
+	t.report(r)
+}
+
+func (t *target) dial(y *try) *conn {
+	ctx, stop := context.WithTimeout(y.ctx, t.opt.Dial)
+	defer stop()
+	addr := t.address()
+	n, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil
+	}
+	return &conn{Conn: n, addr: addr}
+}
+
+// exchange writes the request and reads the answer. The outcome is judged by the bytes written: short of the
+// last one the target cannot have begun, after it the attempt may have run.
+func (t *target) exchange(y *try, c *conn, r *core.Result) (reuse bool, reason string) {
+	if !y.hold(c.Conn) {
+		r.Code = honeybridge.NoConnection
+		return false, "CANCELLED"
+	}
+	c.SetDeadline(y.Until)
+	m := y.Payload.(*Message)
+	wait := max(time.Until(y.Until).Milliseconds(), 1)
+	head := appendHead(make([]byte, 0, 256+len(m.Body)), m, c.addr, wait)
+	// The last look before the first byte: news may have come while the connection was being made.
+	if !open(&t.state) {
+		r.Code = honeybridge.Moot
+		return false, "TARGET_LEAVES"
+	}
+	n, err := c.Write(append(head, m.Body...))
+	c.used++
+	if n < len(head)+len(m.Body) {
+		r.Code = honeybridge.NoConnection
+		return false, "WRITE_" + cause(err)
+	}
+	limit := &io.LimitedReader{R: c.Conn, N: maxHead + MaxBody}
+	in := bufio.NewReaderSize(limit, 4096)
+	ans, err := readAnswer(in, m.Method)
+	if err != nil {
+		r.Code = honeybridge.Reset
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			r.Code = honeybridge.Expired
+		}
+		if limit.N <= 0 {
+			return false, "ANSWER_TOO_LARGE"
+		}
+		return false, "READ_" + cause(err)
+	}
+	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
+	if ans.close || in.Buffered() > 0 {
+		return false, "TARGET_CLOSES"
+	}
+	return true, ""
+}
+
+// appendHead writes the request's head. What is not listed in the protocol is not sent.
+func appendHead(b []byte, m *Message, host string, waitMs int64) []byte {
+	b = append(b, m.Method...)
+	b = append(b, ' ')
+	b = append(b, m.URI...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\nRequest-Id: "...)
+	b = append(b, m.ID...)
+	b = append(b, "\r\nRequest-Timeout-Ms: "...)
+	b = strconv.AppendInt(b, waitMs, 10)
+	if len(m.Body) > 0 || m.Method != http.MethodGet {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+	}
+	return append(b, "\r\n\r\n"...)
+}
+
+// answer is what a target said.
+type answer struct {
+	status int
+	notRun bool
+	load   *honeybridge.Load
+	used   int
+	body   []byte
+	close  bool
+}
+
+// code is the outcome. The target's word that it never began counts only with the two statuses that go
+// with it: anything else may have run.
+func (a *answer) code() honeybridge.Code {
+	switch {
+	case a.status == http.StatusOK:
+		return honeybridge.Delivered
+	case a.notRun && (a.status == http.StatusServiceUnavailable || a.status == http.StatusGatewayTimeout):
+		return honeybridge.Full
+	}
+	return honeybridge.Errored
+}
+
+var errTooLarge = errors.New("answer's body is too large")
+
+// readAnswer reads one whole answer.
+func readAnswer(in *bufio.Reader, method string) (*answer, error) {
+	for {
+		resp, err := http.ReadResponse(in, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		a := &answer{status: resp.StatusCode, notRun: resp.Header.Get("Not-Started") == "1", close: resp.Close}
+		a.load = parseLoad(resp.Header.Get("Server-Load"))
+		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < 1e6 {
+			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
+		}
+		if resp.ContentLength > MaxBody {
+			return nil, errTooLarge
+		}
+		var body bytes.Buffer
+		if resp.ContentLength > 0 {
+			body.Grow(int(resp.ContentLength) + bytes.MinRead)
+		}
+		if n, err := body.ReadFrom(io.LimitReader(resp.Body, MaxBody+1)); err != nil {
+			return nil, err
+		} else if n > MaxBody {
+			return nil, errTooLarge
+		}
+		a.body = body.Bytes()
+		return a, nil
+	}
+}
+
+// parseLoad reads a load report such as inflight=7,queue=2; nil where there is none.
+func parseLoad(s string) *honeybridge.Load {
+	if s == "" {
+		return nil
+	}
+	l := &honeybridge.Load{Queue: -1, InFlight: -1}
+	for field := range strings.SplitSeq(s, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || x < 0 || x != x {
+			continue
+		}
+		switch name {
+		case "queue":
+			l.Queue = x
+		case "inflight":
+			l.InFlight = x
+		}
+	}
+	return l
+}
+
+// cause is the reason code of a failed read or write.
+func cause(err error) string {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "TIMEOUT"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "EOF"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "RESET"
+	case errors.Is(err, net.ErrClosed):
+		return "CLOSED"
+	case errors.Is(err, errTooLarge):
+		return "TOO_LARGE"
+	}
+	return "MALFORMED"
+}
+
+// alive tells whether an idle connection is still open and quiet. It looks without taking: a target that
+// closed it, or that speaks unasked, makes it useless, and a write to it would end as a reset.
+func alive(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/upstream/registry.go
@@ -0,0 +1,98 @@
+// Package upstream carries attempts to targets over net.Conn: an actor per target owns its connections.
+package upstream
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"honeybridge"
+	"honeybridge/internal/core"
+)
+
+// Target is what discovery says of one target.
+type Target struct {
+	ID    string
+	Addr  string
+	State honeybridge.NodeState
+}
+
+// Options are the bounds of every connection.
+type Options struct {
+	Dial     time.Duration // for a connection to come up
+	Idle     time.Duration // an unused connection is closed after that
+	MostConn int           // connections to one target
+	Log      *slog.Logger
+}
+
+// Registry holds the targets' actors. The list actor applies news to it before the module hears of them, so
+// that a send decided on an older list still meets the newer state at its first byte.
+type Registry struct {
+	opt     Options
+	report  func(core.Result)
+	mu      sync.Mutex
+	targets map[string]*target
+}
+
+// NewRegistry returns an empty registry; results go to report.
+func NewRegistry(opt Options, report func(core.Result)) *Registry {
+	return &Registry{opt: opt, report: report, targets: map[string]*target{}}
+}
+
+// Apply takes over entries of the list; with whole, a target that is absent is gone.
+func (g *Registry) Apply(list []Target, whole bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	named := make(map[string]bool, len(list))
+	for _, x := range list {
+		named[x.ID] = true
+		t := g.targets[x.ID]
+		if t == nil {
+			if x.State == honeybridge.Removed {
+				continue
+			}
+			t = newTarget(x.ID, g.opt, g.report)
+			g.targets[x.ID] = t
+			go t.run()
+		}
+		t.set(x.Addr, x.State)
+	}
+	for id, t := range g.targets {
+		if whole && !named[id] {
+			t.set("", honeybridge.Removed)
+		}
+		// An actor of a target that is gone ends once nothing is out at it.
+		if t.state.Load() == int32(honeybridge.Removed) {
+			delete(g.targets, id)
+			t.box.Put(retire{})
+		}
+	}
+}
+
+// Send starts an attempt; one result follows.
+func (g *Registry) Send(a core.Attempt) {
+	g.mu.Lock()
+	t := g.targets[a.Node]
+	if t != nil {
+		t.box.Put(a)
+	}
+	g.mu.Unlock()
+	if t == nil {
+		// Not sent: the target left the list between the decision and now.
+		g.report(core.Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: honeybridge.Moot})
+	}
+}
+
+// Cancel calls an attempt off; its connection is closed before its result is reported.
+func (g *Registry) Cancel(node, request string) {
+	g.mu.Lock()
+	t := g.targets[node]
+	g.mu.Unlock()
+	if t != nil {
+		t.box.Put(cancel{request})
+	}
+}
+
+// open tells whether something new may still go to the target.
+func open(state *atomic.Int32) bool { return state.Load() == int32(honeybridge.Up) }
--- /dev/null
+++ b/internal/upstream/target.go
@@ -0,0 +1,219 @@
+package upstream
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"honeybridge"
+	"honeybridge/internal/core"
+	"honeybridge/internal/mailbox"
+)
+
+// Messages of a target's actor, beside core.Attempt.
+type (
+	cancel struct{ request string }
+	moved  struct{}
+	retire struct{}
+	done   struct {
+		try  *try
+		conn *conn // to be used again; nil: closed
+	}
+	sweep struct{}
+)
+
+// target is the actor of one target. Only its goroutine touches idle, busy and conns; state and addr are
+// written by the list and read by every attempt at its first byte.
+type target struct {
+	id     string
+	opt    Options
+	report func(core.Result)
+	box    *mailbox.Box[any]
+	state  atomic.Int32
+	addr   atomic.Pointer[string]
+
+	idle  []*conn
+	busy  map[string]*try
+	conns int
+}
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	addr   string
+	used   int
+	idleAt time.Time
+}
+
+// try is one attempt under way.
+type try struct {
+	core.Attempt
+	ctx    context.Context
+	stop   context.CancelFunc
+	mu     sync.Mutex
+	conn   net.Conn
+	called bool // called off
+}
+
+func newTarget(id string, opt Options, report func(core.Result)) *target {
+	return &target{id: id, opt: opt, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
+}
+
+// set takes over what the list says; at once for attempts about to write, in turn for the pool.
+func (t *target) set(addr string, state honeybridge.NodeState) {
+	if addr != "" {
+		t.addr.Store(&addr)
+	}
+	t.state.Store(int32(state))
+	t.box.Put(moved{})
+}
+
+func (t *target) run() {
+	var spare []any
+	tick := time.NewTicker(max(t.opt.Idle/8, 50*time.Millisecond))
+	defer tick.Stop()
+	retired := false
+	for !retired || len(t.busy) > 0 {
+		select {
+		case <-t.box.Wake():
+		case <-tick.C:
+			t.box.Put(sweep{})
+			continue
+		}
+		msgs := t.box.Take(spare)
+		for _, m := range msgs {
+			switch m := m.(type) {
+			case core.Attempt:
+				t.start(m)
+			case cancel:
+				if a := t.busy[m.request]; a != nil {
+					a.callOff()
+				}
+			case done:
+				t.finish(m)
+			case moved, sweep:
+				t.prune()
+			case retire:
+				retired = true
+				t.prune()
+			}
+		}
+		spare = msgs
+	}
+	t.closeIdle("TARGET_GONE", func(*conn) bool { return true })
+}
+
+// start gives the attempt a connection, an idle one that is still whole or a new one.
+func (t *target) start(a core.Attempt) {
+	r := core.Result{Request: a.Request, Number: a.Number, Node: t.id}
+	if !open(&t.state) {
+		r.Code = honeybridge.Moot
+		t.report(r)
+		return
+	}
+	var c *conn
+	for len(t.idle) > 0 && c == nil {
+		last := len(t.idle) - 1
+		c, t.idle = t.idle[last], t.idle[:last]
+		if !alive(c.Conn) {
+			// Closed by the target while idle: no byte of the attempt has been near it.
+			t.drop(c, "TARGET_CLOSED_IDLE")
+			c = nil
+		}
+	}
+	if c == nil {
+		if t.conns >= t.opt.MostConn {
+			r.Code = honeybridge.NoConnection
+			t.report(r)
+			return
+		}
+		t.conns++
+	}
+	ctx, stop := context.WithDeadline(context.Background(), a.Until)
+	y := &try{Attempt: a, ctx: ctx, stop: stop}
+	t.busy[a.Request] = y
+	go t.attempt(y, c)
+}
+
+func (t *target) finish(m done) {
+	m.try.stop()
+	// A later attempt of the same request may have begun here since; its entry is not this one's.
+	if t.busy[m.try.Request] == m.try {
+		delete(t.busy, m.try.Request)
+	}
+	if m.conn == nil {
+		t.conns--
+		return
+	}
+	m.conn.idleAt = time.Now()
+	t.idle = append(t.idle, m.conn)
+	t.prune()
+}
+
+// prune closes idle connections that nothing will use: too old, of an old address, of a target that leaves.
+func (t *target) prune() {
+	now, addr := time.Now(), t.address()
+	t.closeIdle("TARGET_LEAVES", func(*conn) bool { return !open(&t.state) })
+	t.closeIdle("TARGET_MOVED", func(c *conn) bool { return c.addr != addr })
+	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.opt.Idle })
+}
+
+func (t *target) closeIdle(reason string, which func(*conn) bool) {
+	kept := t.idle[:0]
+	for _, c := range t.idle {
+		if which(c) {
+			t.drop(c, reason)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(t.idle[len(kept):])
+	t.idle = kept
+}
+
+// drop closes a connection that no attempt is on.
+func (t *target) drop(c *conn, reason string) {
+	c.Close()
+	t.conns--
+	t.logEnd(c.used, reason)
+}
+
+func (t *target) address() string {
+	if p := t.addr.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+func (t *target) logEnd(used int, reason string) {
+	t.opt.Log.Info("connection ended", slog.String("side", "target"), slog.String("peer", t.id),
+		slog.String("reason", reason), slog.Int("requests", used))
+}
+
+// callOff ends an attempt from outside: whatever it waits for fails at once.
+func (y *try) callOff() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.called = true
+	y.stop()
+	if y.conn != nil {
+		y.conn.Close()
+	}
+}
+
+// hold notes the connection for callOff; false when it came too late.
+func (y *try) hold(c net.Conn) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.conn = c
+	return !y.called
+}
+
+func (y *try) calledOff() bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.called
+}
