--- a/api.go
+++ b/api.go
@@ -1,8 +1,8 @@
-// Package honeybridge decides, for one initiator of a shared disk pool, when each
+// Package spindlehitch decides, for one initiator of a shared disk pool, when each
 // request leaves for the node that holds its data, and how each request ends.
 //
 // The decisions are in scheduler.go; this file is the whole interface.
-package honeybridge
+package spindlehitch
 
 import "time"
 
--- a/cmd/benchlink/decode.go
+++ b/cmd/benchlink/decode.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strconv"
 
-	"honeybridge"
+	"spindlehitch"
 )
 
 func parseUint(n json.Number) (uint64, error) { return strconv.ParseUint(n.String(), 10, 64) }
@@ -34,7 +34,7 @@
 }
 
 // decode turns a wire event into the module's; nil where the module has no use for it.
-func decode(e *event) (honeybridge.Event, error) {
+func decode(e *event) (spindlehitch.Event, error) {
 	switch *e.Type {
 	case "members":
 		return decodeList(e)
@@ -44,7 +44,7 @@
 		if err != nil {
 			return nil, err
 		}
-		r := honeybridge.Request{ID: *e.Rid, Class: *e.Grade, Plan: *e.Tier, Volume: *e.Vol,
+		r := spindlehitch.Request{ID: *e.Rid, Class: *e.Grade, Plan: *e.Tier, Volume: *e.Vol,
 			Shard: *e.GroupNo, Units: *e.Weight, Budget: us(*e.BudgetUs)}
 		if e.Chunk != nil {
 			r.Extent = *e.Chunk
@@ -63,7 +63,7 @@
 		if err != nil {
 			return nil, err
 		}
-		o := honeybridge.Outcome{ID: *e.Rid, Attempt: *e.Leg, Node: *e.Target, Code: code,
+		o := spindlehitch.Outcome{ID: *e.Rid, Attempt: *e.Leg, Node: *e.Target, Code: code,
 			Took: us(*e.SpentUs), Closed: *e.Complete}
 		if e.Used != nil {
 			o.Used = *e.Used
@@ -74,14 +74,14 @@
 		if err := required("rid", e.Rid); err != nil {
 			return nil, err
 		}
-		return honeybridge.StreamBegun{ID: *e.Rid}, nil
+		return spindlehitch.StreamBegun{ID: *e.Rid}, nil
 	case "clientGone":
 		if err := required("rid", e.Rid); err != nil {
 			return nil, err
 		}
-		return honeybridge.Departed{ID: *e.Rid}, nil
+		return spindlehitch.Departed{ID: *e.Rid}, nil
 	case "reminder":
-		return honeybridge.Timer{}, nil
+		return spindlehitch.Timer{}, nil
 	case "message", "healthResult":
 		return nil, nil
 	}
@@ -89,11 +89,11 @@
 }
 
 // load turns a load report into the module's; nil where none came.
-func load(s *stats) *honeybridge.Load {
+func load(s *stats) *spindlehitch.Load {
 	if s == nil {
 		return nil
 	}
-	l := &honeybridge.Load{Queue: -1, InFlight: -1}
+	l := &spindlehitch.Load{Queue: -1, InFlight: -1}
 	if s.Depth != nil {
 		l.Queue = *s.Depth
 	}
@@ -103,36 +103,36 @@
 	return l
 }
 
-func decodeCode(word string) (honeybridge.Code, error) {
+func decodeCode(word string) (spindlehitch.Code, error) {
 	switch word {
 	case "delivered":
-		return honeybridge.Delivered, nil
+		return spindlehitch.Delivered, nil
 	case "app_error":
-		return honeybridge.Errored, nil
+		return spindlehitch.Errored, nil
 	case "shed":
-		return honeybridge.Full, nil
+		return spindlehitch.Full, nil
 	case "expired":
-		return honeybridge.Expired, nil
+		return spindlehitch.Expired, nil
 	case "dial_failed":
-		return honeybridge.NoConnection, nil
+		return spindlehitch.NoConnection, nil
 	case "dropped":
-		return honeybridge.Reset, nil
+		return spindlehitch.Reset, nil
 	case "revoked":
-		return honeybridge.Cancelled, nil
+		return spindlehitch.Cancelled, nil
 	case "unused":
-		return honeybridge.Moot, nil
+		return spindlehitch.Moot, nil
 	}
 	return 0, fmt.Errorf("stateCode: unknown outcome %q", word)
 }
 
-func decodeList(e *event) (honeybridge.Event, error) {
+func decodeList(e *event) (spindlehitch.Event, error) {
 	if e.Mode == nil {
 		return nil, missing("mode")
 	}
-	var list honeybridge.NodeList
+	var list spindlehitch.NodeList
 	switch *e.Mode {
 	case "broken":
-		return honeybridge.NodeList{Broken: true}, nil
+		return spindlehitch.NodeList{Broken: true}, nil
 	case "whole", "stale_copy":
 		list.Whole = true
 	case "patch":
@@ -143,14 +143,14 @@
 		if err := required("target", r.Target, "cohort", r.Cohort, "mode", r.Mode); err != nil {
 			return nil, fmt.Errorf("records[%d]: %w", i, err)
 		}
-		n := honeybridge.Node{ID: *r.Target, Zone: r.FailureDomain, Shard: *r.Cohort}
+		n := spindlehitch.Node{ID: *r.Target, Zone: r.FailureDomain, Shard: *r.Cohort}
 		switch *r.Mode {
 		case "up":
-			n.State = honeybridge.Up
+			n.State = spindlehitch.Up
 		case "draining":
-			n.State = honeybridge.Draining
+			n.State = spindlehitch.Draining
 		case "removed":
-			n.State = honeybridge.Removed
+			n.State = spindlehitch.Removed
 		default:
 			return nil, fmt.Errorf("records[%d]: mode: unknown state %q", i, *r.Mode)
 		}
--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"honeybridge"
-	"honeybridge/internal/config"
+	"spindlehitch"
+	"spindlehitch/internal/config"
 )
 
 type batch struct {
@@ -78,15 +78,15 @@
 
 // link hosts the instances of one process. They share nothing but the line they are spoken to on.
 type link struct {
-	instances map[string]*honeybridge.Scheduler
+	instances map[string]*spindlehitch.Scheduler
 }
 
-func newLink() *link { return &link{instances: map[string]*honeybridge.Scheduler{}} }
+func newLink() *link { return &link{instances: map[string]*spindlehitch.Scheduler{}} }
 
 // inbox is what a batch holds for one instance since its last start.
 type inbox struct {
 	id     string
-	events []honeybridge.Event
+	events []spindlehitch.Event
 }
 
 // handle decodes one batch, steps the instances it names in order of first mention, and encodes the reply.
@@ -152,7 +152,7 @@
 		if err != nil {
 			return err
 		}
-		s, err := honeybridge.New(set, seed)
+		s, err := spindlehitch.New(set, seed)
 		if err != nil {
 			return fmt.Errorf("options: %w", err)
 		}
@@ -194,20 +194,20 @@
 	return done
 }
 
-func encode(a honeybridge.Action, id string) action {
+func encode(a spindlehitch.Action, id string) action {
 	w := action{InitiatorID: id}
 	switch a.Kind {
-	case honeybridge.Send:
+	case spindlehitch.Send:
 		w.Type, w.Rid, w.Target, w.MaxWaitUs = "relay", a.Request, a.Node, a.Wait.Microseconds()
-	case honeybridge.Refuse:
+	case spindlehitch.Refuse:
 		w.Type, w.Rid = "decline", a.Request
-	case honeybridge.Fail:
+	case spindlehitch.Fail:
 		w.Type, w.Rid = "lose", a.Request
-	case honeybridge.SetTimer:
+	case spindlehitch.SetTimer:
 		w.Type, w.KeyBack, w.FromNowUs = "remind", "step", a.Wait.Microseconds()
-	case honeybridge.Subscribe:
+	case spindlehitch.Subscribe:
 		w.Type, w.On = "streamChanges", true
-	case honeybridge.Log:
+	case spindlehitch.Log:
 		w.Type, w.Message = "trace", a.Text
 	}
 	return w
--- a/cmd/spindlehitch/check.go
+++ b/cmd/spindlehitch/check.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"honeybridge/internal/config"
+	"spindlehitch/internal/config"
 )
 
 func checkCommand() *cobra.Command {
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -14,12 +14,12 @@
 
 	"github.com/spf13/cobra"
 
-	"honeybridge"
-	"honeybridge/internal/config"
-	"honeybridge/internal/core"
-	"honeybridge/internal/discovery"
-	"honeybridge/internal/front"
-	"honeybridge/internal/upstream"
+	"spindlehitch"
+	"spindlehitch/internal/config"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/discovery"
+	"spindlehitch/internal/front"
+	"spindlehitch/internal/upstream"
 )
 
 const (
@@ -53,7 +53,7 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 
-	module, err := honeybridge.New(cfg.Module, cfg.Seed)
+	module, err := spindlehitch.New(cfg.Module, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -130,8 +130,8 @@
 	return out
 }
 
-func nodes(l *discovery.List) honeybridge.NodeList {
-	out := honeybridge.NodeList{Whole: l.Full}
+func nodes(l *discovery.List) spindlehitch.NodeList {
+	out := spindlehitch.NodeList{Whole: l.Full}
 	for _, e := range l.Servers {
 		out.Nodes = append(out.Nodes, e.Node())
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,8 +10,8 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"honeybridge"
-	"honeybridge/internal/discovery"
+	"spindlehitch"
+	"spindlehitch/internal/discovery"
 )
 
 // Limits are what the machine grants the process.
@@ -29,7 +29,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     *discovery.List // the list as last had; nil: none
-	Module    honeybridge.Settings
+	Module    spindlehitch.Settings
 	MostHeld  int
 	ConnIdle  time.Duration
 	Dial      time.Duration
@@ -111,7 +111,7 @@
 	if c.Module, err = f.Settings.Module(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if _, err = honeybridge.New(c.Module, c.Seed); err != nil {
+	if _, err = spindlehitch.New(c.Module, c.Seed); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	l := f.Settings.Limits
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"honeybridge"
+	"spindlehitch"
 )
 
 // Options is the settings object as the platform writes it, in the simulator's first message and in the
@@ -71,11 +71,11 @@
 func Us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 // Module turns the options into the module's settings.
-func (o *Options) Module() (honeybridge.Settings, error) {
+func (o *Options) Module() (spindlehitch.Settings, error) {
 	if o.PeersTotal == nil {
-		return honeybridge.Settings{}, Missing("options.peersTotal")
+		return spindlehitch.Settings{}, Missing("options.peersTotal")
 	}
-	s := honeybridge.Settings{
+	s := spindlehitch.Settings{
 		Initiators:   *o.PeersTotal,
 		Tick:         Us(o.TickUs),
 		MaxAttempts:  o.Limits.SendCap,
@@ -86,7 +86,7 @@
 		ColdUnits:    o.Extra.ColdBears,
 		Meter:        Us(o.Extra.MeteringUs),
 		AskForList:   o.RegistryMode == "on_request",
-		Rules: honeybridge.Rules{
+		Rules: spindlehitch.Rules{
 			ColdShare:    o.Rules.ColdShare,
 			WarmWithin:   Us(o.Rules.WarmWithinUs),
 			FallWithin:   Us(o.Rules.FallUs),
@@ -100,32 +100,32 @@
 		s.Rules.Budget, s.Rules.BudgetShare = true, *o.Rules.ResendRatio
 	}
 	for i, c := range o.Classes {
-		k := honeybridge.Class{Name: c.Name, Aim: Us(c.PromiseUs), Deadline: Us(c.DeadlineUs),
+		k := spindlehitch.Class{Name: c.Name, Aim: Us(c.PromiseUs), Deadline: Us(c.DeadlineUs),
 			Window: Us(c.WindowUs), InOrder: c.Serial, Worth: c.Worth}
 		switch c.Effect {
 		case "pure":
-			k.Effect = honeybridge.Pure
+			k.Effect = spindlehitch.Pure
 		case "token":
-			k.Effect = honeybridge.Keyed
+			k.Effect = spindlehitch.Keyed
 		case "side_effect":
-			k.Effect = honeybridge.Unsafe
+			k.Effect = spindlehitch.Unsafe
 		default:
 			return s, fmt.Errorf("options.classes[%d].effect: unknown effect %q", i, c.Effect)
 		}
 		switch c.Group {
 		case "", "all":
-			k.Group = honeybridge.GroupAll
+			k.Group = spindlehitch.GroupAll
 		case "zone":
-			k.Group = honeybridge.GroupZone
+			k.Group = spindlehitch.GroupZone
 		case "cell":
-			k.Group = honeybridge.GroupCell
+			k.Group = spindlehitch.GroupCell
 		default:
 			return s, fmt.Errorf("options.classes[%d].group: unknown group %q", i, c.Group)
 		}
 		s.Classes = append(s.Classes, k)
 	}
 	for _, p := range o.Contracts {
-		s.Plans = append(s.Plans, honeybridge.Plan{Name: p.Name, Rate: p.UsualRate, Reserve: p.Reservation,
+		s.Plans = append(s.Plans, spindlehitch.Plan{Name: p.Name, Rate: p.UsualRate, Reserve: p.Reservation,
 			Weight: p.Parts, Price: p.Pays, Limit: p.CeilingRate, LimitBurst: p.LimitBurst})
 	}
 	return s, nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"honeybridge"
-	"honeybridge/internal/mailbox"
+	"spindlehitch"
+	"spindlehitch/internal/mailbox"
 )
 
 // Ending says how a request ended.
@@ -30,13 +30,13 @@
 	Ending     Ending
 	Payload    any           // of a served request: what the upstream brought
 	RetryAfter time.Duration // of a refusal: when the client should come back; 0: no advice
-	Last       honeybridge.Code
+	Last       spindlehitch.Code
 	Attempts   int // how many were started
 }
 
 // Job is a request as a front hands it over. ID, Budget and Initiators' clock belong to the core.
 type Job struct {
-	honeybridge.Request
+	spindlehitch.Request
 	Arrived  time.Time     // when its last byte was here
 	Patience time.Duration // how long the client waits from then on
 	Payload  any           // for the upstream
@@ -58,8 +58,8 @@
 	Request string
 	Number  int
 	Node    string
-	Code    honeybridge.Code
-	Load    *honeybridge.Load
+	Code    spindlehitch.Code
+	Load    *spindlehitch.Load
 	Used    int
 	Payload any
 }
@@ -89,7 +89,7 @@
 
 // Core is the module's actor.
 type Core struct {
-	module   *honeybridge.Scheduler
+	module   *spindlehitch.Scheduler
 	up       Upstream
 	clock    Clock
 	opt      Options
@@ -98,8 +98,8 @@
 	held     atomic.Int64
 	seq      uint64
 	timerAt  time.Time // zero: none
-	events   []honeybridge.Event
-	lists    []honeybridge.Event
+	events   []spindlehitch.Event
+	lists    []spindlehitch.Event
 	lastStep time.Duration
 }
 
@@ -109,14 +109,14 @@
 	attempts int
 	out      bool
 	sentAt   time.Time
-	last     honeybridge.Code
+	last     spindlehitch.Code
 	answered bool
 }
 
 type submitted struct{ job *Job }
 
 // New returns a core; Run starts it.
-func New(m *honeybridge.Scheduler, up Upstream, clock Clock, opt Options) *Core {
+func New(m *spindlehitch.Scheduler, up Upstream, clock Clock, opt Options) *Core {
 	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{}}
 }
 
@@ -137,7 +137,7 @@
 func (c *Core) Report(r Result) { c.box.Put(r) }
 
 // List hands over news of the targets.
-func (c *Core) List(l honeybridge.NodeList) { c.box.Put(l) }
+func (c *Core) List(l spindlehitch.NodeList) { c.box.Put(l) }
 
 // Open tells how many requests are not finished with.
 func (c *Core) Open() int { return int(c.held.Load()) }
@@ -174,14 +174,14 @@
 			c.depart(m)
 		case Result:
 			c.result(now, m)
-		case honeybridge.NodeList:
+		case spindlehitch.NodeList:
 			// Ahead of all else in the batch: no send is decided on a list older than the one at hand.
 			c.lists = append(c.lists, m)
 		}
 	}
 	if !c.timerAt.IsZero() && !now.Before(c.timerAt) {
 		c.timerAt = time.Time{}
-		c.events = append(c.events, honeybridge.Timer{})
+		c.events = append(c.events, spindlehitch.Timer{})
 	}
 	if len(c.events)+len(c.lists) == 0 {
 		return
@@ -205,7 +205,7 @@
 func (c *Core) depart(j *Job) {
 	if e := c.open[j.ID]; e != nil && e.job == j && !e.answered {
 		e.answered = true
-		c.events = append(c.events, honeybridge.Departed{ID: j.ID})
+		c.events = append(c.events, spindlehitch.Departed{ID: j.ID})
 		c.tidy(j.ID, e)
 	}
 }
@@ -216,38 +216,38 @@
 		return
 	}
 	e.out, e.last = false, r.Code
-	if r.Code == honeybridge.Delivered {
+	if r.Code == spindlehitch.Delivered {
 		c.answer(e, Answer{Ending: Served, Payload: r.Payload})
 	}
-	c.events = append(c.events, honeybridge.Outcome{ID: r.Request, Attempt: r.Number, Node: r.Node, Code: r.Code,
+	c.events = append(c.events, spindlehitch.Outcome{ID: r.Request, Attempt: r.Number, Node: r.Node, Code: r.Code,
 		Took: now.Sub(e.sentAt), Closed: e.answered, Load: r.Load, Used: r.Used})
 	c.tidy(r.Request, e)
 }
 
-func (c *Core) act(now time.Time, a honeybridge.Action) {
+func (c *Core) act(now time.Time, a spindlehitch.Action) {
 	e := c.open[a.Request]
 	switch a.Kind {
-	case honeybridge.SetTimer:
+	case spindlehitch.SetTimer:
 		if at := now.Add(a.Wait); c.timerAt.IsZero() || at.Before(c.timerAt) {
 			c.timerAt = at
 		}
 		return
-	case honeybridge.Subscribe, honeybridge.Log:
+	case spindlehitch.Subscribe, spindlehitch.Log:
 		return // the list is always watched
 	}
 	if e == nil || e.answered || e.out {
 		return
 	}
 	switch a.Kind {
-	case honeybridge.Send:
+	case spindlehitch.Send:
 		e.out, e.sentAt = true, now
 		e.attempts++
 		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node, Started: now,
 			Until: now.Add(a.Wait), Payload: e.job.Payload})
-	case honeybridge.Refuse:
+	case spindlehitch.Refuse:
 		c.answer(e, Answer{Ending: Refused})
 		c.tidy(a.Request, e)
-	case honeybridge.Fail:
+	case spindlehitch.Fail:
 		c.answer(e, Answer{Ending: Failed})
 		c.tidy(a.Request, e)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,7 +12,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"honeybridge"
+	"spindlehitch"
 )
 
 const (
@@ -75,13 +75,13 @@
 	return nil
 }
 
-var states = map[string]honeybridge.NodeState{
-	"SERVING": honeybridge.Up, "DRAINING": honeybridge.Draining, "DELETED": honeybridge.Removed,
+var states = map[string]spindlehitch.NodeState{
+	"SERVING": spindlehitch.Up, "DRAINING": spindlehitch.Draining, "DELETED": spindlehitch.Removed,
 }
 
 // Node is the entry as the module knows it.
-func (e Entry) Node() honeybridge.Node {
-	n := honeybridge.Node{ID: e.ID, Zone: e.Zone, State: states[e.State],
+func (e Entry) Node() spindlehitch.Node {
+	n := spindlehitch.Node{ID: e.ID, Zone: e.Zone, State: states[e.State],
 		Started: time.Duration(e.Started) * time.Millisecond}
 	if e.Cell != nil {
 		n.Shard = *e.Cell
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"honeybridge/internal/core"
-	"honeybridge/internal/upstream"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/upstream"
 )
 
 const (
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"honeybridge"
-	"honeybridge/internal/core"
-	"honeybridge/internal/upstream"
+	"spindlehitch"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/upstream"
 )
 
 // fault is a request that cannot be taken: what the client is told.
@@ -63,8 +63,8 @@
 }
 
 // parseInfo reads IO-Info: volume, units, shard and hosts, in any order; other fields are skipped.
-func parseInfo(s string) (honeybridge.Request, error) {
-	var q honeybridge.Request
+func parseInfo(s string) (spindlehitch.Request, error) {
+	var q spindlehitch.Request
 	var seen [4]bool
 	for field := range strings.SplitSeq(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -14,8 +14,8 @@
 	"syscall"
 	"time"
 
-	"honeybridge"
-	"honeybridge/internal/core"
+	"spindlehitch"
+	"spindlehitch/internal/core"
 )
 
 const (
@@ -38,7 +38,7 @@
 	r := core.Result{Request: y.Request, Number: y.Number, Node: t.id}
 	var again *conn
 	var reason string
-	r.Code, reason = honeybridge.NoConnection, "CONNECT_FAILED"
+	r.Code, reason = spindlehitch.NoConnection, "CONNECT_FAILED"
 	used := 0
 	if c == nil {
 		c = t.dial(y)
@@ -52,8 +52,8 @@
 			c.Close()
 		}
 	}
-	if y.calledOff() && r.Code != honeybridge.Delivered && r.Code != honeybridge.Moot && r.Code != honeybridge.NoConnection {
-		r.Code, reason = honeybridge.Cancelled, "CANCELLED"
+	if y.calledOff() && r.Code != spindlehitch.Delivered && r.Code != spindlehitch.Moot && r.Code != spindlehitch.NoConnection {
+		r.Code, reason = spindlehitch.Cancelled, "CANCELLED"
 	}
 	if again == nil {
 		t.logEnd(used, reason)
@@ -78,7 +78,7 @@
 // last one the target cannot have begun, after it the attempt may have run.
 func (t *target) exchange(y *try, c *conn, r *core.Result) (reuse bool, reason string) {
 	if !y.hold(c.Conn) {
-		r.Code = honeybridge.NoConnection
+		r.Code = spindlehitch.NoConnection
 		return false, "CANCELLED"
 	}
 	c.SetDeadline(y.Until)
@@ -87,22 +87,22 @@
 	head := appendHead(make([]byte, 0, 256+len(m.Body)), m, c.addr, wait)
 	// The last look before the first byte: news may have come while the connection was being made.
 	if !open(&t.state) {
-		r.Code = honeybridge.Moot
+		r.Code = spindlehitch.Moot
 		return false, "TARGET_LEAVES"
 	}
 	n, err := c.Write(append(head, m.Body...))
 	c.used++
 	if n < len(head)+len(m.Body) {
-		r.Code = honeybridge.NoConnection
+		r.Code = spindlehitch.NoConnection
 		return false, "WRITE_" + cause(err)
 	}
 	limit := &io.LimitedReader{R: c.Conn, N: maxHead + MaxBody}
 	in := bufio.NewReaderSize(limit, 4096)
 	ans, err := readAnswer(in, m.Method)
 	if err != nil {
-		r.Code = honeybridge.Reset
+		r.Code = spindlehitch.Reset
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			r.Code = honeybridge.Expired
+			r.Code = spindlehitch.Expired
 		}
 		if limit.N <= 0 {
 			return false, "ANSWER_TOO_LARGE"
@@ -138,7 +138,7 @@
 type answer struct {
 	status int
 	notRun bool
-	load   *honeybridge.Load
+	load   *spindlehitch.Load
 	used   int
 	body   []byte
 	close  bool
@@ -146,14 +146,14 @@
 
 // code is the outcome. The target's word that it never began counts only with the two statuses that go
 // with it: anything else may have run.
-func (a *answer) code() honeybridge.Code {
+func (a *answer) code() spindlehitch.Code {
 	switch {
 	case a.status == http.StatusOK:
-		return honeybridge.Delivered
+		return spindlehitch.Delivered
 	case a.notRun && (a.status == http.StatusServiceUnavailable || a.status == http.StatusGatewayTimeout):
-		return honeybridge.Full
+		return spindlehitch.Full
 	}
-	return honeybridge.Errored
+	return spindlehitch.Errored
 }
 
 var errTooLarge = errors.New("answer's body is too large")
@@ -191,11 +191,11 @@
 }
 
 // parseLoad reads a load report such as inflight=7,queue=2; nil where there is none.
-func parseLoad(s string) *honeybridge.Load {
+func parseLoad(s string) *spindlehitch.Load {
 	if s == "" {
 		return nil
 	}
-	l := &honeybridge.Load{Queue: -1, InFlight: -1}
+	l := &spindlehitch.Load{Queue: -1, InFlight: -1}
 	for field := range strings.SplitSeq(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		x, err := strconv.ParseFloat(value, 64)
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -7,15 +7,15 @@
 	"sync/atomic"
 	"time"
 
-	"honeybridge"
-	"honeybridge/internal/core"
+	"spindlehitch"
+	"spindlehitch/internal/core"
 )
 
 // Target is what discovery says of one target.
 type Target struct {
 	ID    string
 	Addr  string
-	State honeybridge.NodeState
+	State spindlehitch.NodeState
 }
 
 // Options are the bounds of every connection.
@@ -49,7 +49,7 @@
 		named[x.ID] = true
 		t := g.targets[x.ID]
 		if t == nil {
-			if x.State == honeybridge.Removed {
+			if x.State == spindlehitch.Removed {
 				continue
 			}
 			t = newTarget(x.ID, g.opt, g.report)
@@ -60,10 +60,10 @@
 	}
 	for id, t := range g.targets {
 		if whole && !named[id] {
-			t.set("", honeybridge.Removed)
+			t.set("", spindlehitch.Removed)
 		}
 		// An actor of a target that is gone ends once nothing is out at it.
-		if t.state.Load() == int32(honeybridge.Removed) {
+		if t.state.Load() == int32(spindlehitch.Removed) {
 			delete(g.targets, id)
 			t.box.Put(retire{})
 		}
@@ -80,7 +80,7 @@
 	g.mu.Unlock()
 	if t == nil {
 		// Not sent: the target left the list between the decision and now.
-		g.report(core.Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: honeybridge.Moot})
+		g.report(core.Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: spindlehitch.Moot})
 	}
 }
 
@@ -95,4 +95,4 @@
 }
 
 // open tells whether something new may still go to the target.
-func open(state *atomic.Int32) bool { return state.Load() == int32(honeybridge.Up) }
+func open(state *atomic.Int32) bool { return state.Load() == int32(spindlehitch.Up) }
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"honeybridge"
-	"honeybridge/internal/core"
-	"honeybridge/internal/mailbox"
+	"spindlehitch"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/mailbox"
 )
 
 // Messages of a target's actor, beside core.Attempt.
@@ -63,7 +63,7 @@
 }
 
 // set takes over what the list says; at once for attempts about to write, in turn for the pool.
-func (t *target) set(addr string, state honeybridge.NodeState) {
+func (t *target) set(addr string, state spindlehitch.NodeState) {
 	if addr != "" {
 		t.addr.Store(&addr)
 	}
@@ -110,7 +110,7 @@
 func (t *target) start(a core.Attempt) {
 	r := core.Result{Request: a.Request, Number: a.Number, Node: t.id}
 	if !open(&t.state) {
-		r.Code = honeybridge.Moot
+		r.Code = spindlehitch.Moot
 		t.report(r)
 		return
 	}
@@ -126,7 +126,7 @@
 	}
 	if c == nil {
 		if t.conns >= t.opt.MostConn {
-			r.Code = honeybridge.NoConnection
+			r.Code = spindlehitch.NoConnection
 			t.report(r)
 			return
 		}
--- a/invariants_test.go
+++ b/invariants_test.go
@@ -1,4 +1,4 @@
-package honeybridge
+package spindlehitch
 
 import (
 	"fmt"
--- a/scheduler.go
+++ b/scheduler.go
@@ -1,4 +1,4 @@
-package honeybridge
+package spindlehitch
 
 // The interface (settings, events, actions, outcomes) is in api.go; what is kept, in state.go.
 //
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package honeybridge
+package spindlehitch
 
 // What the module in scheduler.go keeps, and small helpers. No decision is taken here.
 
