--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -60,7 +60,7 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	var c *core.Core
-	up := upstream.NewRegistry(upstream.Options{Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
+	up := upstream.NewRegistry(upstream.Options{Wire: upstream.HTTP{}, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
 		MostConn: connPerTarget, Log: log}, func(r core.Result) { c.Report(r) })
 	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin})
 	tell := func(l *discovery.List) {
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -32,69 +32,39 @@
 	Body   []byte
 }
 
-// attempt carries one attempt through dial, write, head and body, each bounded by the attempt's time, and
-// reports its outcome. Where it ends early, the connection is closed first: one attempt out at a time.
-func (t *target) attempt(y *try, c *conn) {
-	r := core.Result{Request: y.Request, Number: y.Number, Node: t.id}
-	var again *conn
-	var reason string
-	r.Code, reason = spindlehitch.NoConnection, "CONNECT_FAILED"
-	used := 0
-	if c == nil {
-		c = t.dial(y)
-	}
-	if c != nil {
-		used = c.used + 1
-		var reuse bool
-		if reuse, reason = t.exchange(y, c, &r); reuse {
-			again = c
-		} else {
-			c.Close()
-		}
-	}
-	if y.calledOff() && r.Code != spindlehitch.Delivered && r.Code != spindlehitch.Moot && r.Code != spindlehitch.NoConnection {
-		r.Code, reason = spindlehitch.Cancelled, "CANCELLED"
-	}
-	if again == nil {
-		t.logEnd(used, reason)
-	}
-	// The pool hears first, so that a send decided on this outcome finds the connection.
-	t.box.Put(done{y, again})
-	t.report(r)
-}
+// HTTP is the platform's wire.
+type HTTP struct{}
 
-func (t *target) dial(y *try) *conn {
-	ctx, stop := context.WithTimeout(y.ctx, t.opt.Dial)
-	defer stop()
-	addr := t.address()
+// Dial opens a connection.
+func (HTTP) Dial(ctx context.Context, addr string) (Session, error) {
 	n, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil
+		return nil, err
 	}
-	return &conn{Conn: n, addr: addr}
+	return &httpSession{n, addr}, nil
 }
 
-// exchange writes the request and reads the answer. The outcome is judged by the bytes written: short of the
-// last one the target cannot have begun, after it the attempt may have run.
-func (t *target) exchange(y *try, c *conn, r *core.Result) (reuse bool, reason string) {
-	if !y.hold(c.Conn) {
-		r.Code = spindlehitch.NoConnection
-		return false, "CANCELLED"
-	}
-	c.SetDeadline(y.Until)
-	m := y.Payload.(*Message)
-	wait := max(time.Until(y.Until).Milliseconds(), 1)
-	head := appendHead(make([]byte, 0, 256+len(m.Body)), m, c.addr, wait)
+type httpSession struct {
+	net.Conn
+	host string
+}
+
+// Do writes the request and reads the answer. The outcome is judged by the bytes written: short of the last
+// one the target cannot have begun, after it the attempt may have run. Write, head and body are all bounded
+// by the attempt's time.
+func (c *httpSession) Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string) {
+	c.SetDeadline(a.Until)
+	m := a.Payload.(*Message)
+	wait := max(time.Until(a.Until).Milliseconds(), 1)
+	whole := append(appendHead(make([]byte, 0, 256+len(m.Body)), m, c.host, wait), m.Body...)
 	// The last look before the first byte: news may have come while the connection was being made.
-	if !open(&t.state) {
+	if !first() {
 		r.Code = spindlehitch.Moot
-		return false, "TARGET_LEAVES"
+		return r, false, "TARGET_LEAVES"
 	}
-	n, err := c.Write(append(head, m.Body...))
-	c.used++
-	if n < len(head)+len(m.Body) {
+	if n, err := c.Write(whole); n < len(whole) {
 		r.Code = spindlehitch.NoConnection
-		return false, "WRITE_" + cause(err)
+		return r, false, "WRITE_" + Cause(err)
 	}
 	limit := &io.LimitedReader{R: c.Conn, N: maxHead + MaxBody}
 	in := bufio.NewReaderSize(limit, 4096)
@@ -105,19 +75,22 @@
 			r.Code = spindlehitch.Expired
 		}
 		if limit.N <= 0 {
-			return false, "ANSWER_TOO_LARGE"
+			return r, false, "ANSWER_TOO_LARGE"
 		}
-		return false, "READ_" + cause(err)
+		return r, false, "READ_" + Cause(err)
 	}
 	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
 	if ans.close || in.Buffered() > 0 {
-		return false, "TARGET_CLOSES"
+		return r, false, "TARGET_CLOSES"
 	}
 	// An attempt's time must not outlive it: once past, the next look at the idle connection would fail and
 	// take a healthy connection for a closed one.
-	return c.SetDeadline(time.Time{}) == nil, "CLOSED"
+	return r, c.SetDeadline(time.Time{}) == nil, "CLOSED"
 }
 
+// Alive implements Session.
+func (c *httpSession) Alive() bool { return Quiet(c.Conn) }
+
 // appendHead writes the request's head. What is not listed in the protocol is not sent.
 func appendHead(b []byte, m *Message, host string, waitMs int64) []byte {
 	b = append(b, m.Method...)
@@ -214,8 +187,8 @@
 	return l
 }
 
-// cause is the reason code of a failed read or write.
-func cause(err error) string {
+// Cause is the reason code of a failed read or write.
+func Cause(err error) string {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return "TIMEOUT"
@@ -231,9 +204,9 @@
 	return "MALFORMED"
 }
 
-// alive tells whether an idle connection is still open and quiet. It looks without taking: a target that
+// Quiet tells whether an idle connection is still open and quiet. It looks without taking: a target that
 // closed it, or that speaks unasked, makes it useless, and a write to it would end as a reset.
-func alive(c net.Conn) bool {
+func Quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -20,6 +20,7 @@
 
 // Options are the bounds of every connection.
 type Options struct {
+	Wire     Wire
 	Dial     time.Duration // for a connection to come up
 	Idle     time.Duration // an unused connection is closed after that
 	MostConn int           // connections to one target
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,9 +39,25 @@
 	conns int
 }
 
-// conn is one connection.
+// Wire opens connections of one protocol.
+type Wire interface {
+	Dial(ctx context.Context, addr string) (Session, error)
+}
+
+// Session is a connection that carries one attempt at a time.
+type Session interface {
+	// Do carries an attempt to its end and tells its outcome, whether the connection can be used again, and
+	// if not, why. It asks first just before the first byte that could start anything, and sends nothing if
+	// the answer is no. Close, from another goroutine, ends it early.
+	Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string)
+	// Alive tells whether an unused connection is still open and quiet.
+	Alive() bool
+	Close() error
+}
+
+// conn is one connection of the pool.
 type conn struct {
-	net.Conn
+	Session
 	addr   string
 	used   int
 	idleAt time.Time
@@ -54,7 +69,7 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	mu     sync.Mutex
-	conn   net.Conn
+	conn   Session
 	called bool // called off
 }
 
@@ -118,7 +133,7 @@
 	for len(t.idle) > 0 && c == nil {
 		last := len(t.idle) - 1
 		c, t.idle = t.idle[last], t.idle[:last]
-		if !alive(c.Conn) {
+		if !c.Alive() {
 			// Closed by the target while idle: no byte of the attempt has been near it.
 			t.drop(c, "TARGET_CLOSED_IDLE")
 			c = nil
@@ -193,6 +208,64 @@
 		slog.String("reason", reason), slog.Int("requests", used))
 }
 
+// attempt carries one attempt through connect and exchange and reports its outcome. Where it ends early, the
+// connection is closed first: one attempt out at a time.
+func (t *target) attempt(y *try, c *conn) {
+	r := core.Result{Code: spindlehitch.NoConnection}
+	var again *conn
+	reason, used := "CONNECT_FAILED", 0
+	if c == nil {
+		c = t.dial(y)
+	}
+	if c != nil {
+		used = c.used + 1
+		if again, reason = t.exchange(y, c, &r); again == nil {
+			c.Close()
+		}
+	}
+	if again == nil {
+		t.logEnd(used, reason)
+	}
+	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
+	// The pool hears first, so that a send decided on this outcome finds the connection.
+	t.box.Put(done{y, again})
+	t.report(r)
+}
+
+func (t *target) dial(y *try) *conn {
+	ctx, stop := context.WithTimeout(y.ctx, t.opt.Dial)
+	defer stop()
+	addr := t.address()
+	s, err := t.opt.Wire.Dial(ctx, addr)
+	if err != nil {
+		return nil
+	}
+	return &conn{Session: s, addr: addr}
+}
+
+// exchange has the attempt carried out on c, and returns c if it can be used again.
+func (t *target) exchange(y *try, c *conn, r *core.Result) (*conn, string) {
+	if !y.hold(c.Session) {
+		return nil, "CANCELLED"
+	}
+	c.used++
+	var reuse bool
+	var reason string
+	*r, reuse, reason = c.Do(y.Attempt, func() bool { return open(&t.state) })
+	if y.calledOff() {
+		switch r.Code {
+		case spindlehitch.Delivered, spindlehitch.Moot, spindlehitch.NoConnection:
+		default:
+			r.Code, reason = spindlehitch.Cancelled, "CANCELLED"
+		}
+		return nil, reason
+	}
+	if !reuse {
+		return nil, reason
+	}
+	return c, ""
+}
+
 // callOff ends an attempt from outside: whatever it waits for fails at once.
 func (y *try) callOff() {
 	y.mu.Lock()
@@ -205,7 +278,7 @@
 }
 
 // hold notes the connection for callOff; false when it came too late.
-func (y *try) hold(c net.Conn) bool {
+func (y *try) hold(c Session) bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	y.conn = c
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -78,7 +78,7 @@
 
 func newBench(addr string) *bench {
 	b := &bench{results: make(chan core.Result, 64)}
-	b.Registry = NewRegistry(Options{Dial: 20 * time.Second, Idle: time.Minute, MostConn: 4,
+	b.Registry = NewRegistry(Options{Wire: HTTP{}, Dial: 20 * time.Second, Idle: time.Minute, MostConn: 4,
 		Log: slog.New(slog.DiscardHandler)}, func(r core.Result) { b.results <- r })
 	b.Apply([]Target{{ID: "n", Addr: addr}}, true)
 	return b
@@ -131,8 +131,8 @@
 	c := &deadlineConn{Conn: near}
 	var r core.Result
 	y := &try{Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "GET", URI: "/"}}}
-	if reuse, reason := tg.exchange(y, &conn{Conn: c}, &r); !reuse || !c.at.IsZero() {
-		t.Errorf("kept %v (%s), deadline left %v; want it kept with none", reuse, reason, c.at)
+	if again, reason := tg.exchange(y, &conn{Session: &httpSession{c, ""}}, &r); again == nil || !c.at.IsZero() {
+		t.Errorf("kept %v (%s), deadline left %v; want it kept with none", again, reason, c.at)
 	}
 }
 
@@ -234,7 +234,7 @@
 	defer far.Close()
 	var r core.Result
 	y := &try{Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "GET", URI: "/"}}}
-	if reuse, _ := tg.exchange(y, &conn{Conn: near}, &r); reuse || r.Code != spindlehitch.Moot {
+	if again, _ := tg.exchange(y, &conn{Session: &httpSession{near, ""}}, &r); again != nil || r.Code != spindlehitch.Moot {
 		t.Errorf("first byte: code %v, want it not sent", r.Code)
 	}
 }
@@ -248,7 +248,7 @@
 	var r core.Result
 	y := &try{Attempt: core.Attempt{Until: time.Now().Add(time.Minute), Payload: &Message{Method: "PUT", URI: "/",
 		Body: make([]byte, 1000)}}}
-	if reuse, _ := tg.exchange(y, &conn{Conn: near}, &r); reuse || r.Code != spindlehitch.NoConnection {
+	if again, _ := tg.exchange(y, &conn{Session: &httpSession{near, ""}}, &r); again != nil || r.Code != spindlehitch.NoConnection {
 		t.Errorf("code %v, want no connection", r.Code)
 	}
 }
