--- a/cmd/spindlehitch/check.go
+++ b/cmd/spindlehitch/check.go
@@ -6,12 +6,11 @@
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
-
-	"spindlehitch/internal/config"
 )
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
+	var operator string
+	cmd := &cobra.Command{
 		Use:   "check [config.json]",
 		Short: "Validate a configuration without starting anything",
 		Args:  cobra.MaximumNArgs(1),
@@ -25,15 +24,21 @@
 					return ""
 				}
 			}
-			cfg, err := config.Load(get)
+			cfg, op, err := load(get, operator)
 			if err != nil {
 				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d classes, %d plans, listens at %s\n",
 				cfg.Name, len(cfg.Module.Classes), len(cfg.Module.Plans), cfg.Listen)
+			if op.NVMe != nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "NVMe over TCP: %d namespaces, listens at %s\n",
+					len(op.NVMe.Namespaces), op.NVMe.Listen)
+			}
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&operator, "operator", "", "an operator's file (TOML) to validate as well")
+	return cmd
 }
 
 func versionCommand() *cobra.Command {
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"spindlehitch/internal/nvme"
+)
+
+// Operator is what an operator's file may set up beside the platform's configuration. All of it is off
+// where there is no such file.
+type Operator struct {
+	NVMe *NVMe `toml:"nvme"`
+}
+
+// NVMe sets up NVMe over TCP in place of the platform's wire, towards hosts and targets alike.
+type NVMe struct {
+	Listen          string           `toml:"listen"`
+	Subsystem       string           `toml:"subsystem"`        // the name hosts connect to
+	TargetSubsystem string           `toml:"target_subsystem"` // the name targets go by
+	HostNQN         string           `toml:"host_nqn"`         // this initiator's name towards targets
+	HostID          string           `toml:"host_id"`          // 32 hex digits
+	QueueDepth      int              `toml:"queue_depth"`
+	KeepAliveMs     int              `toml:"keep_alive_ms"`
+	Digests         bool             `toml:"digests"` // asked of targets; hosts choose for themselves
+	Namespaces      []nvme.Namespace `toml:"namespace"`
+}
+
+// ReadOperator reads an operator's file and checks it against the platform's settings. A field that is not
+// known stops the start as well: it is a spelling mistake that would silently change nothing.
+func ReadOperator(path string, c *Config) (*Operator, error) {
+	var o Operator
+	meta, err := toml.DecodeFile(path, &o)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("operator's file: %s: unknown field", unknown[0])
+	}
+	if o.NVMe != nil {
+		if err := o.NVMe.check(c); err != nil {
+			return nil, fmt.Errorf("operator's file: nvme.%w", err)
+		}
+	}
+	return &o, nil
+}
+
+func (n *NVMe) check(c *Config) error {
+	if err := checkAddr(n.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	for _, f := range []struct{ field, nqn string }{{"subsystem", n.Subsystem},
+		{"target_subsystem", n.TargetSubsystem}, {"host_nqn", n.HostNQN}} {
+		if l := len(f.nqn); l == 0 || l > 223 {
+			return fmt.Errorf("%s: wanted 1 to 223 bytes", f.field)
+		}
+	}
+	if n.QueueDepth == 0 {
+		n.QueueDepth = 64
+	}
+	if n.KeepAliveMs == 0 {
+		n.KeepAliveMs = 5000
+	}
+	switch id, err := hex.DecodeString(n.HostID); {
+	case err != nil || len(id) != 16:
+		return errors.New("host_id: wanted 32 hex digits")
+	case n.QueueDepth < 2 || n.QueueDepth > 1024:
+		return errors.New("queue_depth: wanted 2 to 1024")
+	case n.KeepAliveMs < 200:
+		return errors.New("keep_alive_ms: at least 200")
+	case len(n.Namespaces) == 0:
+		return errors.New("namespace: at least one")
+	}
+	classes, plans := c.Classes(), c.Plans()
+	seen := map[uint32]bool{}
+	for i := range n.Namespaces {
+		s := &n.Namespaces[i]
+		if err := s.Check(classes, plans); err != nil {
+			return fmt.Errorf("namespace[%d].%w", i, err)
+		}
+		if seen[s.ID] {
+			return fmt.Errorf("namespace[%d].id: %d is there twice", i, s.ID)
+		}
+		seen[s.ID] = true
+	}
+	return nil
+}
+
+// Host is this initiator as a host of its targets.
+func (n *NVMe) Host() nvme.HostOptions {
+	h := nvme.HostOptions{Subsystem: n.TargetSubsystem, HostNQN: n.HostNQN, Digests: n.Digests,
+		KeepAlive: time.Duration(n.KeepAliveMs) * time.Millisecond}
+	id, _ := hex.DecodeString(n.HostID)
+	copy(h.HostID[:], id)
+	return h
+}
+
+// Controller is this initiator as its hosts' controller. Connections and data held have their part of the
+// process's limits.
+func (n *NVMe) Controller(c *Config) nvme.Options {
+	o := nvme.Options{Subsystem: n.Subsystem, Namespaces: n.Namespaces, QueueDepth: n.QueueDepth,
+		MostConn: c.ClientConns(), MostBytes: int64(c.Limits.MemoryMB) << 20 / 4, Patience: map[string]time.Duration{}}
+	for _, k := range c.Module.Classes {
+		o.Patience[k.Name] = k.Deadline
+	}
+	return o
+}
+
+// Classes are the names of the classes served.
+func (c *Config) Classes() map[string]bool {
+	m := map[string]bool{}
+	for _, k := range c.Module.Classes {
+		m[k.Name] = true
+	}
+	return m
+}
+
+// Plans are the names of the plans known.
+func (c *Config) Plans() map[string]bool {
+	m := map[string]bool{}
+	for _, p := range c.Module.Plans {
+		m[p.Name] = true
+	}
+	return m
+}
+
+// spareFiles are descriptors kept for discovery, the listener, logs and the runtime.
+const spareFiles = 48
+
+// ClientConns is how many connections clients may hold: what the descriptors leave beside the targets'.
+func (c *Config) ClientConns() int { return max(c.Limits.Sockets*6/10-spareFiles, 16) }
+
+// TargetConns is how many connections one target's pool may hold.
+func (c *Config) TargetConns() int { return min(40, max(4, c.Limits.Sockets/32)) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,9 +64,11 @@
 	Payload any
 }
 
-// Upstream carries attempts out. Send must not wait; exactly one Result follows each.
+// Upstream carries attempts out. Neither call may wait. Exactly one Result follows each Send, also after a
+// Cancel, which may come too late to change it.
 type Upstream interface {
 	Send(Attempt)
+	Cancel(node, request string)
 }
 
 // Clock maps the process's monotone clock onto the module's: Unix time as read once at the start, since
@@ -108,6 +110,7 @@
 	job      *Job
 	attempts int
 	out      bool
+	node     string
 	sentAt   time.Time
 	last     spindlehitch.Code
 	answered bool
@@ -205,6 +208,9 @@
 func (c *Core) depart(j *Job) {
 	if e := c.open[j.ID]; e != nil && e.job == j && !e.answered {
 		e.answered = true
+		if e.out {
+			c.up.Cancel(e.node, j.ID) // no one is left to answer
+		}
 		c.events = append(c.events, spindlehitch.Departed{ID: j.ID})
 		c.tidy(j.ID, e)
 	}
@@ -240,7 +246,7 @@
 	}
 	switch a.Kind {
 	case spindlehitch.Send:
-		e.out, e.sentAt = true, now
+		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
 		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node, Started: now,
 			Until: now.Add(a.Wait), Payload: e.job.Payload})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,10 +25,11 @@
 
 // Options set up the front.
 type Options struct {
-	Classes  map[string]bool
-	Plans    map[string]bool
-	MostConn int // clients' connections at a time
-	Log      *slog.Logger
+	Classes   map[string]bool
+	Plans     map[string]bool
+	MostConn  int  // clients' connections at a time
+	ReadyOnly bool // requests come in by another front
+	Log       *slog.Logger
 }
 
 // Core is what the front needs of the core.
@@ -81,6 +82,10 @@
 		s.ready(w)
 		return
 	}
+	if s.opt.ReadyOnly {
+		http.NotFound(w, r)
+		return
+	}
 	j, m, err := s.parse(r)
 	if err == nil {
 		m.Body, err = readBody(w, r, arrived.Add(j.Patience))
--- /dev/null
+++ b/internal/nvme/admin.go
@@ -0,0 +1,311 @@
+package nvme
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+)
+
+const (
+	// CAP: queues of 1024 entries at most, contiguous, ready within 500 ms units of 10, NVM command set.
+	capBase = 1023 | 1<<16 | 10<<24 | 1<<37
+	version = 0x00010400 // 1.4
+
+	ccEnable     = 1 << 0
+	ccShutdown   = 3 << 14
+	cstsReady    = 1 << 0
+	cstsShutdown = 2 << 2
+	staticID     = 0xFFFF
+)
+
+// connect takes the first command of a connection: it makes the association, or joins an I/O queue to it.
+func (q *queue) connect(p *pending, data []byte) {
+	c, s := &p.cmd, q.server
+	if c.op() != opFabrics || c.fctype() != fctConnect {
+		q.complete(p, stSequence|dnr, 0, nil)
+		return
+	}
+	if len(data) != connectLen {
+		q.complete(p, stInvalidField|dnr, 0, nil)
+		return
+	}
+	if c.dw(10)&0xFFFF != 0 {
+		q.complete(p, stBadFormat|dnr, 0, nil)
+		return
+	}
+	qid, size := uint16(c.dw(10)>>16), c.dw(11)&0xFFFF+1
+	cntlid := binary.LittleEndian.Uint16(data[16:])
+	subnqn, host := nqn(data[256:512]), nqn(data[512:768])
+	if subnqn != s.opt.Subsystem || host == "" || size < 2 || int(size) > max(s.opt.QueueDepth, 2) && qid > 0 || size > 4096 {
+		q.complete(p, stBadConnect|dnr, 0, nil)
+		return
+	}
+	st := stOK
+	if qid == 0 {
+		if cntlid != staticID {
+			st = stBadConnect | dnr
+		} else if q.ctrl = s.associate(q, host, time.Duration(c.dw(12))*time.Millisecond); q.ctrl == nil {
+			st = stControllerBusy
+		}
+	} else {
+		s.mu.Lock()
+		ctrl := s.controllers[cntlid]
+		s.mu.Unlock()
+		switch {
+		case ctrl == nil || ctrl.host != host || qid > mostQueues:
+			st = stBadConnect | dnr
+		case !ctrl.join(q, qid):
+			st = stSequence | dnr // not enabled, or the queue is there already
+		default:
+			q.ctrl = ctrl
+		}
+	}
+	if st != stOK {
+		q.complete(p, st, 0, nil)
+		return
+	}
+	q.mu.Lock()
+	q.qid, q.size, q.sqhd = qid, uint16(size), 1
+	q.mu.Unlock()
+	q.complete(p, stOK, uint64(q.ctrl.id), nil)
+}
+
+func nqn(b []byte) string {
+	s, _, _ := bytes.Cut(b, []byte{0})
+	return string(s)
+}
+
+// associate makes a controller for a host's admin queue; nil when all ids are in use.
+func (s *Server) associate(q *queue, host string, kato time.Duration) *controller {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range 0xFF00 {
+		s.nextID = s.nextID%0xFF00 + 1
+		if s.controllers[s.nextID] != nil {
+			continue
+		}
+		c := &controller{id: s.nextID, server: s, host: host, queues: map[uint16]*queue{0: q}, kato: kato}
+		if kato > 0 {
+			c.alive = time.AfterFunc(kato, func() { c.endAll("KEEP_ALIVE_LATE") })
+		}
+		s.controllers[c.id] = c
+		return c
+	}
+	return nil
+}
+
+// join adds an I/O queue.
+func (c *controller) join(q *queue, qid uint16) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.csts&cstsReady == 0 || c.queues[qid] != nil || c.queues[0] == nil {
+		return false
+	}
+	c.queues[qid] = q
+	return true
+}
+
+// leave takes a queue that has ended out; with the admin queue the association ends.
+func (c *controller) leave(q *queue) {
+	c.mu.Lock()
+	if c.queues[q.qid] == q {
+		delete(c.queues, q.qid)
+	}
+	c.mu.Unlock()
+	if q.qid != 0 {
+		return
+	}
+	c.server.mu.Lock()
+	delete(c.server.controllers, c.id)
+	c.server.mu.Unlock()
+	c.endAll("ASSOCIATION_ENDED")
+}
+
+func (c *controller) endAll(reason string) { c.endQueues(reason, 0) }
+
+// endQueues ends the connections of all queues from the given id on.
+func (c *controller) endQueues(reason string, from uint16) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.alive != nil && from == 0 {
+		c.alive.Stop()
+	}
+	for id, q := range c.queues {
+		if id >= from {
+			q.end(reason)
+		}
+	}
+}
+
+func (c *controller) wantsDelays() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.delays
+}
+
+// fabrics takes Property Get and Set; what else there is lies outside the subset.
+func (q *queue) fabrics(p *pending) {
+	c := &p.cmd
+	if c.fctype() == fctConnect {
+		q.complete(p, stSequence|dnr, 0, nil)
+		return
+	}
+	if q.qid != 0 || c.fctype() != fctPropertyGet && c.fctype() != fctPropertySet {
+		q.complete(p, stInvalidOpcode|dnr, 0, nil)
+		return
+	}
+	wide, offset := c.dw(10)&7 == 1, c.dw(11)
+	if c.fctype() == fctPropertySet {
+		if offset != propCC || wide {
+			q.complete(p, stInvalidField|dnr, 0, nil)
+			return
+		}
+		q.ctrl.setCC(c.dw(12))
+		q.complete(p, stOK, 0, nil)
+		return
+	}
+	ctrl := q.ctrl
+	ctrl.mu.Lock()
+	values := map[uint32]uint64{propCAP: capBase, propVS: version, propCC: uint64(ctrl.cc), propCSTS: uint64(ctrl.csts)}
+	ctrl.mu.Unlock()
+	v, known := values[offset]
+	if !known || wide != (offset == propCAP) {
+		q.complete(p, stInvalidField|dnr, 0, nil)
+		return
+	}
+	q.complete(p, stOK, v, nil)
+}
+
+// setCC enables, resets or shuts down the controller. A reset ends its I/O queues.
+func (c *controller) setCC(cc uint32) {
+	c.mu.Lock()
+	was := c.cc
+	c.cc = cc
+	switch {
+	case cc&ccEnable == 0:
+		c.csts = 0
+	case cc&ccShutdown != 0:
+		c.csts |= cstsShutdown
+	default:
+		c.csts = cstsReady
+	}
+	c.mu.Unlock()
+	if was&ccEnable != 0 && cc&ccEnable == 0 {
+		c.endQueues("CONTROLLER_RESET", 1)
+	}
+}
+
+// admin takes the admin commands of the subset.
+func (q *queue) admin(p *pending, data []byte) {
+	c := &p.cmd
+	switch c.op() {
+	case opKeepAlive:
+		if q.ctrl.alive != nil {
+			q.ctrl.alive.Reset(q.ctrl.kato)
+		}
+		q.complete(p, stOK, 0, nil)
+	case opAbort:
+		q.ctrl.mu.Lock()
+		at := q.ctrl.queues[uint16(c.dw(10))]
+		q.ctrl.mu.Unlock()
+		missed := uint64(1)
+		if at != nil && at.abort(uint16(c.dw(10)>>16)) {
+			missed = 0
+		}
+		q.complete(p, stOK, missed, nil)
+	case opIdentify:
+		page := q.identify(c)
+		if page == nil || c.sglType() != sglTransport || c.sglLen() != identifyLen {
+			q.complete(p, stInvalidField|dnr, 0, nil)
+			return
+		}
+		q.complete(p, stOK, 0, page)
+	case opSetFeatures, opGetFeatures:
+		q.feature(p, data)
+	default:
+		q.complete(p, stInvalidOpcode|dnr, 0, nil)
+	}
+}
+
+// feature knows the two features that the rest rests on: how many queues there are, and whether the host
+// wants retry delays.
+func (q *queue) feature(p *pending, data []byte) {
+	c := &p.cmd
+	switch fid := c.dw(10) & 0xFF; {
+	case fid == featQueues:
+		q.complete(p, stOK, (mostQueues-1)<<16|(mostQueues-1), nil)
+	case fid == featHostBehavior && c.op() == opSetFeatures && len(data) == 512:
+		q.ctrl.mu.Lock()
+		q.ctrl.delays = data[0] == 1
+		q.ctrl.mu.Unlock()
+		q.complete(p, stOK, 0, nil)
+	default:
+		q.complete(p, stInvalidField|dnr, 0, nil)
+	}
+}
+
+// identify fills the page asked for; nil where the subset has none.
+func (q *queue) identify(c *command) []byte {
+	page := make([]byte, identifyLen)
+	s := q.server
+	ns := s.spaces[c.nsid()]
+	switch c.dw(10) & 0xFF {
+	case 0: // namespace
+		if ns == nil {
+			return nil
+		}
+		for _, at := range []int{0, 8, 16} {
+			binary.LittleEndian.PutUint64(page[at:], ns.Blocks)
+		}
+		for size := ns.BlockBytes; size > 1; size >>= 1 {
+			page[130]++
+		}
+	case 1: // controller
+		text := func(at, n int, s string) { copy(page[at:at+n], append([]byte(s), bytes.Repeat([]byte(" "), n)...)) }
+		text(4, 20, s.opt.Subsystem[max(0, len(s.opt.Subsystem)-20):])
+		text(24, 40, "spindlehitch")
+		text(64, 8, "1")
+		page[77] = 5 // largest transfer: 2^5 pages of 4 KiB
+		binary.LittleEndian.PutUint16(page[78:], q.ctrl.id)
+		binary.LittleEndian.PutUint32(page[80:], version)
+		page[111] = 1 // an I/O controller
+		for i, d := range retryDelays {
+			binary.LittleEndian.PutUint16(page[128+2*i:], d)
+		}
+		page[258] = 3                                   // four aborts at a time
+		binary.LittleEndian.PutUint16(page[320:], 1)    // keep-alive granularity of 100 ms
+		page[512], page[513] = 0x66, 0x44               // entry sizes
+		binary.LittleEndian.PutUint16(page[514:], 1024) // most commands
+		binary.LittleEndian.PutUint32(page[516:], s.topNSID())
+		binary.LittleEndian.PutUint32(page[536:], 1|1<<20) // SGLs, with offsets in the capsule
+		copy(page[768:1024], s.opt.Subsystem)
+		binary.LittleEndian.PutUint32(page[1792:], (64+inCapsule)/16)
+		binary.LittleEndian.PutUint32(page[1796:], 1)
+		page[1803] = 1
+	case 2: // active namespaces
+		at := 0
+		for id := c.nsid() + 1; id != 0 && id <= s.topNSID() && at < identifyLen; id++ {
+			if s.spaces[id] != nil {
+				binary.LittleEndian.PutUint32(page[at:], id)
+				at += 4
+			}
+		}
+	case 3: // namespace identification
+		if ns == nil {
+			return nil
+		}
+		page[0], page[1] = 1, 8 // EUI-64
+		copy(page[4:], euiOf(ns))
+	default:
+		return nil
+	}
+	return page
+}
+
+func (s *Server) topNSID() uint32 {
+	top := uint32(0)
+	for id := range s.spaces {
+		top = max(top, id)
+	}
+	return top
+}
--- /dev/null
+++ b/internal/nvme/controller.go
@@ -0,0 +1,533 @@
+package nvme
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/mailbox"
+)
+
+// Options set up the controller side.
+type Options struct {
+	Subsystem  string
+	Namespaces []Namespace
+	QueueDepth int
+	MostConn   int                      // hosts' connections at a time
+	MostBytes  int64                    // data of commands held at a time
+	Patience   map[string]time.Duration // of each class: NVMe commands carry no deadline of their own
+	Log        *slog.Logger
+}
+
+// Core is what the front needs of the core.
+type Core interface {
+	Submit(*core.Job) bool
+	Depart(*core.Job)
+}
+
+const (
+	handshakeWithin = 5 * time.Second
+	writeWithin     = 5 * time.Second
+	lingerFor       = 400 * time.Millisecond
+	mostQueues      = 16 // I/O queues of one controller
+)
+
+// Server is the NVMe over TCP front.
+type Server struct {
+	opt     Options
+	core    Core
+	spaces  map[uint32]*Namespace
+	bytes   atomic.Int64
+	open    atomic.Int64 // commands in the core
+	leaving atomic.Bool
+
+	mu          sync.Mutex
+	controllers map[uint16]*controller
+	queues      map[*queue]bool
+	nextID      uint16
+	listener    net.Listener
+}
+
+// New returns a front for the core.
+func New(c Core, opt Options) *Server {
+	s := &Server{opt: opt, core: c, spaces: map[uint32]*Namespace{}, controllers: map[uint16]*controller{},
+		queues: map[*queue]bool{}}
+	for i := range opt.Namespaces {
+		s.spaces[opt.Namespaces[i].ID] = &s.opt.Namespaces[i]
+	}
+	return s
+}
+
+// controller is one association: an admin queue and its I/O queues.
+type controller struct {
+	id     uint16
+	server *Server
+	host   string
+	mu     sync.Mutex
+	queues map[uint16]*queue
+	cc     uint32
+	csts   uint32
+	delays bool // the host wants to be told how long to stay away (ACRE)
+	kato   time.Duration
+	alive  *time.Timer
+}
+
+// queue is one connection: its reader's goroutine handles what comes, its writer's owns what goes.
+type queue struct {
+	server *Server
+	net    net.Conn
+	box    *mailbox.Box[[]byte]
+	ended  chan struct{}
+	once   sync.Once
+	reason string
+
+	framing framing
+	ctrl    *controller // set by Connect
+	qid     uint16
+	size    uint16
+
+	mu     sync.Mutex
+	sqhd   uint16
+	asked  int
+	cmds   map[uint16]*pending
+	serial uint16
+}
+
+// pending is a command without its completion.
+type pending struct {
+	cmd  command
+	io   *IO
+	got  int
+	tag  uint16
+	wait *time.Timer // for the host's data
+	job  *core.Job
+}
+
+// Serve accepts until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // out of descriptors, say: what is open goes on
+			continue
+		}
+		q := &queue{server: s, net: c, box: mailbox.New[[]byte](), ended: make(chan struct{}), cmds: map[uint16]*pending{}}
+		s.mu.Lock()
+		full := len(s.queues) >= s.opt.MostConn
+		if !full {
+			s.queues[q] = true
+		}
+		s.mu.Unlock()
+		if full {
+			// Nothing was taken on it yet.
+			c.Close()
+			s.log(q, "CAP")
+			continue
+		}
+		go q.write()
+		go q.read()
+	}
+}
+
+func (s *Server) log(q *queue, reason string) {
+	s.opt.Log.Info("connection ended", slog.String("side", "host"), slog.String("peer", q.net.RemoteAddr().String()),
+		slog.String("reason", reason), slog.Int("requests", q.asked), slog.Int("queue", int(q.qid)))
+}
+
+// Stop keeps accepting while hosts may still come, then turns new commands away, finishes those taken and
+// ends all connections.
+func (s *Server) Stop(ctx context.Context) error {
+	select {
+	case <-time.After(lingerFor):
+	case <-ctx.Done():
+	}
+	s.leaving.Store(true)
+	s.mu.Lock()
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	s.mu.Unlock()
+	for s.open.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(2 * time.Millisecond)
+	}
+	err := ctx.Err()
+	s.mu.Lock()
+	all := make([]*queue, 0, len(s.queues))
+	for q := range s.queues {
+		all = append(all, q)
+	}
+	s.mu.Unlock()
+	for _, q := range all {
+		q.end("LEAVING")
+		<-q.ended
+	}
+	return err
+}
+
+// end closes the connection, for the first reason given, once what was put before has been written.
+func (q *queue) end(reason string) {
+	q.once.Do(func() {
+		q.reason = reason
+		q.box.Put(nil)
+	})
+}
+
+// write is the writer: it sends what the mailbox holds, and ends the connection at a nil.
+func (q *queue) write() {
+	var spare [][]byte
+	for {
+		<-q.box.Wake()
+		batch := q.box.Take(spare)
+		for _, b := range batch {
+			if b == nil {
+				q.close()
+				return
+			}
+			q.net.SetWriteDeadline(time.Now().Add(writeWithin))
+			if _, err := q.net.Write(b); err != nil {
+				q.end("HOST_WRITE_FAILED")
+				q.close()
+				return
+			}
+		}
+		spare = batch
+	}
+}
+
+// close ends the connection and everything that hung on it: commands whose host is gone, and with the admin
+// queue the whole association.
+func (q *queue) close() {
+	q.net.Close()
+	q.mu.Lock()
+	left := q.cmds
+	q.cmds = nil
+	q.mu.Unlock()
+	for _, p := range left {
+		q.drop(p)
+	}
+	q.server.mu.Lock()
+	delete(q.server.queues, q)
+	q.server.mu.Unlock()
+	if c := q.ctrl; c != nil {
+		c.leave(q)
+	}
+	q.server.log(q, q.reason)
+	close(q.ended)
+}
+
+// drop lets go of a command that will not be answered any more.
+func (q *queue) drop(p *pending) {
+	if p.wait != nil {
+		p.wait.Stop()
+	}
+	if p.io != nil {
+		q.server.bytes.Add(-int64(p.io.Bytes))
+	}
+	if p.job != nil {
+		q.server.core.Depart(p.job)
+		q.server.open.Add(-1)
+	}
+}
+
+// read is the reader. What ends it is told to the host where the protocol has a word for it.
+func (q *queue) read() {
+	err := q.serve()
+	var f *fatal
+	var timeout net.Error
+	reason := "HOST_CLOSED"
+	switch {
+	case errors.As(err, &f):
+		q.box.Put(termPDU(typeC2HTerm, f))
+		reason = "PROTOCOL_ERROR"
+		q.server.opt.Log.Warn("host broke the protocol", slog.String("error", f.Error()))
+	case errors.Is(err, errHostTerminated):
+		reason = "HOST_TERMINATED"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		reason = "HANDSHAKE_SLOW"
+	case err != nil && err.Error() != "EOF":
+		reason = "HOST_RESET"
+	}
+	q.end(reason)
+}
+
+var errHostTerminated = errors.New("host sent a termination request")
+
+func (q *queue) serve() error {
+	in := bufio.NewReaderSize(q.net, 16<<10)
+	q.net.SetReadDeadline(time.Now().Add(handshakeWithin))
+	p, err := readPDU(in, framing{})
+	if err != nil {
+		return err
+	}
+	if p.kind != typeICReq {
+		return &fatal{fes: fesSequence, cause: "connection must begin with ICReq", head: p.head}
+	}
+	switch {
+	case p.u16(8) != 0:
+		return &fatal{fes: fesUnsupported, fei: 8, cause: "PDU format version", head: p.head}
+	case p.head[10] > maxPDA:
+		return &fatal{fes: fesInvalidHeader, fei: 10, cause: "data alignment", head: p.head}
+	}
+	digests := p.head[11] & (digestHeader | digestData)
+	q.framing = framing{hdigest: digests&digestHeader != 0, ddigest: digests&digestData != 0, pda: int(p.head[10])}
+	q.box.Put(appendPDU(nil, framing{}, typeICResp, 0, icHead(0, digests, maxH2CData), nil))
+	first := true
+	for {
+		p, err := readPDU(in, framing{hdigest: q.framing.hdigest, ddigest: q.framing.ddigest})
+		if err != nil {
+			return err
+		}
+		switch p.kind {
+		case typeCmd:
+			if err := q.command(p); err != nil {
+				return err
+			}
+			if first && q.ctrl != nil {
+				first = false
+				q.net.SetReadDeadline(time.Time{})
+			}
+		case typeH2CData:
+			if err := q.data(p); err != nil {
+				return err
+			}
+		case typeH2CTerm:
+			return errHostTerminated
+		default:
+			return &fatal{fes: fesSequence, cause: "PDU type not for a controller", head: p.head}
+		}
+	}
+}
+
+// put sends a PDU of the agreed framing.
+func (q *queue) put(kind, flags byte, head, data []byte) {
+	q.box.Put(appendPDU(nil, q.framing, kind, flags, head, data))
+}
+
+// complete gives a command its one completion, with its data before it; later ones are ignored.
+func (q *queue) complete(p *pending, st status, result uint64, data []byte) bool {
+	cid := p.cmd.cid()
+	q.mu.Lock()
+	if q.cmds[cid] != p {
+		q.mu.Unlock()
+		return false
+	}
+	delete(q.cmds, cid)
+	if p.wait != nil {
+		p.wait.Stop()
+	}
+	if p.io != nil {
+		q.server.bytes.Add(-int64(p.io.Bytes))
+	}
+	for at := 0; at < len(data); at += maxH2CData {
+		part := data[at:min(at+maxH2CData, len(data))]
+		flags := byte(0)
+		if at+len(part) == len(data) {
+			flags = flagLast
+		}
+		q.put(typeC2HData, flags, dataHead(cid, 0, uint32(at), uint32(len(part))), part)
+	}
+	q.put(typeResp, 0, completion{result: result, sqhd: q.sqhd, sqid: q.qid, cid: cid, status: st}.head(), nil)
+	q.mu.Unlock()
+	if p.job != nil {
+		q.server.open.Add(-1)
+	}
+	return true
+}
+
+// command takes a submission queue entry.
+func (q *queue) command(pd *pdu) error {
+	p := &pending{}
+	copy(p.cmd[:], pd.head[commonLen:])
+	cid := p.cmd.cid()
+	q.mu.Lock()
+	q.asked++
+	if q.size > 0 {
+		q.sqhd = (q.sqhd + 1) % q.size
+	}
+	if q.cmds == nil {
+		q.mu.Unlock()
+		return nil // ending
+	}
+	if q.size > 0 && len(q.cmds) >= int(q.size) {
+		q.mu.Unlock()
+		return &fatal{fes: fesSequence, cause: "more commands than the queue holds", head: pd.head}
+	}
+	if q.cmds[cid] != nil {
+		q.put(typeResp, 0, completion{sqhd: q.sqhd, sqid: q.qid, cid: cid, status: stCIDConflict | dnr}.head(), nil)
+		q.mu.Unlock()
+		return nil
+	}
+	q.cmds[cid] = p
+	q.mu.Unlock()
+	switch {
+	case p.cmd[1]&0xC0 != 0x40 || p.cmd[1]&3 != 0:
+		q.complete(p, stInvalidField|dnr, 0, nil) // SGLs are a must on fabrics; no fused commands here
+	case pd.dataError:
+		q.complete(p, stTransient, 0, nil) // nothing was begun: a repeat is harmless
+	case q.ctrl == nil:
+		q.connect(p, pd.data)
+	case p.cmd.op() == opFabrics:
+		q.fabrics(p)
+	case q.qid == 0:
+		q.admin(p, pd.data)
+	default:
+		return q.io(p, pd.data)
+	}
+	return nil
+}
+
+// io takes a read or a write. A write's data is in the capsule, or asked for.
+func (q *queue) io(p *pending, data []byte) error {
+	s, c := q.server, &p.cmd
+	op := c.op()
+	if op != opRead && op != opWrite {
+		q.complete(p, stInvalidOpcode|dnr, 0, nil)
+		return nil
+	}
+	ns := s.spaces[c.nsid()]
+	if ns == nil {
+		q.complete(p, stInvalidNS|dnr, 0, nil)
+		return nil
+	}
+	x := &IO{Write: op == opWrite, NSID: ns.ID, SLBA: c.slba(), Blocks: c.blocks()}
+	bytes := int(x.Blocks) * ns.BlockBytes
+	inside := c.sglType() == sglOffset
+	switch {
+	case x.SLBA >= ns.Blocks || uint64(x.Blocks) > ns.Blocks-x.SLBA:
+		q.complete(p, stLBARange|dnr, 0, nil)
+	case bytes > maxTransfer, int(c.sglLen()) != bytes, c.sglType() != sglOffset && c.sglType() != sglTransport,
+		inside && (!x.Write || len(data) != bytes), !inside && len(data) > 0:
+		q.complete(p, stInvalidField|dnr, 0, nil)
+	case s.leaving.Load(), s.bytes.Load()+int64(bytes) > s.opt.MostBytes:
+		// Nothing of it was begun; the host may come back, or go elsewhere.
+		q.complete(p, statusOf(core.Answer{Ending: core.Refused, RetryAfter: time.Second}, q.ctrl.wantsDelays()), 0, nil)
+	default:
+		x.Bytes = bytes
+		q.mu.Lock()
+		p.io = x
+		s.bytes.Add(int64(bytes))
+		q.mu.Unlock()
+		switch {
+		case !x.Write:
+			q.submit(p)
+		case inside:
+			x.Data = data
+			q.submit(p)
+		default:
+			q.ask(p, ns)
+		}
+	}
+	return nil
+}
+
+// ask has the host send a write's data. One R2T is out for a command at a time, which any host bears. The
+// host has as long for it as the command may take.
+func (q *queue) ask(p *pending, ns *Namespace) {
+	p.io.Data = make([]byte, p.io.Bytes)
+	q.mu.Lock()
+	q.serial++
+	p.tag = q.serial
+	p.wait = time.AfterFunc(q.server.opt.Patience[ns.Write], func() { q.end("HOST_DATA_LATE") })
+	q.put(typeR2T, 0, dataHead(p.cmd.cid(), p.tag, 0, uint32(p.io.Bytes)), nil)
+	q.mu.Unlock()
+}
+
+// data takes a part of a write's data, which must come in order and within what was asked for.
+func (q *queue) data(pd *pdu) error {
+	q.mu.Lock()
+	p := q.cmds[pd.u16(8)]
+	q.mu.Unlock()
+	wrong := func(fes uint16, at uint32, cause string) error {
+		return &fatal{fes: fes, fei: at, cause: cause, head: pd.head}
+	}
+	switch {
+	case p == nil || p.tag == 0 || p.wait == nil:
+		return wrong(fesInvalidHeader, 8, "data for no command that waits for some")
+	case pd.u16(10) != p.tag:
+		return wrong(fesInvalidHeader, 10, "data for another transfer tag")
+	}
+	offset, length := int64(pd.u32(12)), int64(pd.u32(16))
+	whole := offset+length == int64(p.io.Bytes)
+	switch {
+	case length != int64(len(pd.data)) || length > maxH2CData || length == 0:
+		return wrong(fesInvalidHeader, 16, "data length")
+	case offset != int64(p.got) || offset+length > int64(p.io.Bytes):
+		return wrong(fesOutOfRange, 12, "data out of order or range")
+	case whole != (pd.flags&flagLast != 0):
+		return wrong(fesInvalidHeader, 1, "last-PDU flag")
+	case pd.dataError:
+		q.complete(p, stTransient, 0, nil)
+		return nil
+	}
+	copy(p.io.Data[offset:], pd.data)
+	if p.got += int(length); whole {
+		p.wait.Stop()
+		q.submit(p)
+	}
+	return nil
+}
+
+// submit hands the command to the core, which owns its end from here on.
+func (q *queue) submit(p *pending) {
+	ns := q.server.spaces[p.io.NSID]
+	j := &core.Job{Request: ns.request(p.io), Arrived: time.Now(), Payload: p.io}
+	j.Patience = q.server.opt.Patience[j.Class]
+	delays := q.ctrl.wantsDelays()
+	j.Done = func(a core.Answer) {
+		st := statusOf(a, delays)
+		body, _ := a.Payload.([]byte)
+		switch {
+		case a.Ending != core.Served || p.io.Write:
+			body = nil
+		case len(body) != p.io.Bytes:
+			st, body = stInternal|dnr, nil // no target's whole answer: never passed off as one
+		}
+		q.complete(p, st, 0, body)
+	}
+	// Under the lock, so that an Abort finds the command either not handed over or wholly so. Submit does
+	// not wait, and Done never runs within it.
+	q.mu.Lock()
+	gone, taken := q.cmds[p.cmd.cid()] != p, false
+	if !gone {
+		p.job = j
+		q.server.open.Add(1)
+		taken = q.server.core.Submit(j)
+	}
+	q.mu.Unlock()
+	if !gone && !taken {
+		q.complete(p, statusOf(core.Answer{Ending: core.Refused, RetryAfter: time.Second}, delays), 0, nil)
+	}
+}
+
+// abort ends a command from the admin queue; false where there is no such command.
+func (q *queue) abort(cid uint16) bool {
+	q.mu.Lock()
+	p := q.cmds[cid]
+	q.mu.Unlock()
+	if p == nil || !q.complete(p, stAborted|dnr, 0, nil) {
+		return false
+	}
+	if p.job != nil {
+		q.server.core.Depart(p.job)
+	}
+	return true
+}
+
+func euiOf(ns *Namespace) []byte {
+	n, _ := strconv.ParseUint(ns.Volume, 16, 64)
+	return binary.BigEndian.AppendUint64(nil, n)
+}
--- /dev/null
+++ b/internal/nvme/host.go
@@ -0,0 +1,490 @@
+package nvme
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/upstream"
+)
+
+// HostOptions set up the host side.
+type HostOptions struct {
+	Subsystem string // of the targets
+	HostNQN   string
+	HostID    [16]byte
+	KeepAlive time.Duration
+	Digests   bool // ask for header and data digests
+}
+
+// Host is the upstream wire: an association with each target, and under it one I/O queue for each command
+// that is out. A queue of its own for each is what lets an attempt be given up by closing its connection,
+// without a word to, or for, any other.
+type Host struct {
+	opt HostOptions
+	mu  sync.Mutex
+	all map[string]*association
+}
+
+// NewHost returns a host.
+func NewHost(opt HostOptions) *Host { return &Host{opt: opt, all: map[string]*association{}} }
+
+// association is the admin queue with one target, made when first needed.
+type association struct {
+	host *Host
+	addr string
+	talk chan struct{} // held by whoever speaks on the admin queue; waiting for it can be given up
+
+	mu      sync.Mutex
+	admin   *wire // nil: none
+	cntlid  uint16
+	inUse   map[uint16]bool
+	inside  int // bytes of data that a capsule may hold
+	aborted int // Aborts whose completions nobody has read yet
+}
+
+// wire is one connection, of either kind.
+type wire struct {
+	net.Conn
+	in      *bufio.Reader
+	framing framing // for what the controller wants
+	most    uint32  // data of one H2CData
+	cid     uint16
+}
+
+// Dial opens an I/O queue at the target, and the association before it if there is none.
+func (h *Host) Dial(ctx context.Context, addr string) (upstream.Session, error) {
+	h.mu.Lock()
+	a := h.all[addr]
+	if a == nil {
+		a = &association{host: h, addr: addr, inUse: map[uint16]bool{}, talk: make(chan struct{}, 1)}
+		h.all[addr] = a
+	}
+	h.mu.Unlock()
+	cntlid, qid, inside, err := a.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	w, err := h.open(ctx, addr)
+	if err == nil {
+		if _, err = w.connect(h.opt, qid, cntlid); err != nil {
+			w.Close()
+		}
+	}
+	if err != nil {
+		a.free(qid)
+		return nil, err
+	}
+	w.SetDeadline(time.Time{})
+	return &session{wire: w, from: a, qid: qid, inside: inside}, nil
+}
+
+// open makes a connection and agrees on its framing.
+func (h *Host) open(ctx context.Context, addr string) (*wire, error) {
+	c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	w := &wire{Conn: c, in: bufio.NewReaderSize(c, 16<<10)}
+	if until, ok := ctx.Deadline(); ok {
+		c.SetDeadline(until)
+	}
+	var digests byte
+	if h.opt.Digests {
+		digests = digestHeader | digestData
+	}
+	if _, err = c.Write(appendPDU(nil, framing{}, typeICReq, 0, icHead(0, digests, 0), nil)); err == nil {
+		err = w.agree(digests)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *wire) agree(asked byte) error {
+	p, err := readPDU(w.in, framing{})
+	switch {
+	case err != nil:
+		return err
+	case p.kind != typeICResp || p.u16(8) != 0 || p.head[10] > maxPDA || p.head[11]&^asked != 0 || p.u32(12) < minH2CData:
+		return errors.New("controller's ICResp is not usable")
+	}
+	w.framing = framing{hdigest: p.head[11]&digestHeader != 0, ddigest: p.head[11]&digestData != 0, pda: int(p.head[10])}
+	w.most = p.u32(12)
+	return nil
+}
+
+// receive reads a PDU; the host asked for no alignment of its own.
+func (w *wire) receive() (*pdu, error) {
+	p, err := readPDU(w.in, framing{hdigest: w.framing.hdigest, ddigest: w.framing.ddigest})
+	var f *fatal
+	if errors.As(err, &f) {
+		w.Write(termPDU(typeH2CTerm, f))
+	}
+	return p, err
+}
+
+func (w *wire) nextCID() uint16 {
+	w.cid++
+	return w.cid
+}
+
+// ask carries out a command outside the data path: data in the capsule, a page or nothing back.
+func (w *wire) ask(c *command, data []byte) (completion, []byte, error) {
+	if _, err := w.Write(appendPDU(nil, w.framing, typeCmd, 0, c[:], data)); err != nil {
+		return completion{}, nil, err
+	}
+	var page []byte
+	for {
+		p, err := w.receive()
+		if err != nil {
+			return completion{}, nil, err
+		}
+		switch p.kind {
+		case typeC2HData:
+			if int64(len(page)) != int64(p.u32(12)) || len(page)+len(p.data) > identifyLen || p.dataError {
+				return completion{}, nil, errors.New("data out of order")
+			}
+			page = append(page, p.data...)
+		case typeResp:
+			done := parseCompletion(p)
+			if done.cid != c.cid() {
+				continue // of an Abort that nobody waited for
+			}
+			if done.status != stOK {
+				return done, nil, fmt.Errorf("command %#x ended with status %#x", c.op(), uint16(done.status))
+			}
+			return done, page, nil
+		default:
+			return completion{}, nil, fmt.Errorf("unexpected PDU type %#x", p.kind)
+		}
+	}
+}
+
+func fabricsCommand(w *wire, fctype byte, length int) *command {
+	c := newCommand(opFabrics, w.nextCID(), length, length > 0)
+	c[4] = fctype
+	return c
+}
+
+// connect sends Connect; the answer is the controller's id.
+func (w *wire) connect(opt HostOptions, qid, cntlid uint16) (uint16, error) {
+	c := fabricsCommand(w, fctConnect, connectLen)
+	c.set16(42, qid)
+	c.set16(44, 31)
+	if qid == 0 {
+		c.set32(48, uint32(opt.KeepAlive.Milliseconds()))
+	} else {
+		c.set16(44, 1) // one command at a time
+	}
+	data := make([]byte, connectLen)
+	copy(data, opt.HostID[:])
+	binary.LittleEndian.PutUint16(data[16:], cntlid)
+	copy(data[256:511], opt.Subsystem)
+	copy(data[512:767], opt.HostNQN)
+	done, _, err := w.ask(c, data)
+	return uint16(done.result), err
+}
+
+func (w *wire) property(offset uint32) (uint64, error) {
+	c := fabricsCommand(w, fctPropertyGet, 0)
+	if offset == propCAP {
+		c.set32(40, 1)
+	}
+	c.set32(44, offset)
+	done, _, err := w.ask(c, nil)
+	return done.result, err
+}
+
+// enter makes sure of the association and takes a queue id in it. Neither a target that stands still nor
+// whoever waits for it holds this up for longer than ctx allows.
+func (a *association) enter(ctx context.Context) (cntlid, qid uint16, inside int, err error) {
+	for {
+		a.mu.Lock()
+		if a.admin != nil {
+			defer a.mu.Unlock()
+			for id := uint16(1); id <= mostQueues; id++ {
+				if !a.inUse[id] {
+					a.inUse[id] = true
+					return a.cntlid, id, a.inside, nil
+				}
+			}
+			return 0, 0, 0, errors.New("all I/O queues are in use")
+		}
+		a.mu.Unlock()
+		select {
+		case a.talk <- struct{}{}:
+		case <-ctx.Done():
+			return 0, 0, 0, ctx.Err()
+		}
+		err := a.establish(ctx)
+		<-a.talk
+		if err != nil {
+			return 0, 0, 0, err
+		}
+	}
+}
+
+func (a *association) free(qid uint16) {
+	a.mu.Lock()
+	delete(a.inUse, qid)
+	a.mu.Unlock()
+}
+
+// establish connects the admin queue, enables the controller and reads what it bears. Its caller holds talk.
+func (a *association) establish(ctx context.Context) error {
+	a.mu.Lock()
+	there := a.admin != nil
+	a.mu.Unlock()
+	if there {
+		return nil
+	}
+	w, err := a.host.open(ctx, a.addr)
+	if err != nil {
+		return err
+	}
+	cntlid, inside, err := a.host.enable(ctx, w)
+	if err != nil {
+		w.Close()
+		return err
+	}
+	w.SetDeadline(time.Time{})
+	a.mu.Lock()
+	a.admin, a.cntlid, a.inside, a.aborted = w, cntlid, inside, 0
+	a.mu.Unlock()
+	go a.keep(w)
+	return nil
+}
+
+func (h *Host) enable(ctx context.Context, w *wire) (cntlid uint16, inside int, err error) {
+	if cntlid, err = w.connect(h.opt, 0, staticID); err != nil {
+		return
+	}
+	c := fabricsCommand(w, fctPropertySet, 0)
+	c.set32(44, propCC)
+	c.set64(48, 4<<20|6<<16|ccEnable) // entry sizes, enabled
+	if _, _, err = w.ask(c, nil); err != nil {
+		return
+	}
+	for ready := false; !ready; {
+		var v uint64
+		if v, err = w.property(propCSTS); err != nil {
+			return
+		}
+		if ready = v&cstsReady != 0; !ready {
+			select {
+			case <-ctx.Done():
+				return 0, 0, ctx.Err()
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}
+	id := newCommand(opIdentify, w.nextCID(), identifyLen, false)
+	id.set32(40, 1)
+	_, page, err := w.ask(id, nil)
+	if err == nil && len(page) != identifyLen {
+		err = errors.New("controller's identify page is not whole")
+	}
+	if err != nil {
+		return
+	}
+	return cntlid, max(0, int(binary.LittleEndian.Uint32(page[1792:]))*16-64), nil
+}
+
+// keep sends keep-alives until the admin queue fails; the association has ended then.
+func (a *association) keep(w *wire) {
+	every := a.host.opt.KeepAlive / 2
+	for {
+		time.Sleep(every)
+		a.talk <- struct{}{}
+		w.SetDeadline(time.Now().Add(every))
+		_, _, err := w.ask(newCommand(opKeepAlive, w.nextCID(), 0, false), nil)
+		w.SetDeadline(time.Time{})
+		a.mu.Lock()
+		a.aborted = 0 // their completions came before this one's
+		if err != nil {
+			a.admin = nil
+		}
+		a.mu.Unlock()
+		<-a.talk
+		if err != nil {
+			w.Close()
+			return
+		}
+	}
+}
+
+// mostAborts bounds the Aborts of which no completion was read; the admin queue holds 32 entries.
+const mostAborts = 3
+
+// abort tells the controller that a command is not waited for any more. It is a courtesy: what counts is
+// that the command's connection closes. So it waits for nothing, least of all for a target that stands
+// still; its completion is passed over when the next keep-alive reads the queue.
+func (a *association) abort(qid, cid uint16) {
+	select {
+	case a.talk <- struct{}{}:
+		defer func() { <-a.talk }()
+	default:
+		return
+	}
+	a.mu.Lock()
+	w := a.admin
+	ok := w != nil && a.aborted < mostAborts
+	a.aborted++
+	a.mu.Unlock()
+	if !ok {
+		return
+	}
+	c := newCommand(opAbort, w.nextCID(), 0, false)
+	c.set32(40, uint32(qid)|uint32(cid)<<16)
+	w.SetWriteDeadline(time.Now().Add(10 * time.Millisecond))
+	w.Write(appendPDU(nil, w.framing, typeCmd, 0, c[:], nil))
+	w.SetWriteDeadline(time.Time{})
+}
+
+// session is one I/O queue.
+type session struct {
+	*wire
+	from   *association
+	qid    uint16
+	inside int
+	once   sync.Once
+}
+
+// Close ends the queue.
+func (s *session) Close() error {
+	err := s.wire.Close()
+	s.once.Do(func() { s.from.free(s.qid) })
+	return err
+}
+
+// Alive implements upstream.Session.
+func (s *session) Alive() bool { return s.in.Buffered() == 0 && upstream.Quiet(s.Conn) }
+
+// Do carries one read or write. A write's data goes in the capsule where it fits, otherwise when the
+// controller asks; until the last byte of it is written, it cannot have begun.
+func (s *session) Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string) {
+	x := a.Payload.(*IO)
+	op := byte(opRead)
+	if x.Write {
+		op = opWrite
+	}
+	inside := x.Write && len(x.Data) <= s.inside
+	c := newCommand(op, s.nextCID(), x.Bytes, inside)
+	c.set32(4, x.NSID)
+	c.set64(40, x.SLBA)
+	c.set16(48, uint16(x.Blocks-1))
+	var data []byte
+	if inside {
+		data = x.Data
+	}
+	capsule := appendPDU(nil, s.framing, typeCmd, 0, c[:], data)
+	s.SetDeadline(a.Until)
+	if !first() {
+		r.Code = spindlehitch.Moot
+		return r, false, "TARGET_LEAVES"
+	}
+	if n, err := s.Write(capsule); n < len(capsule) {
+		r.Code = spindlehitch.NoConnection
+		return r, false, "WRITE_" + upstream.Cause(err)
+	}
+	written := !x.Write || inside
+	st, body, err := s.finish(c, x, &written)
+	if err != nil {
+		switch {
+		case !written:
+			r.Code = spindlehitch.NoConnection
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			r.Code = spindlehitch.Expired
+		default:
+			r.Code = spindlehitch.Reset
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+			s.from.abort(s.qid, c.cid())
+		}
+		return r, false, "READ_" + upstream.Cause(err)
+	}
+	r.Code, r.Payload = outcomeOf(st), body
+	return r, s.SetDeadline(time.Time{}) == nil, "CLOSED"
+}
+
+// finish plays the controller's side of the command until its completion.
+func (s *session) finish(c *command, x *IO, written *bool) (status, []byte, error) {
+	var body []byte
+	for {
+		p, err := s.receive()
+		if err != nil {
+			return 0, nil, err
+		}
+		switch p.kind {
+		case typeR2T:
+			if *written || p.u16(8) != c.cid() {
+				return 0, nil, errors.New("R2T for no write that waits")
+			}
+			offset, length := int64(p.u32(12)), int64(p.u32(16))
+			if length == 0 || offset+length > int64(len(x.Data)) {
+				return 0, nil, errors.New("R2T out of range")
+			}
+			if err := s.sendData(c.cid(), p.u16(10), x.Data, int(offset), int(offset+length)); err != nil {
+				return 0, nil, err
+			}
+			*written = offset+length == int64(len(x.Data))
+		case typeC2HData:
+			if x.Write || p.u16(8) != c.cid() || int64(p.u32(12)) != int64(len(body)) ||
+				len(body)+len(p.data) > x.Bytes || p.dataError {
+				return 0, nil, errors.New("data for no read, out of order or damaged")
+			}
+			body = append(body, p.data...)
+			if p.flags&flagSuccess != 0 && p.flags&flagLast != 0 {
+				return s.whole(stOK, x, body)
+			}
+		case typeResp:
+			done := parseCompletion(p)
+			if done.cid != c.cid() {
+				return 0, nil, errors.New("completion of another command")
+			}
+			return s.whole(done.status, x, body)
+		case typeC2HTerm:
+			return 0, nil, io.ErrUnexpectedEOF
+		default:
+			return 0, nil, fmt.Errorf("unexpected PDU type %#x", p.kind)
+		}
+	}
+}
+
+// whole takes no read for served whose data is not all there.
+func (s *session) whole(st status, x *IO, body []byte) (status, []byte, error) {
+	if st == stOK && !x.Write && len(body) != x.Bytes {
+		return 0, nil, errors.New("data is not whole")
+	}
+	return st, body, nil
+}
+
+func (s *session) sendData(cid, tag uint16, data []byte, from, to int) error {
+	for from < to {
+		n := min(to-from, int(s.most))
+		flags := byte(0)
+		if from+n == to {
+			flags = flagLast
+		}
+		b := appendPDU(nil, s.framing, typeH2CData, flags, dataHead(cid, tag, uint32(from), uint32(n)), data[from:from+n])
+		if _, err := s.Write(b); err != nil {
+			return err
+		}
+		from += n
+	}
+	return nil
+}
+
+var _ upstream.Wire = (*Host)(nil)
