--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"surprise":1,
+ "known":{"version":41,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","cell":0,"state":"SERVING"}]},
+ "settings":{"peersTotal":3,"tickUs":2000,"classes":[{"name":"position-read","promiseUs":150000,"deadlineUs":750000,
+ "effect":"pure","worth":3},{"name":"event-write","promiseUs":200000,"deadlineUs":1200000,"effect":"side_effect","worth":2},
+ {"name":"history-export","promiseUs":750000,"deadlineUs":2500000,"effect":"pure","worth":1}],
+ "contracts":[{"name":"standard","usualRate":13,"reservation":13,"parts":3,"pays":0.9}],
+ "limits":{"sendCap":3,"mostHeld":20000,"connIdleUs":30000000,"dialTimeoutUs":250000}}}`
+
+func none(string) string { return "" }
+
+func TestGood(t *testing.T) {
+	c, err := Parse([]byte(good), func(name string) string {
+		return map[string]string{"PROXY_LISTEN": "127.0.0.2:8081"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Listen != "127.0.0.2:8081" || c.Seed != 0x8c1f30d27a5be964 || c.Dial != 250*time.Millisecond ||
+		c.MostHeld != mostHeld || len(c.Module.Classes) != 3 || *c.Known.Version != 41 {
+		t.Errorf("read as %+v", c)
+	}
+	if total := c.ClientConns() + spareFiles; total > c.Limits.Sockets {
+		t.Errorf("%d descriptors for clients of %d", total, c.Limits.Sockets)
+	}
+}
+
+// TestBadNamesTheField checks that what cannot be served stops the start with the field's name.
+func TestBadNamesTheField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{good, "nonsense", "configuration:"},
+		{`"name":"n3",`, "", "name: required"},
+		{`"listen":"127.0.0.1:8080",`, "", "listen: required"},
+		{"127.0.0.1:8080", "127.0.0.1", "listen:"},
+		{"127.0.0.1:8080", "127.0.0.1:0", "listen: port"},
+		{"127.0.0.1:8500", "127.0.0.1:99999", "discovery: port"},
+		{"8c1f30d27a5be964", "tomorrow", "seed:"},
+		{`"cores":1.0`, `"cores":-1`, "limits.cores"},
+		{`"memory_mb":192`, `"memory_mb":-1`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"sockets":1024`, `"sockets":"many"`, "sockets"},
+		{`"state":"SERVING"`, `"state":"ODD"`, "known: list: servers[0].state"},
+		{`"settings":`, `"other":`, "settings: required"},
+		{`"peersTotal":3,`, "", "peersTotal: required"},
+		{`"effect":"side_effect"`, `"effect":"odd"`, "classes[1].effect"},
+		{`"promiseUs":150000`, `"promiseUs":0`, `class "position-read" needs an aim`},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), none)
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%.30s: %v, want %q", c.new, err, c.want)
+		}
+	}
+	for _, env := range []string{"", filepath.Join(t.TempDir(), "absent")} {
+		if _, err := Load(func(string) string { return env }); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
+			t.Errorf("PROXY_CONFIG=%q: %v", env, err)
+		}
+	}
+}
+
+// TestOperatorFile reads the file under deploy/ and spoils it field by field.
+func TestOperatorFile(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile("../../deploy/nvme.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func(text string) (*Operator, error) {
+		path := filepath.Join(t.TempDir(), "operator.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return ReadOperator(path, c)
+	}
+	o, err := read(string(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k := o.NVMe.Controller(c); len(k.Namespaces) != 1 || k.Patience["event-write"] != 1200*time.Millisecond {
+		t.Errorf("controller %+v", k)
+	}
+	if h := o.NVMe.Host(); h.HostID[0] != 0x5f || h.KeepAlive != 5*time.Second {
+		t.Errorf("host %+v", h)
+	}
+	for _, x := range []struct{ old, new, want string }{
+		{"listen", "lisen", "nvme.lisen: unknown field"},
+		{"127.0.0.1:4420", "here", "nvme.listen"},
+		{`host_id = "5f`, `host_id = "zz`, "nvme.host_id"},
+		{"queue_depth = 64", "queue_depth = 1", "nvme.queue_depth"},
+		{"keep_alive_ms = 5000", "keep_alive_ms = 5", "nvme.keep_alive_ms"},
+		{`plan = "standard"`, `plan = "odd"`, "nvme.namespace[0].plan"},
+		{`write = "event-write"`, `write = "odd"`, "nvme.namespace[0].write"},
+		{"block_bytes = 512", "block_bytes = 700", "nvme.namespace[0].block_bytes"},
+		{"shards = [0, 1, 2, 3]", "shards = []", "nvme.namespace[0].shards"},
+		{"bulk_blocks = 64", "bulk_blocks = 0", "nvme.namespace[0].bulk_blocks"},
+		{"00000003b4d60021", "volume", "nvme.namespace[0].volume"},
+	} {
+		if _, err := read(strings.Replace(string(raw), x.old, x.new, 1)); err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s: %v, want %q", x.new, err, x.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,206 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"spindlehitch"
+)
+
+// fake is an upstream that notes what it is told.
+type fake struct {
+	sent      []Attempt
+	cancelled []string
+}
+
+func (f *fake) Send(a Attempt)              { f.sent = append(f.sent, a) }
+func (f *fake) Cancel(node, request string) { f.cancelled = append(f.cancelled, node+"/"+request) }
+
+func module(t *testing.T) *spindlehitch.Scheduler {
+	t.Helper()
+	m, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 1,
+		Classes: []spindlehitch.Class{{Name: "get", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1},
+			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe}},
+		Plans: []spindlehitch.Plan{{Name: "std", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// hand is a core stepped by hand.
+type hand struct {
+	*Core
+	up  *fake
+	now time.Time
+}
+
+func newHand(t *testing.T) *hand {
+	h := &hand{up: &fake{}, now: time.Now()}
+	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond})
+	h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
+	return h
+}
+
+func job(class string, arrived time.Time, answers *[]Answer) *Job {
+	return &Job{Request: spindlehitch.Request{Class: class, Plan: "std", Volume: "v", Units: 1, Initiators: 1},
+		Arrived: arrived, Patience: 2 * time.Second, Done: func(a Answer) { *answers = append(*answers, a) }}
+}
+
+// later steps the core at timers until the time has passed.
+func (h *hand) later(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.now = h.now.Add(5 * time.Millisecond)
+		h.step(h.now, nil)
+	}
+}
+
+// TestOneFinalAnswer plays outcomes twice, late and of attempts that never were: one answer is given.
+func TestOneFinalAnswer(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	h.step(h.now, []any{submitted{job("get", h.now, &answers)}})
+	if len(h.up.sent) != 1 {
+		t.Fatalf("%d attempts, want 1", len(h.up.sent))
+	}
+	r := Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Delivered, Payload: "body"}
+	wrong := r
+	wrong.Number = 3
+	h.step(h.now, []any{wrong, r, r})
+	h.step(h.now, []any{r})
+	if len(answers) != 1 || answers[0].Ending != Served || answers[0].Payload != "body" {
+		t.Fatalf("answers %+v, want one", answers)
+	}
+	if len(h.open) != 0 {
+		t.Errorf("%d requests kept", len(h.open))
+	}
+}
+
+// TestDeadlineRunsFromArrival guards against counting a request's time from when a busy process got to it.
+func TestDeadlineRunsFromArrival(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	h.step(h.now, []any{submitted{job("get", h.now.Add(-1500*time.Millisecond), &answers)}})
+	if len(h.up.sent) != 1 {
+		t.Fatalf("%d attempts, want 1", len(h.up.sent))
+	}
+	if left := h.up.sent[0].Until.Sub(h.now); left > 490*time.Millisecond {
+		t.Errorf("attempt may last %v, but its client leaves in 500ms", left)
+	}
+}
+
+// TestUnsafeIsNotRepeated ends a write in doubt: one failure, no second attempt, no word that a repeat is harmless.
+func TestUnsafeIsNotRepeated(t *testing.T) {
+	for _, code := range []spindlehitch.Code{spindlehitch.Reset, spindlehitch.Expired, spindlehitch.Errored, spindlehitch.Cancelled} {
+		h := newHand(t)
+		var answers []Answer
+		h.step(h.now, []any{submitted{job("put", h.now, &answers)}})
+		h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: code}})
+		h.later(3 * time.Second)
+		if len(h.up.sent) != 1 || len(answers) != 1 || answers[0].Ending != Failed || answers[0].Last != code {
+			t.Errorf("code %v: %d attempts, answers %+v", code, len(h.up.sent), answers)
+		}
+	}
+}
+
+// TestListComesFirst guards the order within a batch: a drain notice that waits behind a request is still
+// heard before the request is decided.
+func TestListComesFirst(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	h.step(h.now, []any{submitted{job("get", h.now, &answers)},
+		spindlehitch.NodeList{Nodes: []spindlehitch.Node{{ID: "n", State: spindlehitch.Draining}}}})
+	if len(h.up.sent) != 0 {
+		t.Errorf("sent to a target known to drain: %+v", h.up.sent)
+	}
+}
+
+// TestDepartedIsCalledOff checks that an attempt nobody waits for is called off, and no answer is given.
+func TestDepartedIsCalledOff(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	j := job("get", h.now, &answers)
+	h.step(h.now, []any{submitted{j}})
+	h.step(h.now, []any{j})
+	if len(h.up.cancelled) != 1 || len(h.open) != 1 {
+		t.Fatalf("cancelled %v, %d kept; want it called off and kept until its outcome", h.up.cancelled, len(h.open))
+	}
+	h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Cancelled}})
+	h.later(3 * time.Second)
+	if len(answers) != 0 || len(h.open) != 0 {
+		t.Errorf("answers %v, %d kept", answers, len(h.open))
+	}
+}
+
+// TestClockNeverGoesBack steps the core with times out of order.
+func TestClockNeverGoesBack(t *testing.T) {
+	h := newHand(t)
+	before := h.lastStep
+	var answers []Answer
+	h.step(h.now.Add(-time.Second), []any{submitted{job("get", h.now, &answers)}})
+	if h.lastStep < before {
+		t.Errorf("clock went from %v to %v", before, h.lastStep)
+	}
+}
+
+// echo answers each attempt from many goroutines at once.
+type echo struct{ core *Core }
+
+func (e *echo) Send(a Attempt) {
+	go e.core.Report(Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: spindlehitch.Delivered})
+}
+func (e *echo) Cancel(string, string) {}
+
+// TestNothingIsLostUnderLoad has many goroutines hand over requests at once, more than the core may hold: each
+// taken one has exactly one answer, and what is not taken is said so.
+func TestNothingIsLostUnderLoad(t *testing.T) {
+	up := &echo{}
+	c := New(module(t), up, NewClock(), Options{MostHeld: 500})
+	up.core = c
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.Run(ctx)
+	c.List(spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}})
+	var mu sync.Mutex
+	answers := map[string]int{}
+	var open, turned sync.WaitGroup
+	taken := 0
+	for g := range 20 {
+		turned.Add(1)
+		go func() {
+			defer turned.Done()
+			for i := range 100 {
+				name := fmt.Sprint(g, "/", i)
+				j := &Job{Request: spindlehitch.Request{Class: "get", Plan: "std", Volume: name, Units: 1, Initiators: 1},
+					Arrived: time.Now(), Patience: 2 * time.Second}
+				j.Done = func(Answer) {
+					mu.Lock()
+					answers[name]++
+					mu.Unlock()
+					open.Done()
+				}
+				open.Add(1)
+				if !c.Submit(j) {
+					open.Done()
+					continue
+				}
+				mu.Lock()
+				taken++
+				mu.Unlock()
+			}
+		}()
+	}
+	turned.Wait()
+	open.Wait()
+	if len(answers) != taken {
+		t.Errorf("%d requests taken, %d answered", taken, len(answers))
+	}
+	for name, n := range answers {
+		if n != 1 {
+			t.Errorf("%s: %d answers", name, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,132 @@
+package discovery
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"spindlehitch"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const one = `{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"k","cell":3,"state":"SERVING","weight":1.0,"started_ms":7}`
+
+func list(version int, full bool, entries ...string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+}
+
+// TestWatch plays discovery's answers in turn and checks what is asked and told: a watch goes on from the last
+// version, and after any doubt the whole list is asked for.
+func TestWatch(t *testing.T) {
+	answers := []struct {
+		status int
+		body   string
+		ask    string // what must have been asked
+	}{
+		{200, list(5, true, one), "/api/targets"},
+		{200, list(6, false, strings.Replace(one, "SERVING", "DRAINING", 1)), "/api/targets?after=5&wait_ms=20000"},
+		{200, list(6, false), "/api/targets?after=6&wait_ms=20000"},
+		{500, "", "/api/targets?after=6&wait_ms=20000"},
+		{200, "nonsense", "/api/targets"},
+		{200, list(7, false, one), "/api/targets"}, // a change where the whole list was due
+		{200, list(8, true, one), "/api/targets"},
+		{200, list(2, false, one), "/api/targets?after=8&wait_ms=20000"}, // went back
+		{200, list(9, true, one), "/api/targets"},
+	}
+	asked := make(chan string, 64)
+	n := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.String()
+		if n == len(answers) {
+			<-r.Context().Done()
+			return
+		}
+		a := answers[n]
+		n++
+		w.WriteHeader(a.status)
+		fmt.Fprint(w, a.body)
+	}))
+	defer s.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	told := make(chan int64, 64)
+	w := New(strings.TrimPrefix(s.URL, "http://"), nil, func(l *List) { told <- *l.Version }, slog.New(slog.DiscardHandler))
+	go w.Run(ctx)
+	for i, a := range answers {
+		if got := <-asked; got != a.ask {
+			t.Fatalf("call %d asked %q, want %q", i, got, a.ask)
+		}
+	}
+	<-asked
+	for _, want := range []int64{5, 6, 8, 9} {
+		if got := <-told; got != want {
+			t.Errorf("told of version %d, want %d", got, want)
+		}
+	}
+}
+
+// TestSilence guards against a discovery that is down and keeps the connection open: the call is given up.
+func TestSilence(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer s.Close()
+	w := New(strings.TrimPrefix(s.URL, "http://"), nil, nil, slog.New(slog.DiscardHandler))
+	if _, err := w.fetch(context.Background(), "/api/targets", 50*time.Millisecond); err == nil {
+		t.Error("a silent call came to something")
+	}
+}
+
+// TestBadLists names the field that cannot be used.
+func TestBadLists(t *testing.T) {
+	for _, c := range []struct{ name, in, want string }{
+		{"no version", `{"full":true,"servers":[]}`, "version is missing"},
+		{"no id", list(1, true, strings.Replace(one, `"id":"a",`, "", 1)), "servers[0].id"},
+		{"no cell", list(1, true, one, strings.Replace(one, `"cell":3,`, "", 1)), "servers[1].cell"},
+		{"odd state", list(1, true, strings.Replace(one, "SERVING", "ODD", 1)), `unknown state "ODD"`},
+		{"odd address", list(1, true, strings.Replace(one, "127.0.0.1:1", "here", 1)), "servers[0].addr"},
+	} {
+		if _, err := Decode([]byte(c.in)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+	l, err := Decode([]byte(list(1, false, one, `{"id":"b","state":"DELETED"}`)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := spindlehitch.Node{ID: "a", Zone: "z", Shard: 3, Started: 7 * time.Millisecond}
+	if got := l.Servers[0].Node(); got != want {
+		t.Errorf("entry %+v, want %+v", got, want)
+	}
+	if got := l.Servers[1].Node(); got.State != spindlehitch.Removed {
+		t.Errorf("deleted entry %+v", got)
+	}
+}
+
+// TestListCuts cuts a valid list anywhere and feeds garbage: no part passes for the whole.
+func TestListCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := list(rapid.IntRange(0, 99).Draw(t, "version"), rapid.Bool().Draw(t, "full"), one, one)
+		if _, err := Decode([]byte(whole)); err != nil {
+			t.Fatal(err)
+		}
+		cut := whole[:rapid.IntRange(0, len(whole)-1).Draw(t, "cut")]
+		if l, err := Decode([]byte(cut)); err == nil {
+			t.Fatalf("%q passed as %+v", cut, l)
+		}
+		Decode(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,8 +19,9 @@
 const (
 	maxTimeoutMs = 10 * 60 * 1000
 	maxHead      = 16 << 10
-	// lingerFor is how long after SIGTERM clients may still come with new connections.
-	lingerFor = 400 * time.Millisecond
+	// lingerFor is how long after SIGTERM new connections are taken: clients come for 0.4 s, and one that the
+	// machine has accepted but nobody has read from would be lost with the listener.
+	lingerFor = 450 * time.Millisecond
 )
 
 // Options set up the front.
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,260 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/upstream"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// back is the stand-in core: it hands jobs to the test and notes departures.
+type back struct {
+	jobs chan *core.Job
+	gone chan *core.Job
+	full bool
+}
+
+func (b *back) Submit(j *core.Job) bool {
+	if b.full {
+		return false
+	}
+	b.jobs <- j
+	return true
+}
+func (b *back) Depart(j *core.Job) { b.gone <- j }
+
+func newFront(t *testing.T, most int) (*Server, *back, string) {
+	t.Helper()
+	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
+	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most,
+		Log: slog.New(slog.DiscardHandler)})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve(l)
+	t.Cleanup(func() { s.http.Close() })
+	return s, b, l.Addr().String()
+}
+
+const goodHead = "PUT /put/x/7f3a9c21e0b4d655?q=1 HTTP/1.1\r\nHost: a\r\nRequest-Id: id1\r\nTier: std\r\n" +
+	"Request-Timeout-Ms: 480\r\nIO-Info: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\n"
+
+const good = goodHead + "Content-Length: 4\r\n\r\nbody"
+
+// ask writes raw bytes on a connection of its own and reads one answer.
+func ask(t *testing.T, addr, raw string) (*http.Response, string, net.Conn) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return say(t, c, raw)
+}
+
+func say(t *testing.T, c net.Conn, raw string) (*http.Response, string, net.Conn) {
+	t.Helper()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, raw)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%q: %v", raw, err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp, string(body), c
+}
+
+// TestAnswers passes a request whole to the core and each ending back to the client.
+func TestAnswers(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	for _, c := range []struct {
+		answer core.Answer
+		status int
+		after  string
+		body   string
+	}{
+		{core.Answer{Payload: []byte("data")}, 200, "", "data"},
+		{core.Answer{Ending: core.Refused, RetryAfter: 250 * time.Millisecond}, 503, "0.250", "refused: trying again is harmless\n"},
+		{core.Answer{Ending: core.Refused}, 503, "", "refused: trying again is harmless\n"},
+		{core.Answer{Ending: core.Failed}, 502, "", "failed: it may have run\n"},
+	} {
+		go func() { (<-b.jobs).Done(c.answer) }()
+		resp, body, _ := ask(t, addr, good)
+		if resp.StatusCode != c.status || body != c.body || resp.Header.Get("Retry-After") != c.after {
+			t.Errorf("%+v: status %d, after %q, body %q", c.answer, resp.StatusCode, resp.Header.Get("Retry-After"), body)
+		}
+	}
+	go func() {
+		j := <-b.jobs
+		m := j.Payload.(*upstream.Message)
+		text := fmt.Sprint(j.Class, j.Plan, j.Volume, j.Extent, j.Units, j.Shard, j.Initiators, j.Patience, m.Method, m.URI, m.ID, string(m.Body))
+		j.Done(core.Answer{Payload: []byte(text)})
+	}()
+	want := fmt.Sprint("put", "std", "00000003b4d60021", "7f3a9c21e0b4d655", 2.0, 5, 3, 480*time.Millisecond, "PUT", "/put/x/7f3a9c21e0b4d655?q=1", "id1", "body")
+	if _, body, _ := ask(t, addr, good); body != want {
+		t.Errorf("taken as %q, want %q", body, want)
+	}
+}
+
+// TestBadInput checks that what cannot be taken is told so, by a code that does not invite a repeat.
+func TestBadInput(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	swap := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for _, c := range []struct {
+		name, raw string
+		want      int
+	}{
+		{"garbage", "nonsense\r\n\r\n", 400},
+		{"method", swap("PUT", "DELETE"), 405},
+		{"no key", swap("/put/x/7f3a9c21e0b4d655?q=1", "/put"), 400},
+		{"short key", swap("7f3a9c21e0b4d655", "7f3a"), 400},
+		{"class", swap("/put/", "/odd/"), 404},
+		{"plan", swap("Tier: std", "Tier: odd"), 422},
+		{"no id", swap("Request-Id: id1\r\n", ""), 400},
+		{"id with a blank", swap("id1", "i d"), 400},
+		{"no time", swap("Request-Timeout-Ms: 480\r\n", ""), 400},
+		{"no time left", swap("480", "0"), 400},
+		{"odd time", swap("480", "1e9"), 400},
+		{"no volume", swap("volume=00000003b4d60021,", ""), 400},
+		{"odd volume", swap("00000003b4d60021", "xyz"), 400},
+		{"odd units", swap("units=2", "units=NaN"), 400},
+		{"shard twice", swap("shard=5", "shard=5,shard=6"), 400},
+		{"odd shard", swap("shard=5", "shard=-2"), 400},
+		{"no hosts", swap(",hosts=3", ""), 400},
+		{"long head", swap("Host: a", "Host: a\r\nX: "+strings.Repeat("x", 40<<10)), 431},
+		{"long body", swap("Content-Length: 4\r\n\r\nbody", "Content-Length: 65537\r\n\r\n"+strings.Repeat("x", 65537)), 413},
+	} {
+		if resp, body, _ := ask(t, addr, c.raw); resp.StatusCode != c.want {
+			t.Errorf("%s: status %d (%q), want %d", c.name, resp.StatusCode, body, c.want)
+		}
+	}
+	if len(b.jobs) != 0 {
+		t.Errorf("%d of them reached the core", len(b.jobs))
+	}
+	b.full = true
+	if resp, _, _ := ask(t, addr, good); resp.StatusCode != 503 {
+		t.Errorf("too many held: status %d, want 503", resp.StatusCode)
+	}
+}
+
+// TestDeparture tells the core when a client goes away.
+func TestDeparture(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, good)
+	j := <-b.jobs
+	c.Close()
+	select {
+	case g := <-b.gone:
+		if g != j {
+			t.Error("another job departed")
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the core was not told")
+	}
+}
+
+// TestCapMakesRoom fills the clients' connections: a new one is taken all the same, and the one idle longest goes.
+func TestCapMakesRoom(t *testing.T) {
+	_, b, addr := newFront(t, 2)
+	go func() {
+		for j := range b.jobs {
+			j.Done(core.Answer{Payload: []byte("x")})
+		}
+	}()
+	defer close(b.jobs)
+	_, _, first := ask(t, addr, good)
+	_, _, second := ask(t, addr, good)
+	if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
+		t.Errorf("past the cap: status %d", resp.StatusCode)
+	}
+	first.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := first.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection idle longest: %v, want it closed", err)
+	}
+	if resp, _, _ := say(t, second, good); resp.StatusCode != 200 {
+		t.Errorf("the one used later: status %d", resp.StatusCode)
+	}
+}
+
+// TestLeaving checks the order of an end: not ready at once, new connections served meanwhile, and what was
+// taken finished before Stop returns.
+func TestLeaving(t *testing.T) {
+	s, b, addr := newFront(t, 64)
+	ready := "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+	if resp, _, _ := ask(t, addr, ready); resp.StatusCode != 200 {
+		t.Fatalf("ready: %d", resp.StatusCode)
+	}
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		if resp, body, _ := ask(t, addr, good); resp.StatusCode != 200 || body != "late" {
+			t.Errorf("taken before the end: %d, %q", resp.StatusCode, body)
+		}
+	}()
+	j := <-b.jobs
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	for !s.leaving.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if resp, _, _ := ask(t, addr, ready); resp.StatusCode != 503 {
+		t.Errorf("ready while leaving: %d", resp.StatusCode)
+	}
+	select {
+	case <-stopped:
+		t.Error("ended with a request open")
+	case <-time.After(lingerFor + 100*time.Millisecond):
+	}
+	j.Done(core.Answer{Payload: []byte("late")})
+	wait.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestInfoCuts cuts a valid IO-Info and feeds garbage: whatever passes has all four fields in range.
+func TestInfoCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := fmt.Sprintf("volume=%016x,units=%d,shard=%d,hosts=%d", rapid.Uint64().Draw(t, "v"),
+			rapid.IntRange(1, 8).Draw(t, "u"), rapid.IntRange(-1, 9).Draw(t, "s"), rapid.IntRange(1, 9).Draw(t, "h"))
+		if _, err := parseInfo(whole); err != nil {
+			t.Fatalf("%q: %v", whole, err)
+		}
+		if cut := rapid.IntRange(0, len(whole)-1).Draw(t, "cut"); cut < strings.LastIndexByte(whole, '=') {
+			if q, err := parseInfo(whole[:cut]); err == nil {
+				t.Fatalf("%q passed as %+v", whole[:cut], q)
+			}
+		}
+		garbage := rapid.StringMatching(`[a-z=,0-9.\-]{0,60}`).Draw(t, "garbage")
+		if q, err := parseInfo(garbage); err == nil && (len(q.Volume) != 16 || q.Units < 0 || q.Shard < -1) {
+			t.Fatalf("%q passed as %+v", garbage, q)
+		}
+	})
+}
