--- /dev/null
+++ b/cmd/spindlehitch/agent.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+)
+
+func agentCommand() *cobra.Command {
+	var operator string
+	cmd := &cobra.Command{
+		Use:   "agent",
+		Short: "Run one of the agents that keep the instances' configurations",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			set, err := config.ReadAgent(operator)
+			if err != nil {
+				return err
+			}
+			stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer cancel()
+			return runAgent(stop, set, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		},
+	}
+	cmd.Flags().StringVar(&operator, "operator", "deploy/agent.toml", "the operator's file (TOML) with the agents")
+	return cmd
+}
+
+func runAgent(stop context.Context, set *config.Agent, log *slog.Logger) error {
+	l, err := net.Listen("tcp", set.API())
+	if err != nil {
+		return fmt.Errorf("agent.peer.api: %w", err)
+	}
+	a, err := agent.Start(agent.Options{ID: set.ID, Dir: set.Dir, Peers: set.Peers, Log: log, Check: checkJSON})
+	if err != nil {
+		l.Close()
+		return err
+	}
+	log.Info("agent up", slog.String("id", set.ID), slog.String("listen", set.API()))
+	failed := make(chan error, 1)
+	go func() { failed <- a.Serve(l) }()
+	select {
+	case err := <-failed:
+		a.Stop()
+		return err
+	case <-stop.Done():
+		return a.Stop()
+	}
+}
+
+// checkJSON tells whether an instance could start from the configuration.
+func checkJSON(b []byte) error {
+	_, err := config.Parse(b, func(string) string { return "" })
+	return err
+}
+
+// configCommand groups what reads and writes the instances' configurations.
+func configCommand() *cobra.Command {
+	client := &agent.Client{}
+	cmd := &cobra.Command{Use: "config", Short: "Read and write instances' configurations at the agents"}
+	cmd.PersistentFlags().StringSliceVar(&client.Addrs, "agents", []string{"127.0.0.1:7701"}, "where the agents answer")
+	out := func(cmd *cobra.Command, v any) error {
+		e := json.NewEncoder(cmd.OutOrStdout())
+		e.SetIndent("", "  ")
+		return e.Encode(v)
+	}
+	get := &cobra.Command{Use: "get NAME", Short: "Print an instance's configuration", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			e, err := client.Get(cmd.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return out(cmd, e)
+		}}
+	list := &cobra.Command{Use: "list", Short: "List the instances and the versions of their configurations", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			all, err := client.List(cmd.Context())
+			if err != nil {
+				return err
+			}
+			names := make([]string, 0, len(all))
+			for name := range all {
+				names = append(names, name)
+			}
+			slices.Sort(names)
+			for _, name := range names {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s\t%d\n", name, all[name])
+			}
+			return nil
+		}}
+	var over int64
+	write := func(cmd *cobra.Command, name string, text []byte) error {
+		condition := ""
+		if over >= 0 {
+			condition = strconv.FormatInt(over, 10)
+		}
+		e, err := client.Put(cmd.Context(), name, text, condition)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "%s\t%d\n", e.Name, e.Version)
+		return nil
+	}
+	put := &cobra.Command{Use: "put NAME FILE", Short: "Write an instance's configuration (FILE - is standard input)", Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := readInput(cmd, args[1])
+			if err != nil {
+				return err
+			}
+			cfg, err := config.Parse(text, func(string) string { return "" })
+			if err != nil {
+				return err
+			}
+			if cfg.Name != args[0] {
+				return fmt.Errorf("name: the configuration is %q's", cfg.Name)
+			}
+			return write(cmd, args[0], text)
+		}}
+	remove := &cobra.Command{Use: "delete NAME", Short: "Take an instance's configuration away; one that runs goes on", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return write(cmd, args[0], nil) }}
+	for _, c := range []*cobra.Command{put, remove} {
+		c.Flags().Int64Var(&over, "if-version", -1, "only over this version; 0: only where there is none yet")
+	}
+	status := &cobra.Command{Use: "status", Short: "Show each agent's state and leader", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, s := range client.Status(cmd.Context()) {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s\t%s\tleader=%s\tapplied=%d\n", s.ID, s.State, s.Leader, s.Applied)
+			}
+			return nil
+		}}
+	cmd.AddCommand(get, list, put, remove, status)
+	return cmd
+}
+
+func readInput(cmd *cobra.Command, name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(cmd.InOrStdin())
+	}
+	return os.ReadFile(name)
+}
--- a/cmd/spindlehitch/main.go
+++ b/cmd/spindlehitch/main.go
@@ -9,15 +9,19 @@
 )
 
 func main() {
+	if err := rootCommand().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "spindlehitch:", err)
+		os.Exit(1)
+	}
+}
+
+func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "spindlehitch",
 		Short:         "A storage initiator that schedules requests by redemptive fair queuing",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "spindlehitch:", err)
-		os.Exit(1)
-	}
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), agentCommand(), configCommand())
+	return root
 }
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -29,19 +29,27 @@
 
 func serveCommand() *cobra.Command {
 	var operator string
+	var agents []string
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one initiator, as the environment and its configuration say",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+			stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer cancel()
+			if len(agents) > 0 {
+				return follow(stop, agents, os.Getenv, operator, log)
+			}
 			cfg, op, err := load(os.Getenv, operator)
 			if err != nil {
 				return err
 			}
-			return serve(cfg, op, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+			return serve(stop, cfg, op, log, nil)
 		},
 	}
 	cmd.Flags().StringVar(&operator, "operator", "", "an operator's file (TOML), such as deploy/nvme.toml")
+	cmd.Flags().StringSliceVar(&agents, "agents", nil, "take the configuration of PROXY_NAME from these agents, and follow its changes")
 	return cmd
 }
 
@@ -61,12 +69,11 @@
 	Stop(context.Context) error
 }
 
-// serve runs until SIGTERM or SIGINT, and then until everything taken is answered.
-func serve(cfg *config.Config, op *config.Operator, log *slog.Logger) error {
+// serve runs until stop ends, and then until everything taken is answered. Where listening is given, it is called once
+// all addresses are listened at, and they may be listened at by a predecessor that is about to leave.
+func serve(stop context.Context, cfg *config.Config, op *config.Operator, log *slog.Logger, listening func()) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 
 	module, err := spindlehitch.New(cfg.Module, cfg.Seed)
 	if err != nil {
@@ -103,20 +110,34 @@
 		doors[op.NVMe.Listen] = nvme.New(c, o)
 	}
 	failed := make(chan error, len(doors))
-	for addr, d := range doors {
-		l, err := net.Listen("tcp", addr)
+	var lc net.ListenConfig
+	if listening != nil {
+		lc.Control = shareAddress
+	}
+	ls := map[string]net.Listener{}
+	for addr := range doors {
+		l, err := lc.Listen(stop, "tcp", addr)
 		if err != nil {
+			for _, l := range ls {
+				l.Close()
+			}
 			return fmt.Errorf("listen: %w", err)
 		}
-		go func() { failed <- d.Serve(l) }()
+		ls[addr] = l
+	}
+	for addr, d := range doors {
+		go func() { failed <- d.Serve(ls[addr]) }()
 		log.Info("serving", slog.String("name", cfg.Name), slog.String("listen", addr))
 	}
+	if listening != nil {
+		listening()
+	}
 	select {
 	case err := <-failed:
 		return err
 	case <-stop.Done():
 	}
-	log.Info("leaving", slog.String("reason", "SIGTERM"), slog.Int("open", c.Open()))
+	log.Info("leaving", slog.String("reason", "STOPPED"), slog.Int("open", c.Open()))
 	bound, done := context.WithTimeout(context.Background(), longest(cfg)+600*time.Millisecond)
 	defer done()
 	ended := make(chan error, len(doors))
--- /dev/null
+++ b/cmd/spindlehitch/serve_test.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+const settings = `{"peersTotal":1,"tickUs":2000,"classes":[{"name":"position-read","promiseUs":5000000,"deadlineUs":20000000,
+ "effect":"pure","worth":3}],"contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],
+ "extra":{"meanUnits":1,"largest":8},"limits":{"sendCap":3}}`
+
+// freeAddr finds a port of the loopback that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// world is a stand-in target and a discovery that names it.
+type world struct {
+	listen, discovery string
+	slow              atomic.Bool
+	came, release     chan struct{}
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{listen: freeAddr(t), came: make(chan struct{}, 1), release: make(chan struct{})}
+	target := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.slow.Load() {
+			w.came <- struct{}{}
+			<-w.release
+		}
+		fmt.Fprint(rw, "from the target")
+	}))
+	t.Cleanup(target.Close)
+	found := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("after") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(rw, `{"version":1,"full":true,"servers":[{"id":"t","addr":%q,"cell":0,"state":"SERVING"}]}`,
+			strings.TrimPrefix(target.URL, "http://"))
+	}))
+	t.Cleanup(found.Close)
+	w.discovery = strings.TrimPrefix(found.URL, "http://")
+	return w
+}
+
+func (w *world) config() string {
+	return fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"settings":%s}`, w.listen, w.discovery, settings)
+}
+
+// ask sends one request on a connection of its own; a status of 0 says that none came.
+func (w *world) ask() (int, string) {
+	c, err := net.Dial("tcp", w.listen)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nRequest-Id: i\r\nTier: base\r\n"+
+		"Request-Timeout-Ms: 20000\r\nIO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// until asks until a request is served.
+func (w *world) until(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+		status, body := w.ask()
+		if status == 200 && body == "from the target" {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not served within a minute: %d %q", status, body)
+		}
+	}
+}
+
+// TestServeAndStop runs a whole initiator, and ends it with a request open: that one is served first.
+func TestServeAndStop(t *testing.T) {
+	w := newWorld(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(w.config()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, op, err := load(func(name string) string { return map[string]string{"PROXY_CONFIG": path}[name] }, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, op, quiet, nil) }()
+	w.until(t)
+	w.slow.Store(true)
+	open := make(chan string, 1)
+	go func() {
+		status, body := w.ask()
+		open <- fmt.Sprint(status, " ", body)
+	}()
+	<-w.came
+	leave()
+	time.Sleep(600 * time.Millisecond)
+	close(w.release)
+	if got := <-open; got != "200 from the target" {
+		t.Errorf("the request that was open: %s", got)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if status, _ := w.ask(); status != 0 {
+		t.Errorf("served after the end: %d", status)
+	}
+}
+
+// TestFollow has an instance take its configuration from an agent, keep it when a bad one comes, and move to a
+// successor when a good one does, without a request lost.
+func TestFollow(t *testing.T) {
+	w := newWorld(t)
+	set := &config.Agent{ID: "a", Dir: t.TempDir(), Peers: []agent.Peer{{ID: "a", Raft: freeAddr(t), API: freeAddr(t)}}}
+	stop, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- runAgent(stop, set, quiet) }()
+	client := &agent.Client{Addrs: []string{set.API()}}
+	put := func(text string) (err error) {
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			if _, err = client.Put(stop, "n1", []byte(text), ""); err == nil || !strings.Contains(err.Error(), "leader") &&
+				!strings.Contains(err.Error(), "refused") {
+				return err
+			}
+		}
+		return err
+	}
+	if err := put(w.config()); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		ended <- follow(stop, client.Addrs, func(name string) string { return map[string]string{"PROXY_NAME": "n1"}[name] }, "", quiet)
+	}()
+	w.until(t)
+	if err := put(`{"name":"n1"}`); err == nil || !strings.Contains(err.Error(), "listen") {
+		t.Errorf("a configuration that cannot be served: %v", err)
+	}
+	first := w.listen
+	w.listen = freeAddr(t)
+	if err := put(w.config()); err != nil {
+		t.Fatal(err)
+	}
+	w.until(t)
+	now := w.listen
+	w.listen = first
+	for end := time.Now().Add(time.Minute); ; time.Sleep(20 * time.Millisecond) {
+		if status, _ := w.ask(); status == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the predecessor still answers after a minute")
+		}
+	}
+	w.listen = now
+	w.until(t)
+	leave()
+	for range 2 {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestCommands runs the command line's own words.
+func TestCommands(t *testing.T) {
+	w := newWorld(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(w.config()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := func(args ...string) (string, error) {
+		var out strings.Builder
+		root := rootCommand()
+		root.SetOut(&out)
+		root.SetArgs(args)
+		err := root.Execute()
+		return out.String(), err
+	}
+	if out, err := run("check", path); err != nil || !strings.HasPrefix(out, "n1: 1 classes") {
+		t.Errorf("check: %q, %v", out, err)
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(w.config(), "n1", "", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := run("check", path); err == nil || !strings.Contains(err.Error(), "name") {
+		t.Errorf("check of a bad one: %v", err)
+	}
+	if out, err := run("version"); err != nil || !strings.HasPrefix(out, "spindlehitch ") {
+		t.Errorf("version: %q, %v", out, err)
+	}
+	if _, err := run("config", "put", "n2", path, "--agents", "127.0.0.1:1"); err == nil {
+		t.Error("another instance's configuration was put")
+	}
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+)
+
+const (
+	applyWithin = 5 * time.Second
+	maxConfig   = 4 << 20
+	maxWait     = time.Minute
+)
+
+// Peer is one agent as all agents know it.
+type Peer struct {
+	ID   string `toml:"id"`
+	Raft string `toml:"raft"` // where it speaks Raft
+	API  string `toml:"api"`  // where commands and instances reach it
+}
+
+// Options set up one agent.
+type Options struct {
+	ID      string
+	Dir     string // holds its log, votes and snapshots
+	Peers   []Peer // all agents, this one included
+	Check   func(config []byte) error
+	Log     *slog.Logger
+	Timeout time.Duration // of heartbeats and elections; 0: one second
+}
+
+// Agent is one of the few that replicate the log.
+type Agent struct {
+	opt   Options
+	self  Peer
+	store *store
+	raft  *raft.Raft
+	bolt  *raftboltdb.BoltStore
+	trans *raft.NetworkTransport
+	http  http.Server
+}
+
+// Start opens the durable store and joins the others. An agent that has no state yet begins with the peers it
+// is told of; one that has goes on from its log.
+func Start(opt Options) (_ *Agent, err error) {
+	a := &Agent{opt: opt, store: newStore()}
+	var servers []raft.Server
+	for _, p := range opt.Peers {
+		if p.ID == opt.ID {
+			a.self = p
+		}
+		servers = append(servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+	}
+	if a.self.ID == "" {
+		return nil, fmt.Errorf("agent.id: %q is none of the peers", opt.ID)
+	}
+	if err := os.MkdirAll(opt.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("agent.dir: %w", err)
+	}
+	defer func() {
+		if err != nil {
+			a.release()
+		}
+	}()
+	if a.bolt, err = raftboltdb.NewBoltStore(filepath.Join(opt.Dir, "raft.db")); err != nil {
+		return nil, fmt.Errorf("agent.dir: %w", err)
+	}
+	log := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: logWriter{opt.Log}})
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(opt.Dir, 2, log)
+	if err != nil {
+		return nil, fmt.Errorf("agent.dir: %w", err)
+	}
+	addr, err := net.ResolveTCPAddr("tcp", a.self.Raft)
+	if err != nil {
+		return nil, fmt.Errorf("agent.peers raft: %w", err)
+	}
+	if a.trans, err = raft.NewTCPTransportWithLogger(a.self.Raft, addr, 3, applyWithin, log); err != nil {
+		return nil, fmt.Errorf("agent.peers raft: %w", err)
+	}
+	cfg := raft.DefaultConfig()
+	cfg.LocalID, cfg.Logger = raft.ServerID(opt.ID), log
+	if opt.Timeout > 0 {
+		cfg.HeartbeatTimeout, cfg.ElectionTimeout, cfg.LeaderLeaseTimeout = opt.Timeout, opt.Timeout, opt.Timeout/2
+	}
+	known, err := raft.HasExistingState(a.bolt, a.bolt, snaps)
+	if err != nil {
+		return nil, err
+	}
+	if !known {
+		if err = raft.BootstrapCluster(cfg, a.bolt, a.bolt, snaps, a.trans, raft.Configuration{Servers: servers}); err != nil {
+			return nil, err
+		}
+	}
+	if a.raft, err = raft.NewRaft(cfg, a.store, a.bolt, a.bolt, snaps, a.trans); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/instances", a.list)
+	mux.HandleFunc("GET /v1/instances/{name}", a.get)
+	mux.HandleFunc("PUT /v1/instances/{name}", a.put)
+	mux.HandleFunc("DELETE /v1/instances/{name}", a.put)
+	a.http = http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
+	return a, nil
+}
+
+// logWriter passes the Raft library's lines on.
+type logWriter struct{ log *slog.Logger }
+
+func (w logWriter) Write(b []byte) (int, error) {
+	w.log.Warn("raft", slog.String("line", string(b[:max(0, len(b)-1)])))
+	return len(b), nil
+}
+
+// Serve answers commands and instances until Stop.
+func (a *Agent) Serve(l net.Listener) error {
+	if err := a.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Stop leaves the others in an orderly way and closes the durable store.
+func (a *Agent) Stop() error {
+	ctx, done := context.WithTimeout(context.Background(), time.Second)
+	defer done()
+	if a.http.Shutdown(ctx) != nil {
+		a.http.Close() // watches that still wait
+	}
+	err := a.raft.Shutdown().Error()
+	a.release()
+	return err
+}
+
+func (a *Agent) release() {
+	if a.trans != nil {
+		a.trans.Close()
+	}
+	if a.bolt != nil {
+		a.bolt.Close()
+	}
+}
+
+// Status is what an agent says of itself.
+type Status struct {
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Leader  string `json:"leader"`
+	Applied uint64 `json:"applied"`
+}
+
+func (a *Agent) status(w http.ResponseWriter, _ *http.Request) {
+	_, leader := a.raft.LeaderWithID()
+	reply(w, http.StatusOK, Status{ID: a.opt.ID, State: a.raft.State().String(), Leader: string(leader), Applied: a.raft.AppliedIndex()})
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// elsewhere sends a client to the leader; false where this agent leads, and has just made sure that it does.
+func (a *Agent) elsewhere(w http.ResponseWriter, r *http.Request) bool {
+	if a.raft.State() == raft.Leader && a.raft.VerifyLeader().Error() == nil {
+		return false
+	}
+	_, id := a.raft.LeaderWithID()
+	for _, p := range a.opt.Peers {
+		if p.ID == string(id) && p.ID != a.opt.ID {
+			http.Redirect(w, r, "http://"+p.API+r.URL.RequestURI(), http.StatusTemporaryRedirect)
+			return true
+		}
+	}
+	http.Error(w, "no leader at the moment", http.StatusServiceUnavailable)
+	return true
+}
+
+// stale tells whether the caller takes what this agent has, however old.
+func stale(r *http.Request) bool { return r.URL.Query().Has("stale") }
+
+func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
+	if stale(r) || !a.elsewhere(w, r) {
+		reply(w, http.StatusOK, a.store.all())
+	}
+}
+
+// get returns an entry: the latest, from the leader; or with stale what this agent has, waiting until it is
+// another version than after.
+func (a *Agent) get(w http.ResponseWriter, r *http.Request) {
+	if !stale(r) && a.elsewhere(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(q.Get("wait_ms"))
+	end := time.NewTimer(min(time.Duration(max(ms, 0))*time.Millisecond, maxWait))
+	defer end.Stop()
+	for {
+		e, found, changed := a.store.get(r.PathValue("name"))
+		if found && e.Version != after {
+			reply(w, http.StatusOK, e)
+			return
+		}
+		select {
+		case <-changed:
+			continue
+		case <-r.Context().Done():
+			return
+		case <-end.C:
+		}
+		if found {
+			w.WriteHeader(http.StatusNoContent)
+		} else {
+			http.Error(w, "no such instance", http.StatusNotFound)
+		}
+		return
+	}
+}
+
+// put writes or takes away an entry through the log. A configuration that an instance could not start from is
+// refused before it gets there.
+func (a *Agent) put(w http.ResponseWriter, r *http.Request) {
+	if a.elsewhere(w, r) {
+		return
+	}
+	c := change{Name: r.PathValue("name")}
+	if s := r.Header.Get("If-Version"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			http.Error(w, "If-Version: not a version", http.StatusBadRequest)
+			return
+		}
+		c.If = &n
+	}
+	if r.Method == http.MethodPut {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfig))
+		if err != nil {
+			http.Error(w, "configuration: not whole or too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		if err := a.opt.Check(body); err != nil {
+			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+			return
+		}
+		c.Config = body
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f := a.raft.Apply(data, applyWithin)
+	if err := f.Error(); err != nil {
+		// It may or may not be in the log: the caller looks, or writes again under If-Version.
+		http.Error(w, "not confirmed: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	switch v := f.Response().(type) {
+	case Entry:
+		v.Config = nil
+		reply(w, http.StatusOK, v)
+	case error:
+		status := http.StatusInternalServerError
+		if errors.Is(v, errConflict) {
+			status = http.StatusConflict
+		}
+		http.Error(w, v.Error(), status)
+	}
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,240 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+func check(b []byte) error {
+	if !json.Valid(b) {
+		return errors.New("name: required field is missing")
+	}
+	return nil
+}
+
+// freeAddrs finds ports of the loopback that nobody listens on.
+func freeAddrs(t *testing.T, n int) []string {
+	t.Helper()
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs
+}
+
+// three is a group of three agents on the loopback, each with a folder that outlives it.
+type three struct {
+	t      *testing.T
+	peers  []Peer
+	dirs   []string
+	agents []*Agent
+	Client
+}
+
+func newThree(t *testing.T) *three {
+	t.Helper()
+	g := &three{t: t, agents: make([]*Agent, 3)}
+	addrs := freeAddrs(t, 6)
+	for i := range 3 {
+		g.peers = append(g.peers, Peer{ID: fmt.Sprint("agent-", i), Raft: addrs[i], API: addrs[3+i]})
+		g.dirs = append(g.dirs, t.TempDir())
+		g.Addrs = append(g.Addrs, addrs[3+i])
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i, a := range g.agents {
+			if a != nil {
+				g.stop(i)
+			}
+		}
+	})
+	return g
+}
+
+func (g *three) start(i int) {
+	g.t.Helper()
+	a, err := Start(Options{ID: g.peers[i].ID, Dir: g.dirs[i], Peers: g.peers, Check: check, Log: quiet, Timeout: 500 * time.Millisecond})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", g.peers[i].API)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	go a.Serve(l)
+	g.agents[i] = a
+}
+
+func (g *three) stop(i int) {
+	g.t.Helper()
+	if err := g.agents[i].Stop(); err != nil {
+		g.t.Error(err)
+	}
+	g.agents[i] = nil
+}
+
+// until waits for something that takes a while, such as an election.
+func (g *three) until(what string, done func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(time.Minute); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			g.t.Fatalf("not within a minute: %s", what)
+		}
+	}
+}
+
+func (g *three) leader() int {
+	at := -1
+	g.until("a leader", func() bool {
+		for i, a := range g.agents {
+			if a != nil && a.raft.State() == raft.Leader {
+				at = i
+			}
+		}
+		return at >= 0
+	})
+	return at
+}
+
+func (g *three) put(name, text, ifVersion string) Entry {
+	g.t.Helper()
+	var e Entry
+	g.until("put of "+name, func() bool {
+		var err error
+		e, err = g.Put(context.Background(), name, []byte(text), ifVersion)
+		return err == nil
+	})
+	return e
+}
+
+// TestLeaderLost writes through any agent, loses the leader, writes on with the two that are left, and has the
+// lost one catch up from its durable store. An instance that follows sees each configuration once, in order.
+func TestLeaderLost(t *testing.T) {
+	g := newThree(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	told := make(chan Entry, 16)
+	follower := &Client{Addrs: g.Addrs}
+	go follower.Follow(ctx, "n1", quiet, func(e Entry) { told <- e })
+	first := g.put("n1", `{"a":1}`, "")
+	g.put("n2", `{"b":1}`, "")
+	lost := g.leader()
+	g.stop(lost)
+	second := g.put("n1", `{"a":2}`, "")
+	if second.Version <= first.Version {
+		t.Errorf("version went from %d to %d", first.Version, second.Version)
+	}
+	e, err := g.Get(ctx, "n1")
+	if err != nil || string(e.Config) != `{"a":2}` || e.Version != second.Version {
+		t.Errorf("after the leader was lost: %+v, %v", e, err)
+	}
+	g.start(lost)
+	g.until("the lost agent has caught up", func() bool {
+		e, found, _ := g.agents[lost].store.get("n1")
+		return found && string(e.Config) == `{"a":2}`
+	})
+	if all, err := g.List(ctx); err != nil || len(all) != 2 {
+		t.Errorf("instances %v, %v", all, err)
+	}
+	for _, want := range []string{`{"a":1}`, `{"a":2}`} {
+		select {
+		case e := <-told:
+			if string(e.Config) != want {
+				t.Errorf("instance was told %s, want %s", e.Config, want)
+			}
+		case <-time.After(time.Minute):
+			t.Fatalf("instance was not told %s", want)
+		}
+	}
+	for _, s := range g.Status(ctx) {
+		if !strings.HasPrefix(s.ID, "agent-") || s.Leader == "" {
+			t.Errorf("status %+v", s)
+		}
+	}
+}
+
+// TestConditions checks what is refused: a configuration that no instance could start from, and a write over
+// another version than the writer has seen.
+func TestConditions(t *testing.T) {
+	g := newThree(t)
+	ctx := context.Background()
+	e := g.put("n1", `{"a":1}`, "0")
+	if _, err := g.Put(ctx, "n1", []byte(`{"a":2}`), "0"); err == nil || !strings.Contains(err.Error(), "another version") {
+		t.Errorf("second first write: %v", err)
+	}
+	if _, err := g.Put(ctx, "n1", []byte("nonsense"), ""); err == nil || !strings.Contains(err.Error(), "required field") {
+		t.Errorf("bad configuration: %v", err)
+	}
+	g.put("n1", `{"a":3}`, fmt.Sprint(e.Version))
+	if _, err := g.Put(ctx, "n1", nil, ""); err != nil {
+		t.Errorf("taking away: %v", err)
+	}
+	if _, err := g.Get(ctx, "n1"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("after it was taken away: %v", err)
+	}
+}
+
+// TestNoMajority checks that one agent of three takes no write: nothing may be promised that can be lost.
+func TestNoMajority(t *testing.T) {
+	g := newThree(t)
+	g.put("n1", `{"a":1}`, "")
+	at := g.leader()
+	for i := range 3 {
+		if i != at {
+			g.stop(i)
+		}
+	}
+	ctx, done := context.WithTimeout(context.Background(), 3*time.Second)
+	defer done()
+	if e, err := g.Put(ctx, "n1", []byte(`{"a":2}`), ""); err == nil {
+		t.Errorf("a lone agent took %+v", e)
+	}
+}
+
+// sink is a raft.SnapshotSink in memory.
+type sink struct{ bytes.Buffer }
+
+func (*sink) ID() string    { return "s" }
+func (*sink) Cancel() error { return nil }
+func (*sink) Close() error  { return nil }
+
+// TestSnapshot restores what was persisted.
+func TestSnapshot(t *testing.T) {
+	s := newStore()
+	s.Apply(&raft.Log{Index: 4, Data: []byte(`{"name":"n1","config":{"a":1}}`)})
+	snap, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var k sink
+	if err := snap.Persist(&k); err != nil {
+		t.Fatal(err)
+	}
+	other := newStore()
+	if err := other.Restore(io.NopCloser(&k)); err != nil {
+		t.Fatal(err)
+	}
+	if e, found, _ := other.get("n1"); !found || e.Version != 4 || string(e.Config) != `{"a":1}` {
+		t.Errorf("restored %+v", e)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,7 +52,7 @@
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.Log)}
 	s.http = http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHead,
-		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelDebug)}
+		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
 
@@ -111,6 +111,8 @@
 		write(w, a)
 	case <-r.Context().Done():
 		s.core.Depart(j)
+		// A plain return would be answered with an empty 200, which no target made.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -45,8 +45,10 @@
 		return nil, nil, bad(http.StatusBadRequest, "Request-Id: wanted 1 to 64 visible characters")
 	}
 	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
-	if err != nil || ms <= 0 || ms > maxTimeoutMs {
-		return nil, nil, bad(http.StatusBadRequest, "Request-Timeout-Ms: wanted whole milliseconds, 1 to %d", maxTimeoutMs)
+	// A late retry may have no whole millisecond left. That is no malformed request: it is refused, and its
+	// connection lives.
+	if err != nil || ms < 0 || ms > maxTimeoutMs {
+		return nil, nil, bad(http.StatusBadRequest, "Request-Timeout-Ms: wanted whole milliseconds, 0 to %d", maxTimeoutMs)
 	}
 	j := &core.Job{Patience: time.Duration(ms) * time.Millisecond}
 	if j.Request, err = parseInfo(r.Header.Get("IO-Info")); err != nil {
