Descriptors: bound all targets' connections together, refuse past the clients' cap

Seen: with 1,024 descriptors the caps came to 566 for clients, 32 for each target (448 on 14 targets) and 48 spare: 1,062. Where no client connection was idle, a new one past the cap was simply kept.

Now the targets share 40 percent, and what is past the clients' cap with none idle is refused at once and closed; both have a test. The tests' fixed seed has one place (internal/seeded).

--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -87,7 +87,7 @@
 	}
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
-		MostConn: cfg.TargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
+		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
 	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin})
 	tell := func(l *discovery.List) {
 		up.Apply(targets(l), l.Full)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,8 +30,9 @@
 		c.MostHeld != mostHeld || len(c.Module.Classes) != 3 || *c.Known.Version != 41 {
 		t.Errorf("read as %+v", c)
 	}
-	if total := c.ClientConns() + spareFiles; total > c.Limits.Sockets {
-		t.Errorf("%d descriptors for clients of %d", total, c.Limits.Sockets)
+	// What the parts may hold together must fit, a few connections that are just being turned away included.
+	if total := c.ClientConns() + c.AllTargetConns() + spareFiles; total > c.Limits.Sockets {
+		t.Errorf("%d descriptors for all parts of %d", total, c.Limits.Sockets)
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -197,8 +197,12 @@
 // spareFiles are descriptors kept for discovery, the listener, logs and the runtime.
 const spareFiles = 48
 
-// ClientConns is how many connections clients may hold: what the descriptors leave beside the targets'.
-func (c *Config) ClientConns() int { return max(c.Limits.Sockets*6/10-spareFiles, 16) }
+// ClientConns is how many connections clients may hold, beside the targets' and the spare descriptors.
+func (c *Config) ClientConns() int { return max(c.Limits.Sockets-c.AllTargetConns()-2*spareFiles, 8) }
 
-// TargetConns is how many connections one target's pool may hold.
-func (c *Config) TargetConns() int { return min(40, max(4, c.Limits.Sockets/32)) }
+// TargetConns is how many connections one target's pool may hold: more than the module ever has out there,
+// overdue attempts included, where the descriptors allow it.
+func (c *Config) TargetConns() int { return min(40, c.AllTargetConns()) }
+
+// AllTargetConns is how many connections all targets' pools may hold together.
+func (c *Config) AllTargetConns() int { return c.Limits.Sockets * 4 / 10 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,14 +13,10 @@
 	"pgregory.net/rapid"
 
 	"spindlehitch"
+	"spindlehitch/internal/seeded"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 const one = `{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"k","cell":3,"state":"SERVING","weight":1.0,"started_ms":7}`
 
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -22,6 +22,7 @@
 	reason atomic.Pointer[string]
 	idle   bool // between requests, or not yet asked anything; under the table's lock
 	since  time.Time
+	extra  bool // past the cap, with no idle one to make room
 }
 
 func (c *clientConn) Read(b []byte) (int, error) {
@@ -75,8 +76,15 @@
 	return time.Now()
 }
 
+// isExtra tells whether the request came on a connection past the cap.
+func isExtra(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*clientConn)
+	return ok && c.extra
+}
+
 // connTable caps clients' connections. A new one past the cap is still taken, since the machine has accepted
-// it and a request on it would be lost: an idle one, the longest unused, makes room.
+// it and a request on it would be lost: an idle one, the longest unused, makes room. Where none is idle, the
+// new one's request is refused at once, and the connection closed.
 type connTable struct {
 	most int
 	log  *slog.Logger
@@ -117,11 +125,14 @@
 			oldest = o
 		}
 	}
-	if oldest != nil {
-		oldest.end("CAP")
-		oldest.idle = false
-		oldest.Conn.Close()
+	if oldest == nil {
+		cc.extra = true
+		cc.end("CAP")
+		return cc
 	}
+	oldest.end("CAP")
+	oldest.idle = false
+	oldest.Conn.Close()
 	return cc
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,6 +87,11 @@
 		http.NotFound(w, r)
 		return
 	}
+	if isExtra(r.Context()) {
+		w.Header().Set("Connection", "close")
+		write(w, core.Answer{Ending: core.Refused, RetryAfter: time.Second})
+		return
+	}
 	j, m, err := s.parse(r)
 	if err == nil {
 		m.Body, err = readBody(w, r, arrived.Add(j.Patience))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,14 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -19,15 +17,11 @@
 	"pgregory.net/rapid"
 
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/seeded"
 	"spindlehitch/internal/upstream"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // back is the stand-in core: it hands jobs to the test and notes departures.
 type back struct {
@@ -237,6 +231,23 @@
 	}
 }
 
+// TestCapRefuses fills the cap with requests that are open: one more is refused at once, on a connection that ends.
+func TestCapRefuses(t *testing.T) {
+	_, b, addr := newFront(t, 1)
+	first, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	io.WriteString(first, good)
+	open := <-b.jobs
+	resp, _, _ := ask(t, addr, good)
+	if resp.StatusCode != 503 || !resp.Close || len(b.jobs) != 0 {
+		t.Errorf("status %d, closes %v, %d jobs; want a refusal that reaches no core", resp.StatusCode, resp.Close, len(b.jobs))
+	}
+	open.Done(core.Answer{Payload: []byte("x")})
+}
+
 // TestLeaving checks the order of an end: not ready at once, new connections served meanwhile, and what was
 // taken finished before Stop returns.
 func TestLeaving(t *testing.T) {
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -6,11 +6,9 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -19,15 +17,11 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/seeded"
 	"spindlehitch/internal/upstream"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 const (
 	targetNQN = "nqn.2026-12.example.test:target"
@@ -134,7 +128,7 @@
 	}
 	r := &rig{}
 	host := NewHost(HostOptions{Subsystem: targetNQN, HostNQN: "nqn.2026-12.example.test:initiator", KeepAlive: time.Minute, Digests: digests})
-	r.up = upstream.NewRegistry(upstream.Options{Wire: host, Dial: patient, Idle: time.Minute, MostConn: 16, Log: quiet},
+	r.up = upstream.NewRegistry(upstream.Options{Wire: host, Dial: patient, Idle: time.Minute, MostConn: 16, MostAll: 64, Log: quiet},
 		func(x core.Result) { r.core.Report(x) })
 	r.core = core.New(module, r.up, core.NewClock(), core.Options{})
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -24,6 +24,7 @@
 	Dial     time.Duration // for a connection to come up
 	Idle     time.Duration // an unused connection is closed after that
 	MostConn int           // connections to one target
+	MostAll  int           // connections to all targets together
 	Log      *slog.Logger
 }
 
@@ -34,6 +35,7 @@
 	report  func(core.Result)
 	mu      sync.Mutex
 	targets map[string]*target
+	conns   atomic.Int64 // of all targets, those being made included
 }
 
 // NewRegistry returns an empty registry; results go to report.
@@ -53,7 +55,7 @@
 			if x.State == spindlehitch.Removed {
 				continue
 			}
-			t = newTarget(x.ID, g.opt, g.report)
+			t = newTarget(x.ID, g.opt, &g.conns, g.report)
 			g.targets[x.ID] = t
 			go t.run()
 		}
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -37,6 +37,7 @@
 	idle  []*conn
 	busy  map[string]*try
 	conns int
+	all   *atomic.Int64 // conns of all targets
 }
 
 // Wire opens connections of one protocol.
@@ -73,8 +74,8 @@
 	called bool // called off
 }
 
-func newTarget(id string, opt Options, report func(core.Result)) *target {
-	return &target{id: id, opt: opt, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
+func newTarget(id string, opt Options, all *atomic.Int64, report func(core.Result)) *target {
+	return &target{id: id, opt: opt, all: all, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
 }
 
 // set takes over what the list says; at once for attempts about to write, in turn for the pool.
@@ -140,12 +141,12 @@
 		}
 	}
 	if c == nil {
-		if t.conns >= t.opt.MostConn {
+		// Both bounds keep the process within its descriptors, whatever the number of targets.
+		if t.conns >= t.opt.MostConn || !t.count(1) {
 			r.Code = spindlehitch.NoConnection
 			t.report(r)
 			return
 		}
-		t.conns++
 	}
 	ctx, stop := context.WithDeadline(context.Background(), a.Until)
 	y := &try{Attempt: a, ctx: ctx, stop: stop}
@@ -160,7 +161,7 @@
 		delete(t.busy, m.try.Request)
 	}
 	if m.conn == nil {
-		t.conns--
+		t.count(-1)
 		return
 	}
 	m.conn.idleAt = time.Now()
@@ -189,10 +190,20 @@
 	t.idle = kept
 }
 
+// count notes a connection more, unless all targets' connections are too many, or one less.
+func (t *target) count(n int) bool {
+	if t.all.Add(int64(n)) > int64(t.opt.MostAll) && n > 0 {
+		t.all.Add(int64(-n))
+		return false
+	}
+	t.conns += n
+	return true
+}
+
 // drop closes a connection that no attempt is on.
 func (t *target) drop(c *conn, reason string) {
 	c.Close()
-	t.conns--
+	t.count(-1)
 	t.logEnd(c.used, reason)
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,15 +16,10 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/seeded"
 )
 
-// TestMain fixes the seed of the random cuts: the verdict is the same each time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	flag.Set("rapid.seed", "1")
-	flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // standIn is a target that answers with what serve writes; accepted counts its connections.
 type standIn struct {
@@ -78,7 +71,7 @@
 
 func newBench(addr string) *bench {
 	b := &bench{results: make(chan core.Result, 64)}
-	b.Registry = NewRegistry(Options{Wire: HTTP{}, Dial: 20 * time.Second, Idle: time.Minute, MostConn: 4,
+	b.Registry = NewRegistry(Options{Wire: HTTP{}, Dial: 20 * time.Second, Idle: time.Minute, MostConn: 4, MostAll: 6,
 		Log: slog.New(slog.DiscardHandler)}, func(r core.Result) { b.results <- r })
 	b.Apply([]Target{{ID: "n", Addr: addr}}, true)
 	return b
@@ -121,7 +114,7 @@
 // TestConnectionOutlivesAttempt guards the pool against an attempt's deadline: left on the connection, it made
 // the look at the idle connection fail, and nearly every request paid for a handshake.
 func TestConnectionOutlivesAttempt(t *testing.T) {
-	tg := newTarget("n", Options{Log: slog.New(slog.DiscardHandler)}, func(core.Result) {})
+	tg := newTarget("n", Options{Log: slog.New(slog.DiscardHandler)}, nil, func(core.Result) {})
 	tg.set("a:1", spindlehitch.Up)
 	near, far := net.Pipe()
 	go func() {
@@ -228,7 +221,7 @@
 		t.Errorf("draining: code %v, %d requests reached the target; want none after the first", r.Code, s.asked.Load())
 	}
 	// The same at the last look, with the connection in hand.
-	tg := newTarget("n", b.opt, b.report)
+	tg := newTarget("n", b.opt, &b.conns, b.report)
 	tg.set(s.Addr().String(), spindlehitch.Draining)
 	near, far := net.Pipe()
 	defer far.Close()
@@ -239,9 +232,33 @@
 	}
 }
 
+// TestConnectionsAreBounded checks both bounds: connections to one target, and to all of them together.
+func TestConnectionsAreBounded(t *testing.T) {
+	wait := make(chan bool)
+	s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { <-wait; return say(c, "200 OK", "") })
+	b := newBench(s.Addr().String())
+	b.Apply([]Target{{ID: "m", Addr: s.Addr().String()}}, false)
+	for i := range 10 {
+		now := time.Now()
+		b.Send(core.Attempt{Request: fmt.Sprint("r", i), Node: []string{"n", "m"}[i/5], Started: now, Until: now.Add(time.Minute),
+			Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}})
+	}
+	for range 4 { // the fifth at n, and all past two at m
+		if r := b.result(t); r.Code != spindlehitch.NoConnection {
+			t.Errorf("past the bounds: code %v, want no connection", r.Code)
+		}
+	}
+	close(wait)
+	for range 6 {
+		if r := b.result(t); r.Code != spindlehitch.Delivered {
+			t.Errorf("within the bounds: code %v, want it served", r.Code)
+		}
+	}
+}
+
 // TestPartWritten checks that an attempt which ends short of its last byte cannot have run.
 func TestPartWritten(t *testing.T) {
-	tg := newTarget("n", Options{Log: slog.New(slog.DiscardHandler)}, func(core.Result) {})
+	tg := newTarget("n", Options{Log: slog.New(slog.DiscardHandler)}, nil, func(core.Result) {})
 	tg.set("a:1", spindlehitch.Up)
 	near, far := net.Pipe()
 	go func() { io.ReadFull(far, make([]byte, 20)); far.Close() }()
