Decide by half the time also where no attempt was written; NVMe targets that start anew

On the NVMe wire, a target that came back at its address turned I/O queues away until the next keep-alive noticed that its association was gone, and associations of targets that left the list were kept alive for ever.

Now the outcome moves it, where something was written; a refused queue ends the association; one without queues ends after 30 s. CAP tells the queue depth in force.

--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -193,6 +193,55 @@
 	}
 }
 
+// TestServeNVMe serves by an operator's file: NVMe over TCP answers at its address, and on the platform's there
+// is the ready page alone.
+func TestServeNVMe(t *testing.T) {
+	w := newWorld(t)
+	dir, at := t.TempDir(), freeAddr(t)
+	raw, err := os.ReadFile("../../deploy/nvme.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("127.0.0.1:4420", at, "standard", "base", "event-write", "position-read",
+		"history-export", "position-read").Replace(string(raw))
+	for name, text := range map[string]string{"config.json": w.config(), "nvme.toml": text} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cfg, op, err := load(func(name string) string {
+		return map[string]string{"PROXY_CONFIG": filepath.Join(dir, "config.json")}[name]
+	}, filepath.Join(dir, "nvme.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, leave := context.WithCancel(context.Background())
+	up, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, op, quiet, func() { close(up) }) }()
+	<-up
+	if status, _ := w.ask(); status != 404 {
+		t.Errorf("a request by HTTP: status %d", status)
+	}
+	resp, err := http.Get("http://" + w.listen + "/-/ready")
+	if err != nil || resp.StatusCode != 200 {
+		t.Errorf("ready: %+v, %v", resp, err)
+	}
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write(append([]byte{0, 0, 128, 0, 128, 0, 0, 0}, make([]byte, 120)...)) // ICReq
+	answer := make([]byte, 128)
+	if _, err := io.ReadFull(c, answer); err != nil || answer[0] != 1 {
+		t.Errorf("ICReq was answered with %x, %v", answer[:8], err)
+	}
+	leave()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestCommands runs the command line's own words.
 func TestCommands(t *testing.T) {
 	w := newWorld(t)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,13 +28,12 @@
 // Answer is the one final answer of a request.
 type Answer struct {
 	Ending     Ending
-	Payload    any           // of a served request: what the upstream brought
-	RetryAfter time.Duration // of a refusal: when the client should come back; 0: no advice
-	Last       spindlehitch.Code
-	Attempts   int // how many were started
+	Payload    any               // of a served request: what the upstream brought
+	RetryAfter time.Duration     // of a refusal: when the client should come back; 0: no advice
+	Last       spindlehitch.Code // how the last attempt ended, if there was one
 }
 
-// Job is a request as a front hands it over. ID, Budget and Initiators' clock belong to the core.
+// Job is a request as a front hands it over. ID and Budget are the core's to fill.
 type Job struct {
 	spindlehitch.Request
 	Arrived  time.Time     // when its last byte was here
@@ -48,7 +47,6 @@
 	Request string
 	Number  int
 	Node    string
-	Started time.Time
 	Until   time.Time // given up then
 	Payload any
 }
@@ -125,7 +123,7 @@
 
 // Submit hands a request over. It returns false when too many are open; then Done is not called.
 func (c *Core) Submit(j *Job) bool {
-	if c.opt.MostHeld > 0 && c.held.Add(1) > int64(c.opt.MostHeld) {
+	if n := c.held.Add(1); c.opt.MostHeld > 0 && n > int64(c.opt.MostHeld) {
 		c.held.Add(-1)
 		return false
 	}
@@ -248,7 +246,7 @@
 	case spindlehitch.Send:
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
-		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node, Started: now,
+		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
 			Until: now.Add(a.Wait), Payload: e.job.Payload})
 	case spindlehitch.Refuse:
 		c.answer(e, Answer{Ending: Refused, RetryAfter: a.Wait})
@@ -265,7 +263,7 @@
 		return
 	}
 	e.answered = true
-	a.Last, a.Attempts = e.last, e.attempts
+	a.Last = e.last
 	e.job.Done(a)
 }
 
--- a/internal/nvme/admin.go
+++ b/internal/nvme/admin.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// CAP: queues of 1024 entries at most, contiguous, ready within 500 ms units of 10, NVM command set.
-	capBase = 1023 | 1<<16 | 10<<24 | 1<<37
+	// CAP beside the queue size: queues are contiguous, ready within ten times 500 ms, NVM command set.
+	capBase = 1<<16 | 10<<24 | 1<<37
 	version = 0x00010400 // 1.4
 
 	ccEnable     = 1 << 0
@@ -36,7 +36,7 @@
 	qid, size := uint16(c.dw(10)>>16), c.dw(11)&0xFFFF+1
 	cntlid := binary.LittleEndian.Uint16(data[16:])
 	subnqn, host := nqn(data[256:512]), nqn(data[512:768])
-	if subnqn != s.opt.Subsystem || host == "" || size < 2 || int(size) > max(s.opt.QueueDepth, 2) && qid > 0 || size > 4096 {
+	if subnqn != s.opt.Subsystem || host == "" || size < 2 || int(size) > max(s.opt.QueueDepth, 32) || qid > 0 && int(size) > s.opt.QueueDepth {
 		q.complete(p, stBadConnect|dnr, 0, nil)
 		return
 	}
@@ -166,7 +166,7 @@
 	}
 	ctrl := q.ctrl
 	ctrl.mu.Lock()
-	values := map[uint32]uint64{propCAP: capBase, propVS: version, propCC: uint64(ctrl.cc), propCSTS: uint64(ctrl.csts)}
+	values := map[uint32]uint64{propCAP: capBase | uint64(q.server.opt.QueueDepth-1), propVS: version, propCC: uint64(ctrl.cc), propCSTS: uint64(ctrl.csts)}
 	ctrl.mu.Unlock()
 	v, known := values[offset]
 	if !known || wide != (offset == propCAP) {
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -410,7 +410,7 @@
 	case x.SLBA >= ns.Blocks || uint64(x.Blocks) > ns.Blocks-x.SLBA:
 		q.complete(p, stLBARange|dnr, 0, nil)
 	case bytes > maxTransfer, int(c.sglLen()) != bytes, c.sglType() != sglOffset && c.sglType() != sglTransport,
-		inside && (!x.Write || len(data) != bytes), !inside && len(data) > 0:
+		inside && (!x.Write || len(data) != bytes || bytes > inCapsule), !inside && len(data) > 0:
 		q.complete(p, stInvalidField|dnr, 0, nil)
 	case s.leaving.Load(), s.bytes.Load()+int64(bytes) > s.opt.MostBytes:
 		// Nothing of it was begun; the host may come back, or go elsewhere.
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -49,6 +49,7 @@
 	cntlid  uint16
 	inUse   map[uint16]bool
 	inside  int // bytes of data that a capsule may hold
+	usedAt  time.Time
 	aborted int // Aborts whose completions nobody has read yet
 }
 
@@ -70,7 +71,7 @@
 		h.all[addr] = a
 	}
 	h.mu.Unlock()
-	cntlid, qid, inside, err := a.enter(ctx)
+	admin, cntlid, qid, inside, err := a.enter(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -82,12 +83,27 @@
 	}
 	if err != nil {
 		a.free(qid)
+		// A target that turns the queue away has been started anew and knows nothing of the association: it
+		// must not count until the next keep-alive finds out. One that only is slow may still have it.
+		if !errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil {
+			a.lose(admin)
+		}
 		return nil, err
 	}
 	w.SetDeadline(time.Time{})
 	return &session{wire: w, from: a, qid: qid, inside: inside}, nil
 }
 
+// lose ends the association of an admin queue, if it is still this one's.
+func (a *association) lose(w *wire) {
+	a.mu.Lock()
+	if a.admin == w {
+		a.admin = nil
+	}
+	a.mu.Unlock()
+	w.Close()
+}
+
 // open makes a connection and agrees on its framing.
 func (h *Host) open(ctx context.Context, addr string) (*wire, error) {
 	c, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
@@ -209,7 +225,7 @@
 
 // enter makes sure of the association and takes a queue id in it. Neither a target that stands still nor
 // whoever waits for it holds this up for longer than ctx allows.
-func (a *association) enter(ctx context.Context) (cntlid, qid uint16, inside int, err error) {
+func (a *association) enter(ctx context.Context) (admin *wire, cntlid, qid uint16, inside int, err error) {
 	for {
 		a.mu.Lock()
 		if a.admin != nil {
@@ -217,21 +233,22 @@
 			for id := uint16(1); id <= mostQueues; id++ {
 				if !a.inUse[id] {
 					a.inUse[id] = true
-					return a.cntlid, id, a.inside, nil
+					a.usedAt = time.Now()
+					return a.admin, a.cntlid, id, a.inside, nil
 				}
 			}
-			return 0, 0, 0, errors.New("all I/O queues are in use")
+			return nil, 0, 0, 0, errors.New("all I/O queues are in use")
 		}
 		a.mu.Unlock()
 		select {
 		case a.talk <- struct{}{}:
 		case <-ctx.Done():
-			return 0, 0, 0, ctx.Err()
+			return nil, 0, 0, 0, ctx.Err()
 		}
 		err := a.establish(ctx)
 		<-a.talk
 		if err != nil {
-			return 0, 0, 0, err
+			return nil, 0, 0, 0, err
 		}
 	}
 }
@@ -261,7 +278,7 @@
 	}
 	w.SetDeadline(time.Time{})
 	a.mu.Lock()
-	a.admin, a.cntlid, a.inside, a.aborted = w, cntlid, inside, 0
+	a.admin, a.cntlid, a.inside, a.aborted, a.usedAt = w, cntlid, inside, 0, time.Now()
 	a.mu.Unlock()
 	go a.keep(w)
 	return nil
@@ -302,24 +319,32 @@
 	return cntlid, max(0, int(binary.LittleEndian.Uint32(page[1792:]))*16-64), nil
 }
 
-// keep sends keep-alives until the admin queue fails; the association has ended then.
+// unusedFor is how long an association without I/O queues is kept, so that none outlives its target's place
+// in the list for long.
+const unusedFor = 30 * time.Second
+
+// keep sends keep-alives until the admin queue fails or nothing needs it; the association has ended then.
 func (a *association) keep(w *wire) {
 	every := a.host.opt.KeepAlive / 2
 	for {
 		time.Sleep(every)
+		a.mu.Lock()
+		over := a.admin != w || len(a.inUse) == 0 && time.Since(a.usedAt) > unusedFor
+		a.mu.Unlock()
+		if over {
+			a.lose(w)
+			return
+		}
 		a.talk <- struct{}{}
 		w.SetDeadline(time.Now().Add(every))
 		_, _, err := w.ask(newCommand(opKeepAlive, w.nextCID(), 0, false), nil)
 		w.SetDeadline(time.Time{})
 		a.mu.Lock()
 		a.aborted = 0 // their completions came before this one's
-		if err != nil {
-			a.admin = nil
-		}
 		a.mu.Unlock()
 		<-a.talk
 		if err != nil {
-			w.Close()
+			a.lose(w)
 			return
 		}
 	}
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -383,6 +383,41 @@
 	}
 }
 
+// TestTargetStartsAnew loses a target and finds it again at its address: the association that it no longer
+// knows must not stand in the way until a keep-alive, a minute off here, finds out.
+func TestTargetStartsAnew(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := func(l net.Listener) *Server {
+		s := New(newStore(), Options{Subsystem: targetNQN, Namespaces: []Namespace{space()}, QueueDepth: 8, MostConn: 64,
+			MostBytes: 8 << 20, Patience: map[string]time.Duration{"event-write": patient, "position-read": patient}, Log: quiet})
+		go s.Serve(l)
+		return s
+	}
+	first := start(l)
+	r := newRig(t, false, 5*time.Second, l.Addr().String())
+	c := newClient(t, r.addr, false)
+	c.read(1, 1)
+	if done, _ := c.next(); done.status != stOK {
+		t.Fatalf("before: %+v", done)
+	}
+	if err := first.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	again, err := net.Listen("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	start(again)
+	c.read(2, 1)
+	if done, _ := c.next(); done.status != stOK {
+		t.Errorf("after: %+v", done)
+	}
+}
+
 // TestStatuses maps each end to its status, and refuses with a delay only to hosts that asked to be told.
 func TestStatuses(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -80,7 +80,7 @@
 func (b *bench) send(wait time.Duration) {
 	b.tries++
 	now := time.Now()
-	b.Send(core.Attempt{Request: fmt.Sprint(b.tries), Node: "n", Started: now, Until: now.Add(wait),
+	b.Send(core.Attempt{Request: fmt.Sprint(b.tries), Node: "n", Until: now.Add(wait),
 		Payload: &Message{Method: "PUT", URI: "/w/1", ID: "id", Body: []byte("body")}})
 }
 
@@ -240,7 +240,7 @@
 	b.Apply([]Target{{ID: "m", Addr: s.Addr().String()}}, false)
 	for i := range 10 {
 		now := time.Now()
-		b.Send(core.Attempt{Request: fmt.Sprint("r", i), Node: []string{"n", "m"}[i/5], Started: now, Until: now.Add(time.Minute),
+		b.Send(core.Attempt{Request: fmt.Sprint("r", i), Node: []string{"n", "m"}[i/5], Until: now.Add(time.Minute),
 			Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}})
 	}
 	for range 4 { // the fifth at n, and all past two at m
--- a/scheduler.go
+++ b/scheduler.go
@@ -425,9 +425,6 @@
 		n.recent = append(n.recent, draw{s.now, r.Units})
 	}
 	r.sent++
-	if r.by = r.due - 2*s.set.Tick; r.heapAt >= 0 {
-		heap.Fix(&s.dues, r.heapAt)
-	}
 	r.out, r.outAt, r.met = n, s.now, -1
 	if s.now-n.told < s.leastAim/2 {
 		r.met = n.load
@@ -669,6 +666,9 @@
 	if k := s.keys[r.Extent]; k != nil && r.class.InOrder && doubt {
 		k.rest = max(k.rest, s.now+s.set.Rules.Settle)
 	}
+	if e.Code != NoConnection && e.Code != Moot {
+		r.by = r.due - 2*s.set.Tick // an attempt was written: from then on the client is not held back for nothing
+	}
 	if e.Code != Full && e.Code != NoConnection && e.Code != Moot && !r.mayRun {
 		r.mayRun, r.ranZone, r.ranShard, r.ranSince = true, n.Zone, n.Shard, r.outAt
 	}
@@ -677,12 +677,17 @@
 		s.forget(r)
 	case e.Closed:
 		s.finish(r)
-	case s.now+2*s.set.Tick >= r.due || !s.mayRepeat(r):
+	case s.now >= r.by || !s.mayRepeat(r):
 		s.answer(r)
 	default:
 		// Further attempts wait a little longer each, the node's gate on top.
 		r.retryAt = s.now + s.quietAfter(n)*time.Duration(r.sent)/8
 		r.lane.hold(r)
+		if r.heapAt >= 0 {
+			heap.Fix(&s.dues, r.heapAt)
+		} else {
+			heap.Push(&s.dues, r)
+		}
 	}
 }
 
@@ -755,7 +760,7 @@
 			return
 		}
 		if r.out != nil {
-			// Its attempt was cut to end with the budget; the outcome brings the answer.
+			// Its attempt was cut to end with the budget; the outcome brings the answer, or puts it back.
 			heap.Pop(&s.dues)
 			continue
 		}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -610,3 +610,36 @@
 		t.Errorf("the second try moved the bucket from %v to %v", before, after)
 	}
 }
+
+// TestNeverWrittenIsDecidedByHalfTime checks that attempts which found no connection, or were not sent, do not
+// count as tried: their request is decided as early as one that never left.
+func TestNeverWrittenIsDecidedByHalfTime(t *testing.T) {
+	for _, code := range []Code{NoConnection, Moot} {
+		r := newRig(t, plain(), up("n", 0))
+		r.step(req("a", "v", 1))
+		r.end("a", code, ms)
+		r.step(NodeList{Nodes: []Node{{ID: "n", State: Draining}}})
+		r.wait(time.Second)
+		if len(r.ends) != 1 || r.ends[0].Kind != Refuse {
+			t.Errorf("code %v: ends %v by half the time, want one refusal", code, r.ends)
+		}
+	}
+}
+
+// TestLongAttemptIsAnsweredOnce has an attempt out past half the time, and then turned away: the request has
+// the rest of its time, and one answer.
+func TestLongAttemptIsAnsweredOnce(t *testing.T) {
+	r := newRig(t, plain(), up("n", 0))
+	r.step(req("a", "v", 1))
+	r.wait(1500 * ms)
+	r.end("a", Full, 1500*ms)
+	r.step(NodeList{Nodes: []Node{{ID: "n", State: Draining}}})
+	r.wait(400 * ms)
+	if len(r.ends) != 0 {
+		t.Errorf("ended %v with time left", r.ends)
+	}
+	r.wait(200 * ms)
+	if len(r.ends) != 1 {
+		t.Errorf("ends %v, want one", r.ends)
+	}
+}
