The list's actor has its mailbox; ready once a list is known; one line when discovery goes down

Seen: with discovery away the program wrote ten lines a second, and it called itself ready with no list at all. The list's calls also waited for whoever was told.

Now the calls put lists in a mailbox and go on; the first failure and the recovery are logged.

--- a/cmd/spindlehitch/check.go
+++ b/cmd/spindlehitch/check.go
@@ -50,6 +50,11 @@
 			version := "unknown"
 			if info, ok := debug.ReadBuildInfo(); ok {
 				version = info.Main.Version
+				for _, s := range info.Settings {
+					if s.Key == "vcs.revision" {
+						version += " " + s.Value
+					}
+				}
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "spindlehitch", version)
 		},
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -89,21 +90,19 @@
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
 		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
 	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin})
+	var listed atomic.Bool
+	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
 	tell := func(l *discovery.List) {
 		up.Apply(targets(l), l.Full)
 		c.List(nodes(l))
-	}
-	if cfg.Known != nil {
-		known := *cfg.Known
-		known.Full = true
-		tell(&known)
+		listed.Store(true)
 	}
 	go c.Run(work)
 	go discovery.New(cfg.Discovery, cfg.Known, tell, log).Run(work)
 
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), ReadyOnly: op.NVMe != nil, Log: log})}
+		MostConn: cfg.ClientConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
 		o.Log = log
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,6 +13,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"spindlehitch"
+	"spindlehitch/internal/mailbox"
 )
 
 const (
@@ -89,19 +90,25 @@
 	return n
 }
 
-// Watcher is the list's actor.
+// Watcher is the list's actor: what its calls bring waits in its mailbox and is told in order, so that the
+// next call, which may not come later than 200 ms after the last answer, waits for nobody.
 type Watcher struct {
 	addr string
 	tell func(*List)
 	log  *slog.Logger
 	call http.Client
-	has  int64 // the version told last
+	box  *mailbox.Box[*List]
+	has  int64 // the version that came last
 }
 
-// New returns a watcher of discovery at addr that has told the list known. What comes later goes to tell.
+// New returns a watcher of discovery at addr. It tells the list as last known first, if there is one, however
+// old; then what comes.
 func New(addr string, known *List, tell func(*List), log *slog.Logger) *Watcher {
-	w := &Watcher{addr: addr, tell: tell, log: log, has: -1}
-	if known != nil && known.Version != nil {
+	w := &Watcher{addr: addr, tell: tell, log: log, box: mailbox.New[*List](), has: -1}
+	if known != nil {
+		whole := *known
+		whole.Full = true
+		w.box.Put(&whole)
 		w.has = *known.Version
 	}
 	w.call.Transport = &http.Transport{MaxConnsPerHost: 2, DisableCompression: true,
@@ -109,11 +116,26 @@
 	return w
 }
 
-// Run watches until the context ends. After any doubt (a call that failed or was given up, a list that makes
+// Run tells until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	go w.watch(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.box.Wake():
+			for _, l := range w.box.Take(nil) {
+				w.tell(l)
+			}
+		}
+	}
+}
+
+// watch calls discovery until the context ends. After any doubt (a call that failed or was given up, a list that makes
 // no sense, a version that went back) it asks for the whole list; otherwise it goes on where it is, at once,
 // since a gap of 200 ms between two calls would end the watch.
-func (w *Watcher) Run(ctx context.Context) {
-	sure := false
+func (w *Watcher) watch(ctx context.Context) {
+	sure, failed := false, 0
 	for ctx.Err() == nil {
 		path, wait := "/api/targets", time.Duration(0)
 		if sure {
@@ -128,7 +150,10 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			w.log.Warn("list call failed", slog.String("reason", "LIST_FAILED"), slog.Any("error", err))
+			// One line for each time that discovery goes down, not one for each call meanwhile.
+			if failed++; failed == 1 {
+				w.log.Warn("list call failed", slog.String("reason", "LIST_FAILED"), slog.Any("error", err))
+			}
 			sure = false
 			select {
 			case <-ctx.Done():
@@ -136,9 +161,13 @@
 			}
 			continue
 		}
+		if failed > 0 {
+			w.log.Info("list call works again", slog.Int("failed", failed))
+			failed = 0
+		}
 		sure, w.has = true, *l.Version
 		if l.Full || len(l.Servers) > 0 {
-			w.tell(l)
+			w.box.Put(l)
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,8 +28,9 @@
 type Options struct {
 	Classes   map[string]bool
 	Plans     map[string]bool
-	MostConn  int  // clients' connections at a time
-	ReadyOnly bool // requests come in by another front
+	MostConn  int         // clients' connections at a time
+	Ready     func() bool // whether requests can be sent on; nil: from the start
+	ReadyOnly bool        // requests come in by another front
 	Log       *slog.Logger
 }
 
@@ -122,11 +123,14 @@
 }
 
 func (s *Server) ready(w http.ResponseWriter) {
-	if s.leaving.Load() {
+	switch {
+	case s.leaving.Load():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
-		return
+	case s.opt.Ready != nil && !s.opt.Ready():
+		http.Error(w, "no list of targets yet", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
 	}
-	w.WriteHeader(http.StatusOK)
 }
 
 // refuseBad answers what could not be taken. None of these is a 429 or 503: a repeat would fare no better.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -285,6 +285,21 @@
 	}
 }
 
+// TestReadyNeedsAList checks that no client is invited before there is anywhere to send to.
+func TestReadyNeedsAList(t *testing.T) {
+	s, _, _ := newFront(t, 64)
+	listed := false
+	s.opt.Ready = func() bool { return listed }
+	for _, want := range []int{503, 200} {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest("GET", "/-/ready", nil))
+		if w.Code != want {
+			t.Errorf("listed %v: status %d, want %d", listed, w.Code, want)
+		}
+		listed = true
+	}
+}
+
 // TestInfoCuts cuts a valid IO-Info and feeds garbage: whatever passes has all four fields in range.
 func TestInfoCuts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/nvme/command.go
+++ b/internal/nvme/command.go
@@ -49,7 +49,6 @@
 	stInvalidOpcode         = sct(0, 0x01)
 	stInvalidField          = sct(0, 0x02)
 	stCIDConflict           = sct(0, 0x03)
-	stTransferError         = sct(0, 0x04)
 	stInternal              = sct(0, 0x06)
 	stAborted               = sct(0, 0x07)
 	stInvalidNS             = sct(0, 0x0B)
@@ -67,8 +66,6 @@
 
 func (s status) withDelay(index int) status { return s | status(index&3)<<11 }
 
-func (s status) delay() int { return int(s >> 11 & 3) }
-
 // retryDelays are the controller's CRDT1 to CRDT3, in units of 100 ms: how long a host that has asked to be
 // told (Host Behavior Support, ACRE) stays away. The last is the longest a client of this project honours.
 var retryDelays = [3]uint16{1, 3, 10}
