--- a/scheduler.go
+++ b/scheduler.go
@@ -667,7 +667,7 @@
 		k.rest = max(k.rest, s.now+s.set.Rules.Settle)
 	}
 	if e.Code != NoConnection && e.Code != Moot {
-		r.by = r.due - 2*s.set.Tick // an attempt was written: from then on the client is not held back for nothing
+		r.by = r.due - 2*s.set.Tick // an attempt was written: its client is not held back for nothing
 	}
 	if e.Code != Full && e.Code != NoConnection && e.Code != Moot && !r.mayRun {
 		r.mayRun, r.ranZone, r.ranShard, r.ranSince = true, n.Zone, n.Shard, r.outAt
