--- a/cmd/benchlink/wire_test.go
+++ b/cmd/benchlink/wire_test.go
@@ -45,6 +45,28 @@
 	}
 }
 
+// TestHoldOff checks that the module's wait before a client's retry goes out with the refusal: here a later try
+// of what was turned away, past its aim, which is to stay away until its client's patience is over.
+func TestHoldOff(t *testing.T) {
+	at := func(us, frame int, event string) string {
+		return fmt.Sprintf(`{"wallUs":%d,"frame":%d,"inbox":[%s]}`+"\n", us, frame, event)
+	}
+	first := strings.Replace(request(""), `"groupNo":0`, `"groupNo":5`, 1) // no target holds it
+	again := strings.NewReplacer(`"r1"`, `"r2"`, "900000", "300000").Replace(first)
+	var out bytes.Buffer
+	in := at(1000000, 1, start+","+list) + at(1001000, 2, first) +
+		at(1500000, 3, `{"type":"reminder","initiatorId":"i_0","keyBack":"step"}`) + at(1600000, 4, again)
+	if err := run(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`"type":"decline","initiatorId":"i_0","rid":"r1"`,
+		`"type":"decline","initiatorId":"i_0","rid":"r2","holdOffUs":300000`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("replies %s, want one with %s", out.String(), want)
+		}
+	}
+}
+
 // TestMalformed checks each plain message on input that cannot be served.
 func TestMalformed(t *testing.T) {
 	result := func(code string) string {
--- a/cmd/spindlehitch/agent.go
+++ b/cmd/spindlehitch/agent.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return fmt.Errorf("agent.peer.api: %w", err)
 	}
-	a, err := agent.Start(agent.Options{ID: set.ID, Dir: set.Dir, Peers: set.Peers, Log: log, Check: checkJSON})
+	a, err := agent.Start(agent.Options{ID: set.ID, Dir: set.Dir, Peers: set.Peers, Log: log, Check: checkConfig})
 	if err != nil {
 		l.Close()
 		return err
@@ -61,9 +61,12 @@
 	}
 }
 
-// checkJSON tells whether an instance could start from the configuration.
-func checkJSON(b []byte) error {
-	_, err := config.Parse(b, func(string) string { return "" })
+// checkConfig tells whether an instance could start from the configuration.
+func checkConfig(name string, b []byte) error {
+	cfg, err := config.Parse(b, func(string) string { return "" })
+	if err == nil && cfg.Name != name {
+		err = fmt.Errorf("name: the configuration is %q's, not %q's", cfg.Name, name)
+	}
 	return err
 }
 
@@ -120,13 +123,9 @@
 			if err != nil {
 				return err
 			}
-			cfg, err := config.Parse(text, func(string) string { return "" })
-			if err != nil {
+			if err := checkConfig(args[0], text); err != nil {
 				return err
 			}
-			if cfg.Name != args[0] {
-				return fmt.Errorf("name: the configuration is %q's", cfg.Name)
-			}
 			return write(cmd, args[0], text)
 		}}
 	remove := &cobra.Command{Use: "delete NAME", Short: "Take an instance's configuration away; one that runs goes on", Args: cobra.ExactArgs(1),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,9 +35,9 @@
 // Options set up one agent.
 type Options struct {
 	ID      string
-	Dir     string // holds its log, votes and snapshots
-	Peers   []Peer // all agents, this one included
-	Check   func(config []byte) error
+	Dir     string                                 // holds its log, votes and snapshots
+	Peers   []Peer                                 // all agents, this one included
+	Check   func(name string, config []byte) error // whether the instance could start from it
 	Log     *slog.Logger
 	Timeout time.Duration // of heartbeats and elections; 0: one second
 }
@@ -252,7 +252,7 @@
 			http.Error(w, "configuration: not whole or too large", http.StatusRequestEntityTooLarge)
 			return
 		}
-		if err := a.opt.Check(body); err != nil {
+		if err := a.opt.Check(c.Name, body); err != nil {
 			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
 			return
 		}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,7 +18,7 @@
 
 var quiet = slog.New(slog.DiscardHandler)
 
-func check(b []byte) error {
+func check(_ string, b []byte) error {
 	if !json.Valid(b) {
 		return errors.New("name: required field is missing")
 	}
