--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,8 +6,14 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/seeded"
 )
 
+func TestMain(m *testing.M) { seeded.Main(m) }
+
 const good = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"surprise":1,
  "known":{"version":41,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","cell":0,"state":"SERVING"}]},
@@ -68,6 +74,20 @@
 	}
 }
 
+// TestCuts cuts a valid configuration anywhere and feeds garbage: no part passes for the whole.
+func TestCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cut := good[:rapid.IntRange(0, len(good)-1).Draw(t, "cut")]
+		if c, err := Parse([]byte(cut), none); err == nil {
+			t.Fatalf("%q passed as %+v", cut, c)
+		}
+		bent := []byte(good)
+		bent[rapid.IntRange(0, len(bent)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		Parse(bent, none) // whatever comes of it, it must come
+		Parse(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"), none)
+	})
+}
+
 // TestOperatorFile reads the file under deploy/ and spoils it field by field.
 func TestOperatorFile(t *testing.T) {
 	c, err := Parse([]byte(good), none)
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -7,8 +7,10 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -68,11 +70,11 @@
 func (s *store) Depart(*core.Job) {}
 
 func (s *store) Submit(j *core.Job) bool {
-	io := j.Payload.(*IO)
+	x := j.Payload.(*IO)
 	s.mu.Lock()
 	still, answer := s.still, s.answer
 	s.mu.Unlock()
-	s.came <- io
+	s.came <- x
 	go func() {
 		if still != nil {
 			<-still
@@ -83,17 +85,17 @@
 		}
 		s.mu.Lock()
 		var body []byte
-		if io.Write {
-			s.writes[string(bytes.TrimRight(io.Data, "\x00"))]++
+		if x.Write {
+			s.writes[string(bytes.TrimRight(x.Data, "\x00"))]++
 		} else {
 			s.reads++
 		}
-		for i := range uint64(io.Blocks) {
-			if io.Write {
-				s.blocks[io.SLBA+i] = io.Data[i*blockSize : (i+1)*blockSize]
+		for i := range uint64(x.Blocks) {
+			if x.Write {
+				s.blocks[x.SLBA+i] = x.Data[i*blockSize : (i+1)*blockSize]
 				continue
 			}
-			b := s.blocks[io.SLBA+i]
+			b := s.blocks[x.SLBA+i]
 			body = append(body, append(b, make([]byte, blockSize-len(b))...)...)
 		}
 		s.mu.Unlock()
@@ -294,14 +296,14 @@
 			t.Fatalf("read: %+v, %q", done, body)
 		}
 		large := bytes.Repeat([]byte("0123456789abcdef"), 200*blockSize/16)
-		io := &session{wire: c.io, from: &association{talk: make(chan struct{}, 1)}, inside: inCapsule}
+		queue := &session{wire: c.io, from: &association{talk: make(chan struct{}, 1)}, inside: inCapsule}
 		always := func() bool { return true }
 		until := time.Now().Add(patient)
-		got, _, reason := io.Do(core.Attempt{Until: until, Payload: &IO{Write: true, NSID: 1, SLBA: 100, Blocks: 200, Bytes: len(large), Data: large}}, always)
+		got, _, reason := queue.Do(core.Attempt{Until: until, Payload: &IO{Write: true, NSID: 1, SLBA: 100, Blocks: 200, Bytes: len(large), Data: large}}, always)
 		if got.Code != spindlehitch.Delivered {
 			t.Fatalf("large write: %+v, %s", got, reason)
 		}
-		got, _, reason = io.Do(core.Attempt{Until: until, Payload: &IO{NSID: 1, SLBA: 100, Blocks: 200, Bytes: len(large)}}, always)
+		got, _, reason = queue.Do(core.Attempt{Until: until, Payload: &IO{NSID: 1, SLBA: 100, Blocks: 200, Bytes: len(large)}}, always)
 		if body, _ := got.Payload.([]byte); got.Code != spindlehitch.Delivered || !bytes.Equal(body, large) {
 			t.Fatalf("large read: %v, %d bytes, %s", got.Code, len(body), reason)
 		}
@@ -561,6 +563,39 @@
 	return err
 }
 
+// TestControllerCuts sends a live controller damaged, cut and made-up PDUs after a valid start, connection after
+// connection: each ends or is answered, and a good host is served as before.
+func TestControllerCuts(t *testing.T) {
+	_, addr := newServer(t, newStore(), poolNQN)
+	good := newClient(t, addr, false)
+	rapid.Check(t, func(rt *rapid.T) {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patient))
+		out := appendPDU(nil, framing{}, typeICReq, 0, icHead(0, 0, 0), nil)
+		for range rapid.IntRange(1, 4).Draw(rt, "pdus") {
+			kind := rapid.SampledFrom([]byte{typeICReq, typeCmd, typeH2CData, typeH2CTerm, typeR2T, 0x55}).Draw(rt, "kind")
+			head := rapid.SliceOfN(rapid.Byte(), max(headLen(kind), dataLen)-commonLen, max(headLen(kind), dataLen)-commonLen).Draw(rt, "head")
+			if kind == typeCmd && rapid.Bool().Draw(rt, "connect") {
+				copy(head, []byte{opFabrics, 0x40, 1, 0, fctConnect})
+			}
+			out = appendPDU(out, framing{}, kind, 0, head, rapid.SliceOfN(rapid.Byte(), 0, 1100).Draw(rt, "data"))
+		}
+		c.Write(out[:rapid.IntRange(0, len(out)).Draw(rt, "cut")])
+		c.(*net.TCPConn).CloseWrite()
+		if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+			rt.Fatal("the controller neither answered nor ended the connection")
+		}
+	})
+	good.read(1, 1)
+	if done, _ := good.next(); done.status != stOK {
+		t.Errorf("a good host afterwards: %+v", done)
+	}
+}
+
 // TestBadConnect refuses hosts that ask for what is not there.
 func TestBadConnect(t *testing.T) {
 	_, addr := newServer(t, newStore(), poolNQN)
