Read over: one release, one refusal for want of room, one linger; less in the target's actor

Seen in reading the whole change: nvme's complete and drop gave back a command's timer, bytes and count in two copies; the refusal for want of room was written out four times; the front's linger had been raised to 0.45 s but its copy in nvme stayed at 0.40, against the README. The target's actor posted itself a message to do what it could do at once, and pruned twice at its end; property had a branch that nothing took.

Now each stands once (release, core.TooMany, core.LingerFor, store.announce). Nothing else changes but the NVMe front's linger, which is what the README says. No test's assertion was touched.

--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -57,9 +57,14 @@
 	} else {
 		s.entries[c.Name] = e
 	}
+	s.announce()
+	return e
+}
+
+// announce wakes whoever waits for a change. Its caller holds mu.
+func (s *store) announce() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return e
 }
 
 // get returns an entry, and what is closed at the next change of any.
@@ -117,7 +122,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = m
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.announce()
 	return nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,13 @@
 	Last       spindlehitch.Code // how the last attempt ended, if there was one
 }
 
+// TooMany refuses what a front cannot take in for want of room: nothing of it has reached the module.
+var TooMany = Answer{Ending: Refused, RetryAfter: time.Second}
+
+// LingerFor is how long after SIGTERM a front takes new connections: clients come for 0.4 s, and one that the
+// machine has accepted but nobody has read from would be lost with the listener.
+const LingerFor = 450 * time.Millisecond
+
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
 type Job struct {
 	spindlehitch.Request
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,9 +19,6 @@
 const (
 	maxTimeoutMs = 10 * 60 * 1000
 	maxHead      = 16 << 10
-	// lingerFor is how long after SIGTERM new connections are taken: clients come for 0.4 s, and one that the
-	// machine has accepted but nobody has read from would be lost with the listener.
-	lingerFor = 450 * time.Millisecond
 )
 
 // Options set up the front.
@@ -71,7 +68,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
 	select {
-	case <-time.After(lingerFor):
+	case <-time.After(core.LingerFor):
 	case <-ctx.Done():
 	}
 	s.conns.leave()
@@ -90,7 +87,7 @@
 	}
 	if isExtra(r.Context()) {
 		w.Header().Set("Connection", "close")
-		write(w, core.Answer{Ending: core.Refused, RetryAfter: time.Second})
+		write(w, core.TooMany)
 		return
 	}
 	j, m, err := s.parse(r)
@@ -109,7 +106,7 @@
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
-		write(w, core.Answer{Ending: core.Refused, RetryAfter: time.Second})
+		write(w, core.TooMany)
 		return
 	}
 	select {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -276,7 +276,7 @@
 	select {
 	case <-stopped:
 		t.Error("ended with a request open")
-	case <-time.After(lingerFor + 100*time.Millisecond):
+	case <-time.After(core.LingerFor + 100*time.Millisecond):
 	}
 	j.Done(core.Answer{Payload: []byte("late")})
 	wait.Wait()
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -36,7 +36,6 @@
 const (
 	handshakeWithin = 5 * time.Second
 	writeWithin     = 5 * time.Second
-	lingerFor       = 400 * time.Millisecond
 	mostQueues      = 16 // I/O queues of one controller
 )
 
@@ -152,7 +151,7 @@
 // ends all connections.
 func (s *Server) Stop(ctx context.Context) error {
 	select {
-	case <-time.After(lingerFor):
+	case <-time.After(core.LingerFor):
 	case <-ctx.Done():
 	}
 	s.leaving.Store(true)
@@ -231,6 +230,14 @@
 
 // drop lets go of a command that will not be answered any more.
 func (q *queue) drop(p *pending) {
+	q.release(p)
+	if p.job != nil {
+		q.server.core.Depart(p.job)
+	}
+}
+
+// release gives back what an open command holds.
+func (q *queue) release(p *pending) {
 	if p.wait != nil {
 		p.wait.Stop()
 	}
@@ -238,7 +245,6 @@
 		q.server.bytes.Add(-int64(p.io.Bytes))
 	}
 	if p.job != nil {
-		q.server.core.Depart(p.job)
 		q.server.open.Add(-1)
 	}
 }
@@ -326,12 +332,6 @@
 		return false
 	}
 	delete(q.cmds, cid)
-	if p.wait != nil {
-		p.wait.Stop()
-	}
-	if p.io != nil {
-		q.server.bytes.Add(-int64(p.io.Bytes))
-	}
 	for at := 0; at < len(data); at += maxH2CData {
 		part := data[at:min(at+maxH2CData, len(data))]
 		flags := byte(0)
@@ -341,10 +341,8 @@
 		q.put(typeC2HData, flags, dataHead(cid, 0, uint32(at), uint32(len(part))), part)
 	}
 	q.put(typeResp, 0, completion{result: result, sqhd: q.sqhd, sqid: q.qid, cid: cid, status: st}.head(), nil)
+	q.release(p) // after the answer is in the writer's mailbox: Stop ends connections once nothing is open
 	q.mu.Unlock()
-	if p.job != nil {
-		q.server.open.Add(-1)
-	}
 	return true
 }
 
@@ -414,7 +412,7 @@
 		q.complete(p, stInvalidField|dnr, 0, nil)
 	case s.leaving.Load(), s.bytes.Load()+int64(bytes) > s.opt.MostBytes:
 		// Nothing of it was begun; the host may come back, or go elsewhere.
-		q.complete(p, statusOf(core.Answer{Ending: core.Refused, RetryAfter: time.Second}, q.ctrl.wantsDelays()), 0, nil)
+		q.complete(p, statusOf(core.TooMany, q.ctrl.wantsDelays()), 0, nil)
 	default:
 		x.Bytes = bytes
 		q.mu.Lock()
@@ -509,7 +507,7 @@
 	}
 	q.mu.Unlock()
 	if !gone && !taken {
-		q.complete(p, statusOf(core.Answer{Ending: core.Refused, RetryAfter: time.Second}, delays), 0, nil)
+		q.complete(p, statusOf(core.TooMany, delays), 0, nil)
 	}
 }
 
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -213,11 +213,9 @@
 	return uint16(done.result), err
 }
 
+// property reads a property of four bytes.
 func (w *wire) property(offset uint32) (uint64, error) {
 	c := fabricsCommand(w, fctPropertyGet, 0)
-	if offset == propCAP {
-		c.set32(40, 1)
-	}
 	c.set32(44, offset)
 	done, _, err := w.ask(c, nil)
 	return done.result, err
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -21,7 +21,6 @@
 		try  *try
 		conn *conn // to be used again; nil: closed
 	}
-	sweep struct{}
 )
 
 // target is the actor of one target. Only its goroutine touches idle, busy and conns; state and addr are
@@ -96,7 +95,7 @@
 		select {
 		case <-t.box.Wake():
 		case <-tick.C:
-			t.box.Put(sweep{})
+			t.prune()
 			continue
 		}
 		msgs := t.box.Take(spare)
@@ -110,11 +109,10 @@
 				}
 			case done:
 				t.finish(m)
-			case moved, sweep:
+			case moved:
 				t.prune()
 			case retire:
-				retired = true
-				t.prune()
+				retired = true // a move came before it
 			}
 		}
 		spare = msgs
