--- a/cmd/spindlehitch/follow.go
+++ b/cmd/spindlehitch/follow.go
@@ -90,7 +90,7 @@
 	ctx, leave := context.WithCancel(stop)
 	g := &generation{leave, make(chan error, 1)}
 	up := make(chan struct{})
-	go func() { g.ended <- serve(ctx, cfg, op, log, func() { close(up) }) }()
+	go func() { g.ended <- serve(ctx, cfg, op, log, func() { close(up) }, nil) }()
 	select {
 	case <-up:
 		return g, nil
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -39,14 +39,22 @@
 			log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 			stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 			defer cancel()
+			// Taken from the start on: a SIGHUP that nobody waits for would end the process.
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
 			if len(agents) > 0 {
+				go func() {
+					for range hup {
+						log.Info("nothing to reload", slog.String("reason", "AGENTS_CONFIGURE"))
+					}
+				}()
 				return follow(stop, agents, os.Getenv, operator, log)
 			}
 			cfg, op, err := load(os.Getenv, operator)
 			if err != nil {
 				return err
 			}
-			return serve(stop, cfg, op, log, nil)
+			return serve(stop, cfg, op, log, nil, reloads(hup, os.Getenv, cfg.Discovery, log))
 		},
 	}
 	cmd.Flags().StringVar(&operator, "operator", "", "an operator's file (TOML), such as deploy/nvme.toml")
@@ -64,6 +72,27 @@
 	return cfg, op, err
 }
 
+// reloads reads the configuration again at each SIGHUP and passes on where discovery is from then on; the rest of it
+// waits for the next start. One that cannot be served changes nothing.
+func reloads(hup <-chan os.Signal, getenv func(string) string, discovery string, log *slog.Logger) <-chan string {
+	moves := make(chan string)
+	go func() {
+		for range hup {
+			cfg, err := config.Reload(getenv)
+			if err != nil {
+				log.Error("configuration not taken", slog.String("reason", "BAD_CONFIG"), slog.Any("error", err))
+				continue
+			}
+			log.Info("configuration taken", slog.String("discovery", cfg.Discovery))
+			if cfg.Discovery != discovery {
+				discovery = cfg.Discovery
+				moves <- discovery
+			}
+		}
+	}()
+	return moves
+}
+
 // door is a front: it accepts until it is told to stop, and then finishes what it has taken.
 type door interface {
 	Serve(net.Listener) error
@@ -71,8 +100,10 @@
 }
 
 // serve runs until stop ends, and then until everything taken is answered. Where listening is given, it is called once
-// all addresses are listened at, and they may be listened at by a predecessor that is about to leave.
-func serve(stop context.Context, cfg *config.Config, op *config.Operator, log *slog.Logger, listening func()) error {
+// all addresses are listened at, and they may be listened at by a predecessor that is about to leave. Discovery is
+// asked at the addresses that come by moves, also while the program leaves.
+func serve(stop context.Context, cfg *config.Config, op *config.Operator, log *slog.Logger, listening func(),
+	moves <-chan string) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 
@@ -98,7 +129,18 @@
 		listed.Store(true)
 	}
 	go c.Run(work)
-	go discovery.New(cfg.Discovery, cfg.Known, tell, log).Run(work)
+	list := discovery.New(cfg.Discovery, cfg.Known, tell, log)
+	go list.Run(work)
+	go func() {
+		for {
+			select {
+			case <-work.Done():
+				return
+			case addr := <-moves:
+				list.Move(addr)
+			}
+		}
+	}()
 
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +42,7 @@
 // world is a stand-in target and a discovery that names it.
 type world struct {
 	listen, discovery string
+	found             http.Handler
 	slow              atomic.Bool
 	came, release     chan struct{}
 }
@@ -55,14 +58,15 @@
 		fmt.Fprint(rw, "from the target")
 	}))
 	t.Cleanup(target.Close)
-	found := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	w.found = http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("after") {
 			<-r.Context().Done()
 			return
 		}
 		fmt.Fprintf(rw, `{"version":1,"full":true,"servers":[{"id":"t","addr":%q,"cell":0,"state":"SERVING"}]}`,
 			strings.TrimPrefix(target.URL, "http://"))
-	}))
+	})
+	found := httptest.NewServer(w.found)
 	t.Cleanup(found.Close)
 	w.discovery = strings.TrimPrefix(found.URL, "http://")
 	return w
@@ -116,7 +120,7 @@
 	}
 	stop, leave := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(stop, cfg, op, quiet, nil) }()
+	go func() { ended <- serve(stop, cfg, op, quiet, nil, nil) }()
 	w.until(t)
 	w.slow.Store(true)
 	open := make(chan string, 1)
@@ -139,6 +143,68 @@
 	}
 }
 
+// TestReload replaces the file under a running initiator and signals the process itself: one that cannot be served
+// changes nothing, a good one moves discovery against the environment's word, and only there. Requests are served all
+// along, and the end is in order with a reload under way.
+func TestReload(t *testing.T) {
+	w := newWorld(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	put := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(w.config())
+	getenv := func(name string) string {
+		return map[string]string{"PROXY_CONFIG": path, "PROXY_DISCOVERY": w.discovery}[name]
+	}
+	cfg, op, err := load(getenv, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	stop, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, op, quiet, nil, reloads(hup, getenv, cfg.Discovery, quiet)) }()
+	w.until(t)
+	signalled := func() {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(`{"name":"n1"}`)
+	signalled()
+	w.until(t)
+	for range 3 {
+		asked := make(chan string, 64)
+		found := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.String()
+			w.found.ServeHTTP(rw, r)
+		}))
+		defer found.Close()
+		put(strings.Replace(w.config(), w.discovery, strings.TrimPrefix(found.URL, "http://"), 1))
+		signalled()
+		select {
+		case got := <-asked:
+			if got != "/api/targets" {
+				t.Errorf("first asked at the new address: %q", got)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("the new address was not asked")
+		}
+		w.until(t)
+	}
+	put(w.config())
+	signalled()
+	leave()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestFollow has an instance take its configuration from an agent, keep it when a bad one comes, and move to a
 // successor when a good one does, without a request lost.
 func TestFollow(t *testing.T) {
@@ -217,7 +283,7 @@
 	}
 	stop, leave := context.WithCancel(context.Background())
 	up, ended := make(chan struct{}), make(chan error, 1)
-	go func() { ended <- serve(stop, cfg, op, quiet, func() { close(up) }) }()
+	go func() { ended <- serve(stop, cfg, op, quiet, func() { close(up) }, nil) }()
 	<-up
 	if status, _ := w.ask(); status != 404 {
 		t.Errorf("a request by HTTP: status %d", status)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,6 +67,17 @@
 	return Parse(raw, getenv)
 }
 
+// Reload reads the file again. Its word on discovery wins over the environment's, which the process has had since its
+// start: it is the file that was replaced.
+func Reload(getenv func(string) string) (*Config, error) {
+	return Load(func(name string) string {
+		if name == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 // Parse checks the JSON of a configuration and turns it into typed values. Errors name the field.
 func Parse(raw []byte, getenv func(string) string) (*Config, error) {
 	var f file
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -93,18 +93,19 @@
 // Watcher is the list's actor: what its calls bring waits in its mailbox and is told in order, so that the
 // next call, which may not come later than 200 ms after the last answer, waits for nobody.
 type Watcher struct {
-	addr string
-	tell func(*List)
-	log  *slog.Logger
-	call http.Client
-	box  *mailbox.Box[*List]
-	has  int64 // the version that came last
+	addr  string // where it starts
+	tell  func(*List)
+	log   *slog.Logger
+	call  http.Client
+	box   *mailbox.Box[*List]
+	moves *mailbox.Box[string]
+	has   int64 // the version that came last
 }
 
 // New returns a watcher of discovery at addr. It tells the list as last known first, if there is one, however
 // old; then what comes.
 func New(addr string, known *List, tell func(*List), log *slog.Logger) *Watcher {
-	w := &Watcher{addr: addr, tell: tell, log: log, box: mailbox.New[*List](), has: -1}
+	w := &Watcher{addr: addr, tell: tell, log: log, box: mailbox.New[*List](), moves: mailbox.New[string](), has: -1}
 	if known != nil {
 		whole := *known
 		whole.Full = true
@@ -116,6 +117,10 @@
 	return w
 }
 
+// Move has discovery asked at another address from now on, for the whole list first: what the old one had still
+// to tell is not waited for.
+func (w *Watcher) Move(addr string) { w.moves.Put(addr) }
+
 // Run tells until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.watch(ctx)
@@ -131,10 +136,32 @@
 	}
 }
 
-// watch calls discovery until the context ends. After any doubt (a call that failed or was given up, a list that makes
+// watch calls discovery until the context ends, wherever it is by then.
+func (w *Watcher) watch(ctx context.Context) {
+	for addr := w.addr; ctx.Err() == nil; {
+		at, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			w.watchAt(at, addr)
+		}()
+		select {
+		case <-ctx.Done():
+		case <-w.moves.Wake():
+			for _, a := range w.moves.Take(nil) {
+				addr = a
+			}
+		}
+		leave()
+		<-left // a call at the old address must not overtake the first at the new one
+		w.call.CloseIdleConnections()
+	}
+}
+
+// watchAt calls discovery at one address until the context ends. After any doubt (a call that failed or was given up, a list that makes
 // no sense, a version that went back) it asks for the whole list; otherwise it goes on where it is, at once,
 // since a gap of 200 ms between two calls would end the watch.
-func (w *Watcher) watch(ctx context.Context) {
+func (w *Watcher) watchAt(ctx context.Context, addr string) {
 	sure, failed := false, 0
 	for ctx.Err() == nil {
 		path, wait := "/api/targets", time.Duration(0)
@@ -142,7 +169,7 @@
 			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", w.has, watchFor.Milliseconds())
 			wait = watchFor
 		}
-		l, err := w.fetch(ctx, path, wait+graceFor)
+		l, err := w.fetch(ctx, addr+path, wait+graceFor)
 		if err == nil && !l.Full && (!sure || *l.Version < w.has) {
 			err = fmt.Errorf("a change to version %d where %d is held and the whole list was due", *l.Version, w.has)
 		}
@@ -172,10 +199,10 @@
 	}
 }
 
-func (w *Watcher) fetch(ctx context.Context, path string, within time.Duration) (*List, error) {
+func (w *Watcher) fetch(ctx context.Context, url string, within time.Duration) (*List, error) {
 	ctx, stop := context.WithTimeout(ctx, within)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -82,12 +82,57 @@
 func TestSilence(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	defer s.Close()
-	w := New(strings.TrimPrefix(s.URL, "http://"), nil, nil, slog.New(slog.DiscardHandler))
-	if _, err := w.fetch(context.Background(), "/api/targets", 50*time.Millisecond); err == nil {
+	w := New("", nil, nil, slog.New(slog.DiscardHandler))
+	if _, err := w.fetch(context.Background(), strings.TrimPrefix(s.URL, "http://")+"/api/targets", 50*time.Millisecond); err == nil {
 		t.Error("a silent call came to something")
 	}
 }
 
+// TestMove has discovery move twice while a watch waits: the whole list is asked for at once at the last address,
+// also where its version is an older one, and the connections to the first are closed.
+func TestMove(t *testing.T) {
+	serve := func(version int) (*httptest.Server, chan string) {
+		asked := make(chan string, 64)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.String()
+			if r.URL.Query().Has("after") {
+				<-r.Context().Done()
+				return
+			}
+			fmt.Fprint(w, list(version, true, one))
+		}))
+		t.Cleanup(s.Close)
+		return s, asked
+	}
+	first, askedFirst := serve(9)
+	second, askedSecond := serve(4)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	told := make(chan int64, 64)
+	w := New(strings.TrimPrefix(first.URL, "http://"), nil, func(l *List) { told <- *l.Version }, slog.New(slog.DiscardHandler))
+	go w.Run(ctx)
+	for _, want := range []string{"/api/targets", "/api/targets?after=9&wait_ms=20000"} {
+		if got := <-askedFirst; got != want {
+			t.Fatalf("at first %q was asked, want %q", got, want)
+		}
+	}
+	w.Move("127.0.0.1:1")
+	w.Move(strings.TrimPrefix(second.URL, "http://"))
+	for _, want := range []string{"/api/targets", "/api/targets?after=4&wait_ms=20000"} {
+		if got := <-askedSecond; got != want {
+			t.Fatalf("after the move %q was asked, want %q", got, want)
+		}
+	}
+	for _, want := range []int64{9, 4} {
+		if got := <-told; got != want {
+			t.Errorf("told of version %d, want %d", got, want)
+		}
+	}
+	if len(askedFirst) > 0 {
+		t.Errorf("the old address was asked again: %q", <-askedFirst)
+	}
+}
+
 // TestBadLists names the field that cannot be used.
 func TestBadLists(t *testing.T) {
 	for _, c := range []struct{ name, in, want string }{
