Bad clients: refused within 2 s, an open id is a conflict, silent connections make room

Checked, with the log lines by reason code and a read of net/http's server: - Nothing kept a Request-Id from being used twice at a time (core.take): a bad client's request under another's open id was sent on. Ruled out: CPU (0.12 s in the busiest second of 0.25). Mended: the core refuses a name that is open or may have run lately; requests need one length and each header once; head and body have 2 s; refusals go out before the body and drain it within bounds; silent, then idle connections make room, never one with a request open; a patience longer than the class's deadline is cut to it in the module.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -194,11 +194,19 @@
 	return m
 }
 
-// spareFiles are descriptors kept for discovery, the listener, logs and the runtime.
-const spareFiles = 48
-
-// ClientConns is how many connections clients may hold, beside the targets' and the spare descriptors.
-func (c *Config) ClientConns() int { return max(c.Limits.Sockets-c.AllTargetConns()-2*spareFiles, 8) }
+// spareFiles are descriptors kept for discovery, the listener, logs and the runtime, and for connections past the
+// clients' cap.
+const spareFiles = 56
+
+// clientBytes is about what a client's connection takes: buffers, a goroutine's stack, a request.
+const clientBytes = 24 << 10
+
+// ClientConns is how many connections clients may hold, beside the targets' and the spare descriptors, and in a third of
+// the memory.
+func (c *Config) ClientConns() int {
+	n := min(c.Limits.Sockets-c.AllTargetConns()-spareFiles, c.Limits.MemoryMB<<20/3/clientBytes)
+	return max(n, 8)
+}
 
 // TargetConns is how many connections one target's pool may hold: more than the module ever has out there,
 // overdue attempts included, where the descriptors allow it.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,8 @@
 	Refused
 	// Failed makes no promise about the effect.
 	Failed
+	// Conflict tells that a request of the same name is open, or was sent not long ago and may have run.
+	Conflict
 )
 
 // Answer is the one final answer of a request.
@@ -43,6 +45,7 @@
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
 type Job struct {
 	spindlehitch.Request
+	Name     string        // the client's own for it, one of a kind; may be empty
 	Arrived  time.Time     // when its last byte was here
 	Patience time.Duration // how long the client waits from then on
 	Payload  any           // for the upstream
@@ -104,7 +107,10 @@
 	open     map[string]*entry
 	held     atomic.Int64
 	seq      uint64
-	timerAt  time.Time // zero: none
+	timerAt  time.Time          // zero: none
+	named    map[string]bool    // of open requests
+	ran      [2]map[string]bool // of finished ones that may have run, lately and before
+	ranAt    time.Time
 	events   []spindlehitch.Event
 	lists    []spindlehitch.Event
 	lastStep time.Duration
@@ -119,13 +125,18 @@
 	sentAt   time.Time
 	last     spindlehitch.Code
 	answered bool
+	mayRun   bool
 }
 
+// namesFor is how long, at least, the name of a request that may have run stays taken.
+const namesFor = 5 * time.Second
+
 type submitted struct{ job *Job }
 
 // New returns a core; Run starts it.
 func New(m *spindlehitch.Scheduler, up Upstream, clock Clock, opt Options) *Core {
-	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{}}
+	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{},
+		named: map[string]bool{}, ran: [2]map[string]bool{{}, {}}}
 }
 
 // Submit hands a request over. It returns false when too many are open; then Done is not called.
@@ -208,6 +219,16 @@
 }
 
 func (c *Core) take(now time.Time, j *Job) {
+	if j.Name != "" {
+		// Targets know requests by these names: one sent under the name of another that is open would be its second
+		// copy. An honest repeat, of a request that was never read here, meets neither.
+		if c.named[j.Name] || c.ran[0][j.Name] || c.ran[1][j.Name] {
+			c.held.Add(-1)
+			j.Done(Answer{Ending: Conflict})
+			return
+		}
+		c.named[j.Name] = true
+	}
 	c.seq++
 	j.ID = strconv.FormatUint(c.seq, 10)
 	// The client's time runs from the arrival, and the answer has to be out before it ends.
@@ -233,12 +254,20 @@
 		return
 	}
 	e.out, e.last = false, r.Code
+	switch r.Code {
+	case spindlehitch.Full, spindlehitch.NoConnection, spindlehitch.Moot:
+	default:
+		e.mayRun = true
+	}
 	if r.Code == spindlehitch.Delivered {
 		c.answer(e, Answer{Ending: Served, Payload: r.Payload})
 	}
 	c.events = append(c.events, spindlehitch.Outcome{ID: r.Request, Attempt: r.Number, Node: r.Node, Code: r.Code,
 		Took: now.Sub(e.sentAt), Closed: e.answered, Load: r.Load, Used: r.Used})
 	c.tidy(r.Request, e)
+	if now.Sub(c.ranAt) > namesFor {
+		c.ran[0], c.ran[1], c.ranAt = map[string]bool{}, c.ran[0], now
+	}
 }
 
 func (c *Core) act(now time.Time, a spindlehitch.Action) {
@@ -284,5 +313,11 @@
 	if e.answered && !e.out {
 		delete(c.open, id)
 		c.held.Add(-1)
+		if e.job.Name != "" {
+			delete(c.named, e.job.Name)
+			if e.mayRun {
+				c.ran[0][e.job.Name] = true
+			}
+		}
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -79,6 +79,56 @@
 	}
 }
 
+// TestNameOnce guards against a second copy at a target under the name of a request that is open, whose client has left
+// with an attempt out, or that has run. A name whose request was never sent may come again.
+func TestNameOnce(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	submit := func(name, class string) *Job {
+		j := job(class, h.now, &answers)
+		j.Name = name
+		if !h.Submit(j) {
+			t.Fatal("not taken")
+		}
+		h.step(h.now, h.box.Take(nil))
+		return j
+	}
+	conflict := func(when string) {
+		t.Helper()
+		submit("a", "put")
+		if len(answers) == 0 || answers[len(answers)-1].Ending != Conflict {
+			t.Errorf("%s: answers %+v, want a conflict", when, answers)
+		}
+	}
+	first := submit("a", "put")
+	conflict("open")
+	h.step(h.now, []any{first})
+	conflict("its client gone, its attempt out")
+	h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Cancelled}})
+	conflict("may have run")
+	if len(h.up.sent) != 1 || h.Open() != 0 {
+		t.Errorf("%d attempts, %d open; want one, none", len(h.up.sent), h.Open())
+	}
+	for range 3 {
+		h.now = h.now.Add(namesFor + time.Second)
+		submit("b", "put")
+		last := h.up.sent[len(h.up.sent)-1]
+		h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Moot}})
+		h.step(h.now, []any{spindlehitch.NodeList{Whole: true}})
+		h.later(2 * time.Second)
+		if got := answers[len(answers)-1]; got.Ending != Refused {
+			t.Errorf("never sent: %+v, want it refused", got)
+		}
+		h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
+	}
+	submit("c", "get")
+	last := h.up.sent[len(h.up.sent)-1]
+	h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n != 1 {
+		t.Errorf("%d names are kept, want the last alone", n)
+	}
+}
+
 // TestDeadlineRunsFromArrival guards against counting a request's time from when a busy process got to it.
 func TestDeadlineRunsFromArrival(t *testing.T) {
 	h := newHand(t)
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -12,17 +12,29 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"spindlehitch/internal/upstream"
+)
+
+// A connection's phases. Whoever moves it on does so by a compare-and-swap, so that a connection is never closed to
+// make room once a byte of a request on it has been read.
+const (
+	quiet   int32 = iota // between requests, or nothing asked yet: no byte of a request has been read
+	reading              // part of a head has been read
+	active               // a request is open
+	evicted              // closed to make room; nothing read from it counts any more
 )
 
 // clientConn notes when a client's bytes came and why its connection ended.
 type clientConn struct {
 	net.Conn
+	table  *connTable
 	at     atomic.Pointer[time.Time] // of the last read that brought bytes
 	asked  atomic.Int64              // requests begun
 	reason atomic.Pointer[string]
-	idle   bool // between requests, or not yet asked anything; under the table's lock
-	since  time.Time
-	extra  bool // past the cap, with no idle one to make room
+	phase  atomic.Int32
+	since  time.Time // when it became quiet; under the table's lock
+	extra  bool      // past the cap, with none to make room
 }
 
 func (c *clientConn) Read(b []byte) (int, error) {
@@ -30,10 +42,13 @@
 	if n > 0 {
 		now := time.Now()
 		c.at.Store(&now)
+		c.phase.CompareAndSwap(quiet, reading)
+	}
+	if c.phase.Load() == evicted {
+		return 0, net.ErrClosed
 	}
-	// net/http ends its own background read by a deadline in the past; that is no one's end.
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.end(readCause(err))
+	if err != nil {
+		c.end(c.readCause(err))
 	}
 	return n, err
 }
@@ -46,17 +61,39 @@
 	return n, err
 }
 
-// end notes the first reason.
-func (c *clientConn) end(reason string) { c.reason.CompareAndSwap(nil, &reason) }
+// CloseWrite lets net/http half-close, so that an answer is not lost to a reset by bytes it never read.
+func (c *clientConn) CloseWrite() error {
+	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return h.CloseWrite()
+	}
+	return nil
+}
 
-func readCause(err error) string {
+// end notes the first reason that is one.
+func (c *clientConn) end(reason string) {
+	if reason != "" {
+		c.reason.CompareAndSwap(nil, &reason)
+	}
+}
+
+func (c *clientConn) readCause(err error) string {
 	switch {
 	case errors.Is(err, io.EOF):
 		return "CLIENT_CLOSED"
 	case errors.Is(err, syscall.ECONNRESET):
 		return "CLIENT_RESET"
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return "CLIENT_READ_FAILED"
+	}
+	switch {
+	case c.phase.Load() == reading:
+		return "HEAD_LATE"
+	case c.phase.Load() == active:
+		return "" // net/http ends its own background read by a deadline in the past; that is no one's end
+	case c.asked.Load() == 0:
+		return "SILENT"
 	}
-	return "CLIENT_READ_FAILED"
+	return "IDLE"
 }
 
 type connKey struct{}
@@ -65,10 +102,16 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// connOf is the connection that a request came on; nil in tests that have none.
+func connOf(ctx context.Context) *clientConn {
+	c, _ := ctx.Value(connKey{}).(*clientConn)
+	return c
+}
+
 // arrival is when the last byte of the request so far was read, which may be well before a busy process
 // gets to run its handler: the client's time runs from there.
-func arrival(ctx context.Context) time.Time {
-	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+func (c *clientConn) arrival() time.Time {
+	if c != nil {
 		if at := c.at.Load(); at != nil {
 			return *at
 		}
@@ -76,15 +119,19 @@
 	return time.Now()
 }
 
-// isExtra tells whether the request came on a connection past the cap.
-func isExtra(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*clientConn)
-	return ok && c.extra
-}
+const (
+	// silentFor is how long a new connection may bring nothing before it makes room ahead of idle ones: usual
+	// clients connect to ask at once.
+	silentFor = 50 * time.Millisecond
+	// slack is how many connections past the cap are taken, each to have one request refused.
+	slack = 24
+	// mostTries is how many connections a new one looks at for room.
+	mostTries = 8
+)
 
 // connTable caps clients' connections. A new one past the cap is still taken, since the machine has accepted
-// it and a request on it would be lost: an idle one, the longest unused, makes room. Where none is idle, the
-// new one's request is refused at once, and the connection closed.
+// it and a request on it would be lost: one without a request makes room. Where there is none, the new one's
+// request is refused at once, and the connection closed.
 type connTable struct {
 	most int
 	log  *slog.Logger
@@ -112,28 +159,66 @@
 }
 
 func (t *connTable) add(c net.Conn) *clientConn {
-	cc := &clientConn{Conn: c, since: time.Now()}
+	cc := &clientConn{Conn: c, table: t, since: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open[cc] = true
-	if len(t.open) <= t.most {
-		return cc
+	for tries := 0; len(t.open) > t.most; tries++ {
+		o := t.leastNeeded(cc)
+		if o == nil || tries == mostTries {
+			cc.extra = true
+			cc.end("CAP")
+			if len(t.open) > t.most+slack {
+				cc.phase.Store(evicted)
+				cc.Conn.Close()
+			}
+			break
+		}
+		// One with bytes on their way is not closed: it is asking just now.
+		if was := o.phase.Load(); was == reading || upstream.Quiet(o.Conn) {
+			if was < active && o.phase.CompareAndSwap(was, evicted) {
+				o.end("CAP")
+				o.Conn.Close()
+				delete(t.open, o)
+				return cc
+			}
+		}
+		o.since = time.Now()
 	}
-	var oldest *clientConn
-	for o := range t.open {
-		if o.idle && (oldest == nil || o.since.Before(oldest.since)) {
-			oldest = o
+	return cc
+}
+
+// leastNeeded is the connection to close for a new one: one that has said nothing for a while or is slow with its first
+// head, the oldest first; otherwise the one unused longest; otherwise one that is new and silent. Never one with a
+// request open.
+func (t *connTable) leastNeeded(but *clientConn) *clientConn {
+	now := time.Now()
+	var best *clientConn
+	rank := func(c *clientConn) int {
+		first := c.asked.Load() == 0
+		switch c.phase.Load() {
+		case quiet:
+			switch {
+			case first && now.Sub(c.since) > silentFor:
+				return 3
+			case !first:
+				return 2
+			}
+			return 1
+		case reading:
+			if first && now.Sub(c.since) > 4*silentFor {
+				return 3
+			}
 		}
+		return 0
 	}
-	if oldest == nil {
-		cc.extra = true
-		cc.end("CAP")
-		return cc
+	most := 0
+	for c := range t.open {
+		if r := rank(c); c != but && r > 0 && (r > most || r == most && c.since.Before(best.since)) {
+			best, most = c, r
+		}
 	}
-	oldest.end("CAP")
-	oldest.idle = false
-	oldest.Conn.Close()
-	return cc
+	return best
 }
 
 // state follows net/http's states, and logs one line when a connection ends.
@@ -142,19 +227,23 @@
 	if !ok {
 		return
 	}
-	t.mu.Lock()
-	cc.idle, cc.since = st == http.StateIdle, time.Now()
-	gone := st == http.StateClosed || st == http.StateHijacked
-	if gone {
-		delete(t.open, cc)
-	}
-	left := t.left
-	t.mu.Unlock()
-	switch {
-	case st == http.StateActive:
+	switch st {
+	case http.StateActive:
 		cc.asked.Add(1)
-	case gone:
-		reason := "CLOSED_BY_US" // after an answer that says so, bad bytes, or a head that never came
+		if !cc.phase.CompareAndSwap(reading, active) {
+			cc.phase.CompareAndSwap(quiet, active) // all of it was read ahead, with the one before
+		}
+	case http.StateIdle:
+		t.mu.Lock()
+		cc.since = time.Now()
+		t.mu.Unlock()
+		cc.phase.CompareAndSwap(active, quiet)
+	case http.StateClosed, http.StateHijacked:
+		t.mu.Lock()
+		delete(t.open, cc)
+		left := t.left
+		t.mu.Unlock()
+		reason := "CLOSED_BY_US" // after an answer that says so, or bytes that are no request
 		if left {
 			reason = "LEAVING"
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,6 +20,15 @@
 const (
 	maxTimeoutMs = 10 * 60 * 1000
 	maxHead      = 16 << 10
+	// requestWithin is how long a request, head and body, may take to come: from its first byte, or from the
+	// connection's start. A client that is slower, or says nothing, is owed an end within 3 s.
+	requestWithin = 2 * time.Second
+	// idleFor is how long a connection is kept for a next request. Clients count it among the few they may hold.
+	idleFor = 2 * time.Second
+	// drainFor and drainMost bound what is read of a refused body, to be thrown away: the client must be able to
+	// read its answer before a reset takes it.
+	drainFor  = 3 * time.Second
+	drainMost = 64 << 20
 )
 
 // Options set up the front.
@@ -49,7 +59,7 @@
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.Log)}
-	s.http = http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHead,
+	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
@@ -76,7 +86,11 @@
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := arrival(r.Context())
+	conn := connOf(r.Context())
+	if conn != nil && conn.phase.Load() == evicted {
+		panic(http.ErrAbortHandler) // closed to make room while its first head came
+	}
+	arrived := conn.arrival()
 	if r.URL.Path == "/-/ready" {
 		s.ready(w)
 		return
@@ -85,21 +99,25 @@
 		http.NotFound(w, r)
 		return
 	}
-	if isExtra(r.Context()) {
+	if conn != nil && conn.extra {
 		w.Header().Set("Connection", "close")
 		write(w, core.TooMany)
 		return
 	}
 	j, m, err := s.parse(r)
 	if err == nil {
-		m.Body, err = readBody(w, r, arrived.Add(j.Patience))
+		m.Body, err = readBody(r)
 	}
 	if err != nil {
-		refuseBad(w, err)
+		refuseBad(w, r, err)
 		return
 	}
 	if len(m.Body) > 0 {
-		arrived = arrival(r.Context())
+		arrived = conn.arrival()
+	}
+	// The time for the request to come must not run out on it while it is open.
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && conn != nil {
+		panic(http.ErrAbortHandler)
 	}
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
@@ -130,14 +148,21 @@
 	}
 }
 
-// refuseBad answers what could not be taken. None of these is a 429 or 503: a repeat would fare no better.
-func refuseBad(w http.ResponseWriter, err error) {
+// refuseBad answers what could not be taken, before what is left of its body, and then reads that away for a while. None
+// of these is a 429 or 503: a repeat would fare no better.
+func refuseBad(w http.ResponseWriter, r *http.Request, err error) {
 	var f *fault
 	if !errors.As(err, &f) {
 		f = &fault{http.StatusBadRequest, "body: not readable"}
 	}
+	rc := http.NewResponseController(w)
+	// Without it net/http would first wait for the body, which may never come.
+	rc.EnableFullDuplex()
 	w.Header().Set("Connection", "close")
 	http.Error(w, f.text, f.status)
+	if rc.Flush() == nil && f.status != http.StatusRequestTimeout && rc.SetReadDeadline(time.Now().Add(drainFor)) == nil {
+		io.CopyBuffer(struct{ io.Writer }{io.Discard}, io.LimitReader(r.Body, drainMost), make([]byte, 16<<10))
+	}
 }
 
 // write gives the one final answer. Its length is told ahead, so that a cut one shows.
@@ -155,6 +180,9 @@
 			w.Header().Set("Retry-After", fmt.Sprintf("%.3f", a.RetryAfter.Seconds()))
 		}
 		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
+	case core.Conflict:
+		w.Header().Set("Connection", "close")
+		http.Error(w, "Request-Id: a request of that id is open or may have run", http.StatusConflict)
 	default:
 		http.Error(w, "failed: it may have run", http.StatusBadGateway)
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -93,6 +94,7 @@
 		{core.Answer{Payload: []byte("data")}, 200, "", "data"},
 		{core.Answer{Ending: core.Refused, RetryAfter: 250 * time.Millisecond}, 503, "0.250", "refused: trying again is harmless\n"},
 		{core.Answer{Ending: core.Refused}, 503, "", "refused: trying again is harmless\n"},
+		{core.Answer{Ending: core.Conflict}, 409, "", "Request-Id: a request of that id is open or may have run\n"},
 		{core.Answer{Ending: core.Failed}, 502, "", "failed: it may have run\n"},
 	} {
 		go func() { (<-b.jobs).Done(c.answer) }()
@@ -127,6 +129,19 @@
 		{"short key", swap("7f3a9c21e0b4d655", "7f3a"), 400},
 		{"class", swap("/put/", "/odd/"), 404},
 		{"plan", swap("Tier: std", "Tier: odd"), 422},
+		{"two lengths", swap("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5"), 400},
+		{"length below none", swap("Content-Length: 4", "Content-Length: -4"), 400},
+		{"length past all", swap("Content-Length: 4", "Content-Length: 99999999999999999999"), 400},
+		{"length and coding", swap("Content-Length: 4\r\n\r\nbody", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+good), 411},
+		{"coding alone", swap("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 411},
+		{"length and coding of old", strings.Replace(swap("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked"), "HTTP/1.1", "HTTP/1.0", 1), 505},
+		{"read with a body", strings.Replace(swap("PUT", "GET"), "/put/", "/get/", 1), 400},
+		{"two ids", swap("Tier:", "Request-Id: id2\r\nTier:"), 400},
+		{"two plans", swap("Tier: std", "Tier: std\r\nTier: std"), 400},
+		{"two infos", swap("IO-Info:", "IO-Info: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\nIO-Info:"), 400},
+		{"two times", swap("Request-Timeout-Ms: 480", "Request-Timeout-Ms: 480\r\nRequest-Timeout-Ms: 480"), 400},
+		{"time with a sign", swap("480", "+480"), 400},
+		{"time past all", swap("480", "99999999999999999999"), 400},
 		{"no id", swap("Request-Id: id1\r\n", ""), 400},
 		{"id with a blank", swap("id1", "i d"), 400},
 		{"no time", swap("Request-Timeout-Ms: 480\r\n", ""), 400},
@@ -141,8 +156,13 @@
 		{"long head", swap("Host: a", "Host: a\r\nX: "+strings.Repeat("x", 40<<10)), 431},
 		{"long body", swap("Content-Length: 4\r\n\r\nbody", "Content-Length: 65537\r\n\r\n"+strings.Repeat("x", 65537)), 413},
 	} {
-		if resp, body, _ := ask(t, addr, c.raw); resp.StatusCode != c.want {
-			t.Errorf("%s: status %d (%q), want %d", c.name, resp.StatusCode, body, c.want)
+		resp, body, conn := ask(t, addr, c.raw)
+		if resp.StatusCode != c.want || !resp.Close {
+			t.Errorf("%s: status %d (%q), closes %v, want %d and a close", c.name, resp.StatusCode, body, resp.Close, c.want)
+		}
+		conn.(*net.TCPConn).CloseWrite()
+		if rest, _ := io.ReadAll(conn); len(rest) > 0 {
+			t.Errorf("%s: more was answered: %q", c.name, rest)
 		}
 	}
 	if len(b.jobs) != 0 {
@@ -208,6 +228,124 @@
 	}
 }
 
+// TestSlowClients guards against clients that say nothing, too little or too slowly: each is told an error or closed
+// within 3 s, one of them after a first request too. A request that is open for longer is none of them.
+func TestSlowClients(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	half := goodHead + "Content-Length: 9\r\n\r\nbo"
+	var wait sync.WaitGroup
+	for name, raw := range map[string]string{"silent": "", "half a head": goodHead, "half a body": half,
+		"a bad head with half a body": strings.Replace(half, "std", "odd", 1), "idle": good} {
+		wait.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			begun := time.Now()
+			c.SetDeadline(begun.Add(20 * time.Second))
+			io.WriteString(c, raw)
+			got, err := io.ReadAll(c)
+			if took := time.Since(begun); err != nil || took > 3*time.Second && name != "a bad head with half a body" {
+				t.Errorf("%s: ended after %v: %v", name, took, err)
+			}
+			if want := map[string]string{"half a body": " 408 ", "a bad head with half a body": " 422 ", "idle": " 200 "}[name]; !strings.Contains(string(got), want) {
+				t.Errorf("%s: told %q, want %s", name, got, want)
+			}
+		})
+	}
+	(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
+	wait.Go(func() {
+		if resp, _, _ := ask(t, addr, strings.Replace(good, "480", "9999", 1)); resp.StatusCode != 200 {
+			t.Errorf("open for long: status %d", resp.StatusCode)
+		}
+	})
+	j := <-b.jobs
+	time.Sleep(requestWithin + 200*time.Millisecond)
+	j.Done(core.Answer{Payload: []byte("x")})
+	wait.Wait()
+	if len(b.jobs)+len(b.gone) > 0 {
+		t.Errorf("%d more reached the core, %d departed", len(b.jobs), len(b.gone))
+	}
+}
+
+// TestHugeBody guards against an answer that a reset takes from a client which is still sending, and against holding
+// what is refused.
+func TestHugeBody(t *testing.T) {
+	_, _, addr := newFront(t, 64)
+	const size = 60 << 20
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", goodHead, size)
+	part := make([]byte, 64<<10)
+	for sent := 0; sent < size; sent += len(part) {
+		if _, err := c.Write(part); err != nil {
+			t.Fatalf("after %d bytes: %v", sent, err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 413 {
+		t.Errorf("answered with %+v, %v", resp, err)
+	}
+	if held := after.TotalAlloc - before.TotalAlloc; held > 8<<20 {
+		t.Errorf("%d bytes were taken in memory", held)
+	}
+}
+
+// TestSilentMakeRoom fills the clients' connections with ones that say nothing or only half a head: they make room, and
+// neither an idle one nor one with a request open goes before them.
+func TestSilentMakeRoom(t *testing.T) {
+	_, b, addr := newFront(t, 8)
+	_, _, used := func() (*http.Response, string, net.Conn) {
+		go func() { (<-b.jobs).Done(core.Answer{Payload: []byte("x")}) }()
+		return ask(t, addr, good)
+	}()
+	open, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer open.Close()
+	io.WriteString(open, good)
+	j := <-b.jobs
+	for i := range 100 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, goodHead)
+		}
+		if i == 5 {
+			time.Sleep(5 * silentFor) // from here on the first ones have been silent for long
+		}
+	}
+	time.Sleep(5 * silentFor)
+	go func() {
+		for range 20 {
+			(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
+		}
+	}()
+	for range 20 {
+		if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
+			t.Errorf("a usual client beside silent ones: status %d", resp.StatusCode)
+		}
+	}
+	j.Done(core.Answer{Payload: []byte("late")})
+	open.SetDeadline(time.Now().Add(20 * time.Second))
+	if resp, err := http.ReadResponse(bufio.NewReader(open), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the request that was open: %+v, %v", resp, err)
+	}
+	used.Close()
+}
+
 // TestCapMakesRoom fills the clients' connections: a new one is taken all the same, and the one idle longest goes.
 func TestCapMakesRoom(t *testing.T) {
 	_, b, addr := newFront(t, 2)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -28,6 +28,24 @@
 
 // parse reads the head of a request into a job; the body comes later.
 func (s *Server) parse(r *http.Request) (*core.Job, *upstream.Message, error) {
+	// net/http takes a Content-Length beside a Transfer-Encoding for nothing and drops it, and of HTTP/1.0 takes the
+	// coding for nothing: whoever stands before or after may see another request in the body. A length is asked for
+	// instead, of everyone.
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return nil, nil, bad(http.StatusLengthRequired, "Transfer-Encoding: a body needs a Content-Length instead")
+	case !r.ProtoAtLeast(1, 1):
+		return nil, nil, bad(http.StatusHTTPVersionNotSupported, "%s: HTTP/1.1 is served", r.Proto)
+	case r.ContentLength > upstream.MaxBody:
+		return nil, nil, bad(http.StatusRequestEntityTooLarge, "body: over %d bytes", upstream.MaxBody)
+	case r.Method == http.MethodGet && r.ContentLength != 0:
+		return nil, nil, bad(http.StatusBadRequest, "body: a GET has none")
+	}
+	for _, name := range []string{"Request-Id", "Request-Timeout-Ms", "Tier", "IO-Info"} {
+		if n := len(r.Header.Values(name)); n != 1 {
+			return nil, nil, bad(http.StatusBadRequest, "%s: wanted once, is there %d times", name, n)
+		}
+	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPut {
 		return nil, nil, bad(http.StatusMethodNotAllowed, "method %s: GET and PUT are served", r.Method)
 	}
@@ -44,13 +62,13 @@
 	if id == "" || len(id) > 64 || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) {
 		return nil, nil, bad(http.StatusBadRequest, "Request-Id: wanted 1 to 64 visible characters")
 	}
-	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
+	ms, err := strconv.ParseUint(r.Header.Get("Request-Timeout-Ms"), 10, 31)
 	// A late retry may have no whole millisecond left. That is no malformed request: it is refused, and its
 	// connection lives.
-	if err != nil || ms < 0 || ms > maxTimeoutMs {
+	if err != nil || ms > maxTimeoutMs {
 		return nil, nil, bad(http.StatusBadRequest, "Request-Timeout-Ms: wanted whole milliseconds, 0 to %d", maxTimeoutMs)
 	}
-	j := &core.Job{Patience: time.Duration(ms) * time.Millisecond}
+	j := &core.Job{Name: id, Patience: time.Duration(ms) * time.Millisecond}
 	if j.Request, err = parseInfo(r.Header.Get("IO-Info")); err != nil {
 		return nil, nil, err
 	}
@@ -116,22 +134,18 @@
 	return err == nil
 }
 
-// readBody reads the request's body, until the client's own time is up at the latest.
-func readBody(w http.ResponseWriter, r *http.Request, until time.Time) ([]byte, error) {
+// readBody reads the request's body, of a length that is told and not too large, within requestWithin.
+func readBody(r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(until); err != nil {
-		return nil, err
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, bad(http.StatusRequestTimeout, "body: did not come whole")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, upstream.MaxBody))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, bad(http.StatusRequestEntityTooLarge, "body: over %d bytes", upstream.MaxBody)
-	case err != nil:
-		return nil, bad(http.StatusBadRequest, "body: not whole")
+	// Its end has to be seen as well, or net/http would take it for unread.
+	if _, err := io.ReadFull(r.Body, make([]byte, 1)); err != io.EOF {
+		return nil, bad(http.StatusBadRequest, "body: not readable")
 	}
-	return body, rc.SetReadDeadline(time.Time{})
+	return body, nil
 }
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -217,10 +217,10 @@
 	}
 	quiet := false
 	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, not Read, which would wait for a reader that waits for bytes.
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
 	})
 	return err == nil && quiet
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -607,6 +607,7 @@
 		s.act(Action{Kind: Refuse, Request: e.ID})
 		return
 	}
+	e.Budget = min(e.Budget, c.Deadline) // nobody's patience is longer
 	v := s.volumes[e.Volume]
 	if v == nil {
 		v = &volume{plan: p, hosts: float64(max(1, e.Initiators)), filled: s.now, storeAt: s.now}
