--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -44,6 +44,7 @@
 	listen, discovery string
 	found             http.Handler
 	slow              atomic.Bool
+	asked             atomic.Int64
 	came, release     chan struct{}
 }
 
@@ -83,8 +84,8 @@
 		return 0, err.Error()
 	}
 	defer c.Close()
-	fmt.Fprint(c, "GET /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nRequest-Id: i\r\nTier: base\r\n"+
-		"Request-Timeout-Ms: 20000\r\nIO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n\r\n")
+	fmt.Fprintf(c, "GET /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nRequest-Id: i%d\r\nTier: base\r\n"+
+		"Request-Timeout-Ms: 20000\r\nIO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n\r\n", w.asked.Add(1))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, err.Error()
