--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -22,6 +22,11 @@
 	// MaxBody is the largest body of any message.
 	MaxBody = 64 << 10
 	maxHead = 16 << 10
+	// answerWithin is how long an answer may take from its first byte to its last: one that stops midway is not waited
+	// for until the attempt's time is over. Far above what 64 KiB take, and what a busy process is late by.
+	answerWithin = 250 * time.Millisecond
+	// mostInformed is how many 1xx answers may come in front of one.
+	mostInformed = 8
 )
 
 // Message is the payload of a job on this wire: what passes on unchanged.
@@ -68,13 +73,27 @@
 	}
 	limit := &io.LimitedReader{R: c.Conn, N: maxHead + MaxBody}
 	in := bufio.NewReaderSize(limit, 4096)
-	ans, err := readAnswer(in, m.Method)
+	begun := false
+	ans, err := readAnswer(in, m.Method, func() error {
+		begun = false
+		c.SetReadDeadline(a.Until)
+		if _, err := in.Peek(1); err != nil {
+			return err
+		}
+		begun = true
+		if soon := time.Now().Add(answerWithin); soon.Before(a.Until) {
+			return c.SetReadDeadline(soon)
+		}
+		return nil
+	})
 	if err != nil {
 		r.Code = spindlehitch.Reset
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
+		case late && begun:
+			return r, false, "READ_STALLED"
+		case late:
 			r.Code = spindlehitch.Expired
-		}
-		if limit.N <= 0 {
+		case limit.N <= 0:
 			return r, false, "ANSWER_TOO_LARGE"
 		}
 		return r, false, "READ_" + Cause(err)
@@ -131,16 +150,26 @@
 	return spindlehitch.Errored
 }
 
-var errTooLarge = errors.New("answer's body is too large")
+var (
+	errTooLarge = errors.New("answer's body is too large")
+	errUnframed = errors.New("answer's length is not told")
+	errInformed = errors.New("too many answers of the kind 1xx")
+)
 
-// readAnswer reads one whole answer.
-func readAnswer(in *bufio.Reader, method string) (*answer, error) {
-	for {
+// readAnswer reads one whole answer; await is called before each head.
+func readAnswer(in *bufio.Reader, method string, await func() error) (*answer, error) {
+	for informed := 0; ; informed++ {
+		if err := await(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(in, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
+			if informed == mostInformed {
+				return nil, errInformed
+			}
 			continue
 		}
 		a := &answer{status: resp.StatusCode, notRun: resp.Header.Get("Not-Started") == "1", close: resp.Close}
@@ -148,8 +177,11 @@
 		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < 1e6 {
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
 		}
-		if resp.ContentLength > MaxBody {
+		switch {
+		case resp.ContentLength > MaxBody:
 			return nil, errTooLarge
+		case resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+			return nil, errUnframed // it would last until the connection ends, and a cut one would pass for whole
 		}
 		var body bytes.Buffer
 		if resp.ContentLength > 0 {
@@ -165,7 +197,10 @@
 	}
 }
 
-// parseLoad reads a load report such as inflight=7,queue=2; nil where there is none.
+// mostLoad is past any number of requests that a target holds: what tells of more is no report.
+const mostLoad = 1e5
+
+// parseLoad reads a load report such as inflight=7,queue=2; nil where there is none that can be read.
 func parseLoad(s string) *spindlehitch.Load {
 	if s == "" {
 		return nil
@@ -174,7 +209,7 @@
 	for field := range strings.SplitSeq(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || x < 0 || x != x {
+		if err != nil || !(x >= 0 && x < mostLoad) {
 			continue
 		}
 		switch name {
@@ -184,6 +219,9 @@
 			l.InFlight = x
 		}
 	}
+	if l.Queue < 0 && l.InFlight < 0 {
+		return nil
+	}
 	return l
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -155,6 +155,53 @@
 	}
 }
 
+// TestSpoiltAnswers has targets answer what cannot be used: it may have run, nothing of it is served, the connection is
+// not used again, and what stops midway is not waited for. What is only more than was due costs the connection alone.
+func TestSpoiltAnswers(t *testing.T) {
+	const ok, spoilt = spindlehitch.Delivered, spindlehitch.Reset
+	good := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	for _, c := range []struct {
+		name, says string
+		want       spindlehitch.Code
+		conns      int32 // for two attempts
+	}{
+		{"whole", good, ok, 1},
+		{"noise", "\x00\xffnoise\r\n\r\n", spoilt, 2},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nx", spoilt, 2},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy", spoilt, 2},
+		{"length below none", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nx", spoilt, 2},
+		{"stops in its head", "HTTP/1.1 200 OK\r\nConte", spoilt, 2},
+		{"stops in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", spoilt, 2},
+		{"head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 20000), spoilt, 2},
+		{"claims 3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", spoilt, 2},
+		{"1xx in front", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", mostInformed) + good, ok, 1},
+		{"1xx without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", mostInformed+1) + good, spoilt, 2},
+		{"a second copy", good + good, ok, 2},
+		{"reports that cannot be read", strings.Replace(good, "Cont", "Server-Load: inflight=x,queue=1e99\r\nVolume-Load: -7\r\nCont", 1), ok, 1},
+	} {
+		s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+			io.WriteString(conn, c.says)
+			return true
+		})
+		b := newBench(s.Addr().String())
+		for range 2 {
+			begun := time.Now()
+			b.send(10 * time.Second)
+			r := b.result(t)
+			if r.Code != c.want || r.Code == ok && string(r.Payload.([]byte)) != "x" || r.Load != nil || r.Used != 0 {
+				t.Errorf("%s: %+v, want code %v", c.name, r, c.want)
+			}
+			if took := time.Since(begun); took > 5*time.Second {
+				t.Errorf("%s: waited for %v", c.name, took)
+			}
+			time.Sleep(5 * time.Millisecond) // for what comes after the answer
+		}
+		if got := s.accepted.Load(); got != c.conns {
+			t.Errorf("%s: %d connections for two attempts, want %d", c.name, got, c.conns)
+		}
+	}
+}
+
 // TestStaleConnection checks that a connection which the target closed while idle is not written to.
 func TestStaleConnection(t *testing.T) {
 	closed := make(chan bool)
@@ -277,16 +324,16 @@
 		body := rapid.StringN(0, 200, 300).Draw(t, "body")
 		whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nServer-Load: inflight=3\r\nVolume-Load: 85\r\nContent-Length: %d\r\n\r\n%s",
 			len(body), body)
-		a, err := readAnswer(bufio.NewReader(strings.NewReader(whole)), "GET")
+		a, err := readAnswer(bufio.NewReader(strings.NewReader(whole)), "GET", func() error { return nil })
 		if err != nil || string(a.body) != body || a.used != 86 || a.load.InFlight != 3 {
 			t.Fatalf("whole answer: %+v, %v", a, err)
 		}
 		cut := rapid.IntRange(0, len(whole)-1).Draw(t, "cut")
-		if a, err := readAnswer(bufio.NewReader(strings.NewReader(whole[:cut])), "GET"); err == nil {
+		if a, err := readAnswer(bufio.NewReader(strings.NewReader(whole[:cut])), "GET", func() error { return nil }); err == nil {
 			t.Fatalf("cut at %d passed for whole: %+v", cut, a)
 		}
 		garbage := rapid.SliceOf(rapid.Byte()).Draw(t, "garbage")
-		readAnswer(bufio.NewReader(strings.NewReader(string(garbage))), "GET")
+		readAnswer(bufio.NewReader(strings.NewReader(string(garbage))), "GET", func() error { return nil })
 		parseLoad(string(garbage))
 	})
 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -36,8 +36,8 @@
 	// spellAims is how many least aims an answer stays telling: one after a longer gap outweighs all before,
 	// and the latency expected falls to the base. Half forgets others' queues, double believes them too long.
 	spellAims = 4
-	beatParts = 8    // how many timers fit in a least aim, so that own pauses show. Half misses some.
-	keepAims  = 1000 // how many least aims what is idle stays known. Half forgets more, double holds more.
+	beatParts = 8  // how many timers fit in a least aim, so that own pauses show. Half misses some.
+	keepAims  = 60 // how many least aims what is idle stays known. Half forgets more, double holds more.
 	// quietFactor is how many usual latencies without an answer make a node quiet. Half takes pauses for it.
 	quietFactor = 4
 	// shareFloor is the least part of an even share that a host is taken to have. Double makes all even.
--- a/state.go
+++ b/state.go
@@ -170,7 +170,8 @@
 	return set
 }
 
-// sweep drops volumes that nothing was asked for since then, their flows, keys at rest, and nodes that are gone.
+// sweep drops volumes that nothing was asked for since then, their flows and empty lanes, keys at rest, and nodes that
+// are gone.
 func (s *Scheduler) sweep(since time.Duration) {
 	idle := func(v *volume) bool { return v.backlog == 0 && v.filled < since && v.ownAt < since }
 	for _, l := range s.lanes {
@@ -182,6 +183,10 @@
 			return drop
 		})
 	}
+	// A lane of a shard that no known node holds, and nothing waits in, is what somebody once asked for in vain.
+	s.lanes = slices.DeleteFunc(s.lanes, func(l *lane) bool {
+		return len(l.held)+len(l.flows) == 0 && !slices.ContainsFunc(s.nodes, func(n *node) bool { return n.Shard == l.shard })
+	})
 	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool { return idle(v) })
 	maps.DeleteFunc(s.keys, func(_ string, k *orderKey) bool { return len(k.line) == 0 && k.rest < since })
 	s.nodes = slices.DeleteFunc(s.nodes, func(n *node) bool {
