After SIGTERM open connections are served for 1.8 s more; silent NVMe hosts make room

Clients use what connections they have until these close, and net/http's Shutdown (front.go, Stop) closed them after 0.45 s. Mended: the listener closes after 0.45 s, connections are served until 1.8 s, what comes then has its answer by 2.6 s. Idle ones are ended by the table itself, after a look for bytes that wait, and not while leaving. NVMe does the same; its handshake has 2 s, and a connection that has not connected makes room for one that might.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,31 @@
 // machine has accepted but nobody has read from would be lost with the listener.
 const LingerFor = 450 * time.Millisecond
 
+// ServeFor is how long after SIGTERM a front goes on with what comes on connections that it has: their clients know no
+// other way, and go without until the successor is up. AnswerBy is when, from SIGTERM on, what was taken after
+// LingerFor has its answer, so that the successor need not wait.
+const (
+	ServeFor = 1800 * time.Millisecond
+	AnswerBy = 2600 * time.Millisecond
+)
+
+// Pause waits until then, or until the context ends.
+func Pause(ctx context.Context, until time.Time) {
+	select {
+	case <-time.After(time.Until(until)):
+	case <-ctx.Done():
+	}
+}
+
+// Cut shortens a patience so that the answer is there by AnswerBy, for a request taken after LingerFor; left is the
+// moment of SIGTERM, zero before it.
+func Cut(patience time.Duration, arrived, left time.Time) time.Duration {
+	if since := arrived.Sub(left); !left.IsZero() && since > LingerFor {
+		return max(min(patience, AnswerBy-since), 0)
+	}
+	return patience
+}
+
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
 type Job struct {
 	spindlehitch.Request
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -93,7 +93,7 @@
 	case c.asked.Load() == 0:
 		return "SILENT"
 	}
-	return "IDLE"
+	return "" // kept past its time only while the program leaves
 }
 
 type connKey struct{}
@@ -176,10 +176,7 @@
 		}
 		// One with bytes on their way is not closed: it is asking just now.
 		if was := o.phase.Load(); was == reading || upstream.Quiet(o.Conn) {
-			if was < active && o.phase.CompareAndSwap(was, evicted) {
-				o.end("CAP")
-				o.Conn.Close()
-				delete(t.open, o)
+			if was < active && t.evict(o, was, "CAP") {
 				return cc
 			}
 		}
@@ -188,6 +185,32 @@
 	return cc
 }
 
+// endIdle closes the connections that have been without a request for so long, unless the program leaves: what clients
+// have is then all they can use.
+func (t *connTable) endIdle(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left {
+		return
+	}
+	for c := range t.open {
+		if c.asked.Load() > 0 && time.Since(c.since) >= d && c.phase.Load() == quiet && upstream.Quiet(c.Conn) {
+			t.evict(c, quiet, "IDLE")
+		}
+	}
+}
+
+// evict closes a connection that is still in the phase, and on which nothing was read that counts; the table is locked.
+func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
+	if !c.phase.CompareAndSwap(phase, evicted) {
+		return false
+	}
+	c.end(reason)
+	c.Conn.Close()
+	delete(t.open, c)
+	return true
+}
+
 // leastNeeded is the connection to close for a new one: one that has said nothing for a while or is slow with its first
 // head, the oldest first; otherwise the one unused longest; otherwise one that is new and silent. Never one with a
 // request open.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,7 +23,8 @@
 	// requestWithin is how long a request, head and body, may take to come: from its first byte, or from the
 	// connection's start. A client that is slower, or says nothing, is owed an end within 3 s.
 	requestWithin = 2 * time.Second
-	// idleFor is how long a connection is kept for a next request. Clients count it among the few they may hold.
+	// idleFor is how long a connection is kept for a next request, but while the program leaves. Clients count it among
+	// the few they may hold.
 	idleFor = 2 * time.Second
 	// drainFor and drainMost bound what is read of a refused body, to be thrown away: the client must be able to
 	// read its answer before a reset takes it.
@@ -49,39 +50,57 @@
 
 // Server is the front.
 type Server struct {
-	opt     Options
-	core    Core
-	http    http.Server
-	conns   *connTable
-	leaving atomic.Bool
+	opt      Options
+	core     Core
+	http     http.Server
+	listener atomic.Pointer[net.Listener]
+	conns    *connTable
+	left     atomic.Pointer[time.Time] // when Stop was called
 }
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.Log)}
-	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleFor, MaxHeaderBytes: maxHead,
+	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: 2 * core.AnswerBy, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
 
 // Serve accepts until Stop.
 func (s *Server) Serve(l net.Listener) error {
+	s.listener.Store(&l)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		tick := time.NewTicker(idleFor / 8)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ended:
+				return
+			case <-tick.C:
+				s.conns.endIdle(idleFor)
+			}
+		}
+	}()
 	err := s.http.Serve(listener{l, s.conns})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.left.Load() != nil {
 		return nil
 	}
 	return err
 }
 
-// Stop leaves ready at once, keeps accepting while clients may still come, then finishes what was taken
-// until the context ends.
+// Stop leaves ready at once, keeps accepting while clients may still come, serves them for a while on the connections
+// they have, and then finishes what was taken until the context ends.
 func (s *Server) Stop(ctx context.Context) error {
-	s.leaving.Store(true)
-	select {
-	case <-time.After(core.LingerFor):
-	case <-ctx.Done():
-	}
+	now := time.Now()
+	s.left.Store(&now)
 	s.conns.leave()
+	core.Pause(ctx, now.Add(core.LingerFor))
+	if l := s.listener.Load(); l != nil {
+		(*l).Close()
+	}
+	core.Pause(ctx, now.Add(core.ServeFor))
 	return s.http.Shutdown(ctx)
 }
 
@@ -119,6 +138,9 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && conn != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if left := s.left.Load(); left != nil {
+		j.Patience = core.Cut(j.Patience, arrived, *left)
+	}
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
@@ -139,7 +161,7 @@
 
 func (s *Server) ready(w http.ResponseWriter) {
 	switch {
-	case s.leaving.Load():
+	case s.left.Load() != nil:
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case s.opt.Ready != nil && !s.opt.Ready():
 		http.Error(w, "no list of targets yet", http.StatusServiceUnavailable)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -405,16 +405,35 @@
 	j := <-b.jobs
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Stop(context.Background()) }()
-	for !s.leaving.Load() {
+	for s.left.Load() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	if resp, _, _ := ask(t, addr, ready); resp.StatusCode != 503 {
+	resp, _, kept := ask(t, addr, ready)
+	if resp.StatusCode != 503 {
 		t.Errorf("ready while leaving: %d", resp.StatusCode)
 	}
+	time.Sleep(core.LingerFor + 100*time.Millisecond)
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("still accepting after the linger")
+	}
+	// A client that has a connection is served on it, within the time that is left.
+	served := make(chan time.Duration, 1)
+	go func() {
+		j := <-b.jobs
+		served <- j.Patience
+		j.Done(core.Answer{Payload: []byte("kept")})
+	}()
+	if resp, body, _ := say(t, kept, strings.Replace(good, "480", "9999", 1)); resp.StatusCode != 200 || body != "kept" {
+		t.Errorf("on a connection from before: %d, %q", resp.StatusCode, body)
+	}
+	if p := <-served; p > core.AnswerBy-core.LingerFor {
+		t.Errorf("it may take %v, past the end", p)
+	}
 	select {
 	case <-stopped:
 		t.Error("ended with a request open")
-	case <-time.After(core.LingerFor + 100*time.Millisecond):
+	case <-time.After(core.ServeFor):
 	}
 	j.Done(core.Answer{Payload: []byte("late")})
 	wait.Wait()
--- a/internal/nvme/admin.go
+++ b/internal/nvme/admin.go
@@ -66,6 +66,7 @@
 	}
 	q.mu.Lock()
 	q.qid, q.size, q.sqhd = qid, uint16(size), 1
+	q.joined.Store(true)
 	q.mu.Unlock()
 	q.complete(p, stOK, uint64(q.ctrl.id), nil)
 }
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -34,7 +34,7 @@
 }
 
 const (
-	handshakeWithin = 5 * time.Second
+	handshakeWithin = 2 * time.Second
 	writeWithin     = 5 * time.Second
 	mostQueues      = 16 // I/O queues of one controller
 )
@@ -45,8 +45,9 @@
 	core    Core
 	spaces  map[uint32]*Namespace
 	bytes   atomic.Int64
-	open    atomic.Int64 // commands in the core
-	leaving atomic.Bool
+	open    atomic.Int64              // commands in the core
+	left    atomic.Pointer[time.Time] // when Stop was called
+	leaving atomic.Bool               // new commands are turned away
 
 	mu          sync.Mutex
 	controllers map[uint16]*controller
@@ -88,6 +89,8 @@
 	once   sync.Once
 	reason string
 
+	since   time.Time
+	joined  atomic.Bool // ctrl is set: the host has connected as NVMe knows it
 	framing framing
 	ctrl    *controller // set by Connect
 	qid     uint16
@@ -124,9 +127,10 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors, say: what is open goes on
 			continue
 		}
-		q := &queue{server: s, net: c, box: mailbox.New[[]byte](), ended: make(chan struct{}), cmds: map[uint16]*pending{}}
+		q := &queue{server: s, net: c, box: mailbox.New[[]byte](), ended: make(chan struct{}),
+			cmds: map[uint16]*pending{}, since: time.Now()}
 		s.mu.Lock()
-		full := len(s.queues) >= s.opt.MostConn
+		full := len(s.queues) >= s.opt.MostConn && !s.makeRoom()
 		if !full {
 			s.queues[q] = true
 		}
@@ -142,24 +146,41 @@
 	}
 }
 
+// makeRoom ends the connection that has been longest without a Connect, so that silent ones do not shut out hosts; the
+// server is locked. One that has joined is never ended for another.
+func (s *Server) makeRoom() bool {
+	var oldest *queue
+	for q := range s.queues {
+		if !q.joined.Load() && (oldest == nil || q.since.Before(oldest.since)) {
+			oldest = q
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(s.queues, oldest)
+	oldest.end("CAP")
+	return true
+}
+
 func (s *Server) log(q *queue, reason string) {
 	s.opt.Log.Info("connection ended", slog.String("side", "host"), slog.String("peer", q.net.RemoteAddr().String()),
 		slog.String("reason", reason), slog.Int("requests", q.asked), slog.Int("queue", int(q.qid)))
 }
 
-// Stop keeps accepting while hosts may still come, then turns new commands away, finishes those taken and
-// ends all connections.
+// Stop keeps accepting while hosts may still come, goes on for a while with commands on the connections there are, then
+// turns new ones away, finishes those taken and ends all connections.
 func (s *Server) Stop(ctx context.Context) error {
-	select {
-	case <-time.After(core.LingerFor):
-	case <-ctx.Done():
-	}
-	s.leaving.Store(true)
+	now := time.Now()
+	s.left.Store(&now)
+	core.Pause(ctx, now.Add(core.LingerFor))
 	s.mu.Lock()
 	if s.listener != nil {
 		s.listener.Close()
 	}
 	s.mu.Unlock()
+	core.Pause(ctx, now.Add(core.ServeFor))
+	s.leaving.Store(true)
 	for s.open.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(2 * time.Millisecond)
 	}
@@ -484,6 +505,9 @@
 	ns := q.server.spaces[p.io.NSID]
 	j := &core.Job{Request: ns.request(p.io), Arrived: time.Now(), Payload: p.io}
 	j.Patience = q.server.opt.Patience[j.Class]
+	if left := q.server.left.Load(); left != nil {
+		j.Patience = core.Cut(j.Patience, j.Arrived, *left)
+	}
 	delays := q.ctrl.wantsDelays()
 	j.Done = func(a core.Answer) {
 		st := statusOf(a, delays)
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -632,7 +632,41 @@
 	}
 }
 
-// TestStopFinishes checks that a command taken before the end is completed, and one after it turned away.
+// TestSilentHostsMakeRoom fills the hosts' connections with silent ones: a host still gets in, what has joined stays, and
+// nobody is let in once all have joined.
+func TestSilentHostsMakeRoom(t *testing.T) {
+	s, addr := newServer(t, newStore(), poolNQN)
+	s.mu.Lock()
+	s.opt.MostConn = 4
+	s.mu.Unlock()
+	first := newClient(t, addr, false)
+	for range 50 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	second := newClient(t, addr, false)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patient))
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a fifth connection beside four that have joined: %v, want it closed", err)
+	}
+	for _, h := range []*client{first, second} {
+		h.read(1, 1)
+		if done, _ := h.next(); done.status != stOK {
+			t.Errorf("a host that had joined: %+v", done)
+		}
+	}
+}
+
+// TestStopFinishes checks that a command taken before the end is completed, that hosts are served for a while after it on
+// what they have, within the time that is left, and turned away then.
 func TestStopFinishes(t *testing.T) {
 	back := newStore()
 	back.still = make(chan struct{})
@@ -642,6 +676,11 @@
 	<-back.came
 	stopped := make(chan error)
 	go func() { stopped <- s.Stop(context.Background()) }()
+	time.Sleep(core.LingerFor + 100*time.Millisecond)
+	meanwhile := c.read(3, 1)
+	if x := <-back.came; x.SLBA != 3 {
+		t.Errorf("block %d was read while the program leaves, want 3", x.SLBA)
+	}
 	for !s.leaving.Load() {
 		time.Sleep(time.Millisecond)
 	}
@@ -650,8 +689,10 @@
 		t.Errorf("late command: %+v, want it turned away", done)
 	}
 	close(back.still)
-	if done, _ := c.next(); done.cid != taken || done.status != stOK {
-		t.Errorf("command taken before: %+v", done)
+	for range 2 {
+		if done, _ := c.next(); done.cid != taken && done.cid != meanwhile || done.status != stOK {
+			t.Errorf("commands taken before: %+v", done)
+		}
 	}
 	if err := <-stopped; err != nil {
 		t.Error(err)
