Answers up to 1 MiB are read while their parts keep coming, within a room for all

Checked with a probe that printed lengths: 200s to reads, of up to 399 KB, spread evenly over targets and time, well-formed. http.go held answers to the 64 KiB of a request's body, so each was a reset that may have run, and was read again. Ruled out: client departures as the cause (each is CANCELLED, counted apart). Mended: 1 MiB for an answer, counted against a quarter of the memory for all that are being read; a client has 5 s to read its answer.

--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -113,7 +113,7 @@
 	}
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	var wire upstream.Wire = upstream.HTTP{}
+	var wire upstream.Wire = upstream.NewHTTP(int64(cfg.Limits.MemoryMB) << 20 / 4)
 	if op.NVMe != nil {
 		wire = nvme.NewHost(op.NVMe.Host())
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,8 @@
 	// read its answer before a reset takes it.
 	drainFor  = 3 * time.Second
 	drainMost = 64 << 20
+	// writeWithin is how long a client may take to read its answer.
+	writeWithin = 5 * time.Second
 )
 
 // Options set up the front.
@@ -192,6 +194,7 @@
 	switch a.Ending {
 	case core.Served:
 		body, _ := a.Payload.([]byte)
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
 		h := w.Header()
 		h.Set("Content-Type", "application/octet-stream")
 		h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,12 +20,14 @@
 )
 
 const (
-	// MaxBody is the largest body of any message.
+	// MaxBody is the largest body of a request.
 	MaxBody = 64 << 10
-	maxHead = 16 << 10
-	// answerWithin is how long an answer may take from its first byte to its last: one that stops midway is not waited
-	// for until the attempt's time is over. Far above what 64 KiB take, and what a busy process is late by.
-	answerWithin = 250 * time.Millisecond
+	// maxAnswer is the largest body of an answer. Targets send some of several hundred KB, past what a request may have.
+	maxAnswer = 1 << 20
+	maxHead   = 16 << 10
+	// stallAfter is how long an answer that has begun may bring nothing: one that stops midway is not waited for until
+	// the attempt's time is over. Far above what a busy process is late by.
+	stallAfter = 250 * time.Millisecond
 	// mostInformed is how many 1xx answers may come in front of one.
 	mostInformed = 8
 )
@@ -38,20 +41,50 @@
 }
 
 // HTTP is the platform's wire.
-type HTTP struct{}
+type HTTP struct {
+	room *atomic.Int64 // bytes that answers being read may still take together
+}
+
+// NewHTTP returns a wire whose answers together take no more than so many bytes while they are read.
+func NewHTTP(room int64) HTTP {
+	h := HTTP{&atomic.Int64{}}
+	h.room.Store(max(room, 2*maxAnswer))
+	return h
+}
 
 // Dial opens a connection.
-func (HTTP) Dial(ctx context.Context, addr string) (Session, error) {
+func (h HTTP) Dial(ctx context.Context, addr string) (Session, error) {
 	n, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &httpSession{n, addr}, nil
+	return &httpSession{n, addr, h.room}, nil
 }
 
 type httpSession struct {
 	net.Conn
 	host string
+	room *atomic.Int64
+}
+
+// stallReader reads an answer that has begun, as long as its parts keep coming.
+type stallReader struct {
+	net.Conn
+	until time.Time
+	begun bool
+}
+
+func (s *stallReader) Read(b []byte) (int, error) {
+	if s.begun {
+		at := time.Now().Add(stallAfter)
+		if s.until.Before(at) {
+			at = s.until
+		}
+		if err := s.SetReadDeadline(at); err != nil {
+			return 0, err
+		}
+	}
+	return s.Conn.Read(b)
 }
 
 // Do writes the request and reads the answer. The outcome is judged by the bytes written: short of the last
@@ -71,25 +104,22 @@
 		r.Code = spindlehitch.NoConnection
 		return r, false, "WRITE_" + Cause(err)
 	}
-	limit := &io.LimitedReader{R: c.Conn, N: maxHead + MaxBody}
+	parts := &stallReader{Conn: c.Conn, until: a.Until}
+	limit := &io.LimitedReader{R: parts, N: maxHead + maxAnswer}
 	in := bufio.NewReaderSize(limit, 4096)
-	begun := false
-	ans, err := readAnswer(in, m.Method, func() error {
-		begun = false
-		c.SetReadDeadline(a.Until)
-		if _, err := in.Peek(1); err != nil {
+	ans, err := readAnswer(in, m.Method, c.room, func() error {
+		parts.begun = false
+		if err := c.SetReadDeadline(a.Until); err != nil {
 			return err
 		}
-		begun = true
-		if soon := time.Now().Add(answerWithin); soon.Before(a.Until) {
-			return c.SetReadDeadline(soon)
-		}
-		return nil
+		_, err := in.Peek(1)
+		parts.begun = err == nil
+		return err
 	})
 	if err != nil {
 		r.Code = spindlehitch.Reset
 		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
-		case late && begun:
+		case late && parts.begun && time.Now().Before(a.Until):
 			return r, false, "READ_STALLED"
 		case late:
 			r.Code = spindlehitch.Expired
@@ -152,12 +182,13 @@
 
 var (
 	errTooLarge = errors.New("answer's body is too large")
+	errNoRoom   = errors.New("answers take too much memory together")
 	errUnframed = errors.New("answer's length is not told")
 	errInformed = errors.New("too many answers of the kind 1xx")
 )
 
-// readAnswer reads one whole answer; await is called before each head.
-func readAnswer(in *bufio.Reader, method string, await func() error) (*answer, error) {
+// readAnswer reads one whole answer, its body within the room there is; await is called before each head.
+func readAnswer(in *bufio.Reader, method string, room *atomic.Int64, await func() error) (*answer, error) {
 	for informed := 0; ; informed++ {
 		if err := await(); err != nil {
 			return nil, err
@@ -178,18 +209,26 @@
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
 		}
 		switch {
-		case resp.ContentLength > MaxBody:
+		case resp.ContentLength > maxAnswer:
 			return nil, errTooLarge
 		case resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 			return nil, errUnframed // it would last until the connection ends, and a cut one would pass for whole
 		}
+		most := resp.ContentLength
+		if most < 0 {
+			most = maxAnswer
+		}
+		defer room.Add(most)
+		if room.Add(-most) < 0 {
+			return nil, errNoRoom
+		}
 		var body bytes.Buffer
 		if resp.ContentLength > 0 {
 			body.Grow(int(resp.ContentLength) + bytes.MinRead)
 		}
-		if n, err := body.ReadFrom(io.LimitReader(resp.Body, MaxBody+1)); err != nil {
+		if n, err := body.ReadFrom(io.LimitReader(resp.Body, maxAnswer+1)); err != nil {
 			return nil, err
-		} else if n > MaxBody {
+		} else if n > maxAnswer {
 			return nil, errTooLarge
 		}
 		a.body = body.Bytes()
@@ -238,6 +277,8 @@
 		return "CLOSED"
 	case errors.Is(err, errTooLarge):
 		return "TOO_LARGE"
+	case errors.Is(err, errNoRoom):
+		return "NO_ROOM"
 	}
 	return "MALFORMED"
 }
