--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -144,7 +144,7 @@
 
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
+		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
 		o.Log = log
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -208,6 +208,10 @@
 	return max(n, 8)
 }
 
+// EasyConns is how many connections of clients may be without a request: half of the third of all descriptors that
+// clients hold at most.
+func (c *Config) EasyConns() int { return min(c.Limits.Sockets/6, c.ClientConns()) }
+
 // TargetConns is how many connections one target's pool may hold: more than the module ever has out there,
 // overdue attempts included, where the descriptors allow it.
 func (c *Config) TargetConns() int { return min(40, c.AllTargetConns()) }
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -17,11 +17,12 @@
 )
 
 // A connection's phases. Whoever moves it on does so by a compare-and-swap, so that a connection is never closed to
-// make room once a byte of a request on it has been read.
+// make room once a request on it has been taken.
 const (
 	quiet   int32 = iota // between requests, or nothing asked yet: no byte of a request has been read
-	reading              // part of a head has been read
+	reading              // part of a request has been read
 	active               // a request is open
+	spent                // a request was refused, and what is left of it is read away; no other follows
 	evicted              // closed to make room; nothing read from it counts any more
 )
 
@@ -30,7 +31,8 @@
 	net.Conn
 	table  *connTable
 	at     atomic.Pointer[time.Time] // of the last read that brought bytes
-	asked  atomic.Int64              // requests begun
+	asked  atomic.Int64              // requests of which a head has come
+	used   atomic.Bool               // a request has been answered on it
 	reason atomic.Pointer[string]
 	phase  atomic.Int32
 	since  time.Time // when it became quiet; under the table's lock
@@ -69,6 +71,12 @@
 	return nil
 }
 
+// claim takes the request that has been read; false where the connection was closed meanwhile to make room.
+func (c *clientConn) claim() bool {
+	return c == nil || c.phase.CompareAndSwap(reading, active) ||
+		c.phase.CompareAndSwap(quiet, active) // all of it was read ahead, with the one before
+}
+
 // end notes the first reason that is one.
 func (c *clientConn) end(reason string) {
 	if reason != "" {
@@ -87,10 +95,10 @@
 	}
 	switch {
 	case c.phase.Load() == reading:
-		return "HEAD_LATE"
-	case c.phase.Load() == active:
+		return "REQUEST_LATE"
+	case c.phase.Load() > reading:
 		return "" // net/http ends its own background read by a deadline in the past; that is no one's end
-	case c.asked.Load() == 0:
+	case !c.used.Load():
 		return "SILENT"
 	}
 	return "" // kept past its time only while the program leaves
@@ -132,16 +140,20 @@
 // connTable caps clients' connections. A new one past the cap is still taken, since the machine has accepted
 // it and a request on it would be lost: one without a request makes room. Where there is none, the new one's
 // request is refused at once, and the connection closed.
+//
+// Past easy connections, the cap is for those with a request open alone. Clients hold so many and no more, those that
+// asked once and stay included: where these take all, usual ones cannot even connect, and no cap here would be met.
 type connTable struct {
 	most int
+	easy int
 	log  *slog.Logger
 	mu   sync.Mutex
 	open map[*clientConn]bool
 	left bool
 }
 
-func newConnTable(most int, log *slog.Logger) *connTable {
-	return &connTable{most: most, log: log, open: map[*clientConn]bool{}}
+func newConnTable(most, easy int, log *slog.Logger) *connTable {
+	return &connTable{most: most, easy: min(easy, most), log: log, open: map[*clientConn]bool{}}
 }
 
 // listener wraps accepted connections.
@@ -163,9 +175,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open[cc] = true
-	for tries := 0; len(t.open) > t.most; tries++ {
-		o := t.leastNeeded(cc)
+	for tries := 0; len(t.open) > t.easy; tries++ {
+		full := len(t.open) > t.most
+		o := t.leastNeeded(cc, full)
 		if o == nil || tries == mostTries {
+			if !full {
+				break
+			}
 			cc.extra = true
 			cc.end("CAP")
 			if len(t.open) > t.most+slack {
@@ -175,8 +191,8 @@
 			break
 		}
 		// One with bytes on their way is not closed: it is asking just now.
-		if was := o.phase.Load(); was == reading || upstream.Quiet(o.Conn) {
-			if was < active && t.evict(o, was, "CAP") {
+		if was := o.phase.Load(); was == reading || was == spent || upstream.Quiet(o.Conn) {
+			if was != active && t.evict(o, was, "CAP") {
 				return cc
 			}
 		}
@@ -194,7 +210,7 @@
 		return
 	}
 	for c := range t.open {
-		if c.asked.Load() > 0 && time.Since(c.since) >= d && c.phase.Load() == quiet && upstream.Quiet(c.Conn) {
+		if c.used.Load() && time.Since(c.since) >= d && c.phase.Load() == quiet && upstream.Quiet(c.Conn) {
 			t.evict(c, quiet, "IDLE")
 		}
 	}
@@ -211,23 +227,26 @@
 	return true
 }
 
-// leastNeeded is the connection to close for a new one: one that has said nothing for a while or is slow with its first
-// head, the oldest first; otherwise the one unused longest; otherwise one that is new and silent. Never one with a
-// request open.
-func (t *connTable) leastNeeded(but *clientConn) *clientConn {
+// leastNeeded is the connection to close for a new one: one that has been refused; otherwise one that has said nothing
+// for a while or is slow with its first request, the oldest first; otherwise the one unused longest; otherwise, where the
+// table is full, one that is new and silent. Never one with a request open.
+func (t *connTable) leastNeeded(but *clientConn, full bool) *clientConn {
 	now := time.Now()
 	var best *clientConn
 	rank := func(c *clientConn) int {
-		first := c.asked.Load() == 0
+		first := !c.used.Load()
 		switch c.phase.Load() {
+		case spent:
+			return 4
 		case quiet:
 			switch {
 			case first && now.Sub(c.since) > silentFor:
 				return 3
 			case !first:
 				return 2
+			case full:
+				return 1
 			}
-			return 1
 		case reading:
 			if first && now.Sub(c.since) > 4*silentFor {
 				return 3
@@ -253,13 +272,11 @@
 	switch st {
 	case http.StateActive:
 		cc.asked.Add(1)
-		if !cc.phase.CompareAndSwap(reading, active) {
-			cc.phase.CompareAndSwap(quiet, active) // all of it was read ahead, with the one before
-		}
 	case http.StateIdle:
 		t.mu.Lock()
 		cc.since = time.Now()
 		t.mu.Unlock()
+		cc.used.Store(true)
 		cc.phase.CompareAndSwap(active, quiet)
 	case http.StateClosed, http.StateHijacked:
 		t.mu.Lock()
@@ -284,3 +301,14 @@
 	t.left = true
 	t.mu.Unlock()
 }
+
+// endUnasked closes what has no request open: net/http would wait for heads that may never come.
+func (t *connTable) endUnasked() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		if p := c.phase.Load(); p != active && (p != quiet || upstream.Quiet(c.Conn)) {
+			t.evict(c, p, "LEAVING")
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,6 +39,7 @@
 	Classes   map[string]bool
 	Plans     map[string]bool
 	MostConn  int         // clients' connections at a time
+	EasyConn  int         // of these, how many may be without a request
 	Ready     func() bool // whether requests can be sent on; nil: from the start
 	ReadyOnly bool        // requests come in by another front
 	Log       *slog.Logger
@@ -62,7 +63,7 @@
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
-	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.Log)}
+	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log)}
 	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: 2 * core.AnswerBy, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
@@ -103,24 +104,25 @@
 		(*l).Close()
 	}
 	core.Pause(ctx, now.Add(core.ServeFor))
+	s.http.SetKeepAlivesEnabled(false)
+	s.conns.endUnasked()
 	return s.http.Shutdown(ctx)
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
-	if conn != nil && conn.phase.Load() == evicted {
-		panic(http.ErrAbortHandler) // closed to make room while its first head came
-	}
 	arrived := conn.arrival()
-	if r.URL.Path == "/-/ready" {
+	switch own := r.URL.Path == "/-/ready"; {
+	case !own && !s.opt.ReadyOnly && (conn == nil || !conn.extra):
+	case !conn.claim():
+		panic(http.ErrAbortHandler)
+	case own:
 		s.ready(w)
 		return
-	}
-	if s.opt.ReadyOnly {
+	case s.opt.ReadyOnly:
 		http.NotFound(w, r)
 		return
-	}
-	if conn != nil && conn.extra {
+	default:
 		w.Header().Set("Connection", "close")
 		write(w, core.TooMany)
 		return
@@ -130,9 +132,12 @@
 		m.Body, err = readBody(r)
 	}
 	if err != nil {
-		refuseBad(w, r, err)
+		refuseBad(w, r, conn, err)
 		return
 	}
+	if !conn.claim() {
+		panic(http.ErrAbortHandler) // closed to make room while it came
+	}
 	if len(m.Body) > 0 {
 		arrived = conn.arrival()
 	}
@@ -174,7 +179,7 @@
 
 // refuseBad answers what could not be taken, before what is left of its body, and then reads that away for a while. None
 // of these is a 429 or 503: a repeat would fare no better.
-func refuseBad(w http.ResponseWriter, r *http.Request, err error) {
+func refuseBad(w http.ResponseWriter, r *http.Request, conn *clientConn, err error) {
 	var f *fault
 	if !errors.As(err, &f) {
 		f = &fault{http.StatusBadRequest, "body: not readable"}
@@ -184,7 +189,11 @@
 	rc.EnableFullDuplex()
 	w.Header().Set("Connection", "close")
 	http.Error(w, f.text, f.status)
-	if rc.Flush() == nil && f.status != http.StatusRequestTimeout && rc.SetReadDeadline(time.Now().Add(drainFor)) == nil {
+	flushed := rc.Flush() == nil
+	if conn != nil {
+		conn.phase.CompareAndSwap(reading, spent)
+	}
+	if flushed && f.status != http.StatusRequestTimeout && rc.SetReadDeadline(time.Now().Add(drainFor)) == nil {
 		io.CopyBuffer(struct{ io.Writer }{io.Discard}, io.LimitReader(r.Body, drainMost), make([]byte, 16<<10))
 	}
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -43,7 +43,7 @@
 func newFront(t *testing.T, most int) (*Server, *back, string) {
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
-	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most,
+	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
 		Log: slog.New(slog.DiscardHandler)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -299,51 +299,78 @@
 	}
 }
 
-// TestSilentMakeRoom fills the clients' connections with ones that say nothing or only half a head: they make room, and
-// neither an idle one nor one with a request open goes before them.
-func TestSilentMakeRoom(t *testing.T) {
-	_, b, addr := newFront(t, 8)
-	_, _, used := func() (*http.Response, string, net.Conn) {
-		go func() { (<-b.jobs).Done(core.Answer{Payload: []byte("x")}) }()
-		return ask(t, addr, good)
-	}()
-	open, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer open.Close()
-	io.WriteString(open, good)
-	j := <-b.jobs
-	for i := range 100 {
-		c, err := net.Dial("tcp", addr)
+// TestUselessMakeRoom fills the clients' connections with ones that say nothing, stop in a head or a body, or have been
+// refused and never end their body: they make room for usual clients, and one with a request open does not go.
+func TestUselessMakeRoom(t *testing.T) {
+	for name, raw := range map[string]string{"silent": "", "half a head": goodHead,
+		"half a body": goodHead + "Content-Length: 9\r\n\r\nbo",
+		"refused":     strings.Replace(goodHead, "std", "odd", 1) + "Content-Length: 9\r\n\r\nbo"} {
+		_, b, addr := newFront(t, 8)
+		open, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
-		if i%2 == 0 {
-			io.WriteString(c, goodHead)
+		defer open.Close()
+		io.WriteString(open, good)
+		j := <-b.jobs
+		for range 7 {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, raw)
 		}
-		if i == 5 {
-			time.Sleep(5 * silentFor) // from here on the first ones have been silent for long
+		time.Sleep(5 * silentFor)
+		go func() {
+			for range 7 {
+				(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
+			}
+		}()
+		for range 7 {
+			if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
+				t.Errorf("%s: a usual client got status %d", name, resp.StatusCode)
+			}
+		}
+		j.Done(core.Answer{Payload: []byte("late")})
+		open.SetDeadline(time.Now().Add(20 * time.Second))
+		if resp, err := http.ReadResponse(bufio.NewReader(open), nil); err != nil || resp.StatusCode != 200 {
+			t.Errorf("%s: the request that was open: %+v, %v", name, resp, err)
 		}
 	}
-	time.Sleep(5 * silentFor)
+}
+
+// TestIdleMakeRoomEarly guards against connections that asked once and stay: they go well before the cap, which clients
+// that count them among their own would never meet. Those with a request may use all of it.
+func TestIdleMakeRoomEarly(t *testing.T) {
+	s, b, addr := newFront(t, 8)
+	s.conns.easy = 3
 	go func() {
-		for range 20 {
+		for range 6 {
 			(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
 		}
 	}()
-	for range 20 {
-		if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
-			t.Errorf("a usual client beside silent ones: status %d", resp.StatusCode)
-		}
+	for range 6 {
+		ask(t, addr, good)
 	}
-	j.Done(core.Answer{Payload: []byte("late")})
-	open.SetDeadline(time.Now().Add(20 * time.Second))
-	if resp, err := http.ReadResponse(bufio.NewReader(open), nil); err != nil || resp.StatusCode != 200 {
-		t.Errorf("the request that was open: %+v, %v", resp, err)
+	s.conns.mu.Lock()
+	if n := len(s.conns.open); n > 3 {
+		t.Errorf("%d connections without a request are kept, want 3", n)
+	}
+	s.conns.mu.Unlock()
+	for i := range 8 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, good)
+		select {
+		case <-b.jobs:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("request %d on a connection of its own was not taken", i)
+		}
 	}
-	used.Close()
 }
 
 // TestCapMakesRoom fills the clients' connections: a new one is taken all the same, and the one idle longest goes.
