--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -131,9 +131,10 @@
 	// silentFor is how long a new connection may bring nothing before it makes room ahead of idle ones: usual
 	// clients connect to ask at once.
 	silentFor = 50 * time.Millisecond
-	// unusedFor is how long an answered connection must have been without a request to make room while there is some:
-	// a busy client takes one up again sooner, and would meet the close.
-	unusedFor = 250 * time.Millisecond
+	// unusedFor is how long an answered connection must have been without a request to make room while there is some.
+	// Ten times that kept a crowd of connections which asked once in the way:
+	// usual clients were left without.
+	unusedFor = 25 * time.Millisecond
 	// slack is how many connections past the cap are taken, each to have one request refused.
 	slack = 24
 	// mostTries is how many connections a new one looks at for room.
