--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -132,8 +132,7 @@
 	// clients connect to ask at once.
 	silentFor = 50 * time.Millisecond
 	// unusedFor is how long an answered connection must have been without a request to make room while there is some.
-	// Ten times that kept a crowd of connections which asked once in the way:
-	// usual clients were left without.
+	// At ten times that, a crowd of connections that asked once shut usual clients out.
 	unusedFor = 25 * time.Millisecond
 	// slack is how many connections past the cap are taken, each to have one request refused.
 	slack = 24
