--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -344,7 +344,9 @@
 // that count them among their own would never meet. Those with a request may use all of it.
 func TestIdleMakeRoomEarly(t *testing.T) {
 	s, b, addr := newFront(t, 8)
+	s.conns.mu.Lock()
 	s.conns.easy = 3
+	s.conns.mu.Unlock()
 	go func() {
 		for range 6 {
 			(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
