Read over: one eviction for all callers, one rule on what may have run, dead code out

Found in a second reading of the change; what is served and refused stays the same. - conns.go: the look for waiting bytes stood in three places beside the swap of the phase; it is in evict now. add had read the phase anew after a connection was chosen, so an idle one that began a request in between could be closed: it is evicted only from the phase it was chosen in. Its loop is told from what follows it; the field table was never read; nil connections (tests alone) are blank ones. - front.go: the first switch of ServeHTTP, two panics beside claim, and the case of an error that is no fault, which parse and readBody no longer have. Stop turned keep-alives off, which closes idle connections without that look, just before Shutdown does so. - request.go: one more read for a body's end; net/http tells it with the last bytes. - core.Cut takes the moment of SIGTERM as both fronts hold it, and checks it once. - Code.MayRun: the module and the core each had the list of codes. - EasyConns: the table bounds it by the cap already. discovery: fetch takes a URL.

--- a/api.go
+++ b/api.go
@@ -149,6 +149,9 @@
 	Moot
 )
 
+// MayRun tells whether an attempt that ended so may have run.
+func (c Code) MayRun() bool { return c != Full && c != NoConnection && c != Moot }
+
 // Load is what a node reports of itself, late and noisy. A negative figure is not told.
 type Load struct {
 	Queue    float64 // requests that wait
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -210,7 +210,7 @@
 
 // EasyConns is how many connections of clients may be without a request: half of the third of all descriptors that
 // clients hold at most.
-func (c *Config) EasyConns() int { return min(c.Limits.Sockets/6, c.ClientConns()) }
+func (c *Config) EasyConns() int { return c.Limits.Sockets / 6 }
 
 // TargetConns is how many connections one target's pool may hold: more than the module ever has out there,
 // overdue attempts included, where the descriptors allow it.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,12 +59,16 @@
 }
 
 // Cut shortens a patience so that the answer is there by AnswerBy, for a request taken after LingerFor; left is the
-// moment of SIGTERM, zero before it.
-func Cut(patience time.Duration, arrived, left time.Time) time.Duration {
-	if since := arrived.Sub(left); !left.IsZero() && since > LingerFor {
-		return max(min(patience, AnswerBy-since), 0)
+// moment of SIGTERM, nil before it.
+func Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
+	if left == nil {
+		return patience
 	}
-	return patience
+	since := arrived.Sub(*left)
+	if since <= LingerFor {
+		return patience
+	}
+	return max(min(patience, AnswerBy-since), 0)
 }
 
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
@@ -279,11 +283,7 @@
 		return
 	}
 	e.out, e.last = false, r.Code
-	switch r.Code {
-	case spindlehitch.Full, spindlehitch.NoConnection, spindlehitch.Moot:
-	default:
-		e.mayRun = true
-	}
+	e.mayRun = e.mayRun || r.Code.MayRun()
 	if r.Code == spindlehitch.Delivered {
 		c.answer(e, Answer{Ending: Served, Payload: r.Payload})
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -158,9 +158,9 @@
 	}
 }
 
-// watchAt calls discovery at one address until the context ends. After any doubt (a call that failed or was given up, a list that makes
-// no sense, a version that went back) it asks for the whole list; otherwise it goes on where it is, at once,
-// since a gap of 200 ms between two calls would end the watch.
+// watchAt calls discovery at one address until the context ends. After any doubt (a call that failed or was given up, a
+// list that makes no sense, a version that went back) it asks for the whole list; otherwise it goes on where it is, at
+// once, since a gap of 200 ms between two calls would end the watch.
 func (w *Watcher) watchAt(ctx context.Context, addr string) {
 	sure, failed := false, 0
 	for ctx.Err() == nil {
@@ -169,7 +169,7 @@
 			path = fmt.Sprintf("/api/targets?after=%d&wait_ms=%d", w.has, watchFor.Milliseconds())
 			wait = watchFor
 		}
-		l, err := w.fetch(ctx, addr+path, wait+graceFor)
+		l, err := w.fetch(ctx, "http://"+addr+path, wait+graceFor)
 		if err == nil && !l.Full && (!sure || *l.Version < w.has) {
 			err = fmt.Errorf("a change to version %d where %d is held and the whole list was due", *l.Version, w.has)
 		}
@@ -202,7 +202,7 @@
 func (w *Watcher) fetch(ctx context.Context, url string, within time.Duration) (*List, error) {
 	ctx, stop := context.WithTimeout(ctx, within)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+url, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -83,7 +83,7 @@
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
 	defer s.Close()
 	w := New("", nil, nil, slog.New(slog.DiscardHandler))
-	if _, err := w.fetch(context.Background(), strings.TrimPrefix(s.URL, "http://")+"/api/targets", 50*time.Millisecond); err == nil {
+	if _, err := w.fetch(context.Background(), s.URL+"/api/targets", 50*time.Millisecond); err == nil {
 		t.Error("a silent call came to something")
 	}
 }
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -29,7 +29,6 @@
 // clientConn notes when a client's bytes came and why its connection ended.
 type clientConn struct {
 	net.Conn
-	table  *connTable
 	at     atomic.Pointer[time.Time] // of the last read that brought bytes
 	asked  atomic.Int64              // requests of which a head has come
 	used   atomic.Bool               // a request has been answered on it
@@ -71,10 +70,12 @@
 	return nil
 }
 
-// claim takes the request that has been read; false where the connection was closed meanwhile to make room.
-func (c *clientConn) claim() bool {
-	return c == nil || c.phase.CompareAndSwap(reading, active) ||
-		c.phase.CompareAndSwap(quiet, active) // all of it was read ahead, with the one before
+// claim takes the request that has been read. It ends the handler where the connection was closed meanwhile to make room.
+func (c *clientConn) claim() {
+	if !c.phase.CompareAndSwap(reading, active) &&
+		!c.phase.CompareAndSwap(quiet, active) { // all of it was read ahead, with the one before
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // end notes the first reason that is one.
@@ -93,15 +94,15 @@
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return "CLIENT_READ_FAILED"
 	}
-	switch {
-	case c.phase.Load() == reading:
+	switch phase := c.phase.Load(); {
+	case phase == reading:
 		return "REQUEST_LATE"
-	case c.phase.Load() > reading:
-		return "" // net/http ends its own background read by a deadline in the past; that is no one's end
-	case !c.used.Load():
+	case phase == quiet && !c.used.Load():
 		return "SILENT"
 	}
-	return "" // kept past its time only while the program leaves
+	// net/http ends its own background read by a deadline in the past, which is no one's end; and only while the
+	// program leaves is a connection kept so long that it ends an idle one.
+	return ""
 }
 
 type connKey struct{}
@@ -110,19 +111,19 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connOf is the connection that a request came on; nil in tests that have none.
+// connOf is the connection that a request came on; a blank one in tests that have none.
 func connOf(ctx context.Context) *clientConn {
-	c, _ := ctx.Value(connKey{}).(*clientConn)
-	return c
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		return c
+	}
+	return &clientConn{}
 }
 
 // arrival is when the last byte of the request so far was read, which may be well before a busy process
 // gets to run its handler: the client's time runs from there.
 func (c *clientConn) arrival() time.Time {
-	if c != nil {
-		if at := c.at.Load(); at != nil {
-			return *at
-		}
+	if at := c.at.Load(); at != nil {
+		return *at
 	}
 	return time.Now()
 }
@@ -174,32 +175,31 @@
 }
 
 func (t *connTable) add(c net.Conn) *clientConn {
-	cc := &clientConn{Conn: c, table: t, since: time.Now()}
+	cc := &clientConn{Conn: c, since: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.open[cc] = true
-	for tries := 0; len(t.open) > t.easy; tries++ {
-		full := len(t.open) > t.most
-		o := t.leastNeeded(cc, full)
-		if o == nil || tries == mostTries {
-			if !full {
-				break
-			}
-			cc.extra = true
-			cc.end("CAP")
-			if len(t.open) > t.most+slack {
-				cc.phase.Store(evicted)
-				cc.Conn.Close()
-			}
+	if len(t.open) <= t.easy {
+		return cc
+	}
+	full := len(t.open) > t.most
+	for range mostTries {
+		o, phase := t.leastNeeded(cc, full)
+		if o == nil {
 			break
 		}
-		// One with bytes on their way is not closed: it is asking just now.
-		if was := o.phase.Load(); was == reading || was == spent || upstream.Quiet(o.Conn) {
-			if was != active && t.evict(o, was, "CAP") {
-				return cc
-			}
+		if t.evict(o, phase, "CAP") {
+			return cc
+		}
+		o.since = time.Now() // it is asking just now
+	}
+	if full {
+		cc.extra = true
+		cc.end("CAP")
+		if len(t.open) > t.most+slack {
+			cc.phase.Store(evicted)
+			cc.Conn.Close()
 		}
-		o.since = time.Now()
 	}
 	return cc
 }
@@ -213,15 +213,16 @@
 		return
 	}
 	for c := range t.open {
-		if c.used.Load() && time.Since(c.since) >= d && c.phase.Load() == quiet && upstream.Quiet(c.Conn) {
+		if c.used.Load() && time.Since(c.since) >= d && c.phase.Load() == quiet {
 			t.evict(c, quiet, "IDLE")
 		}
 	}
 }
 
-// evict closes a connection that is still in the phase, and on which nothing was read that counts; the table is locked.
+// evict closes a connection that is still in the phase, which is any but active. One with bytes on their way to it is not
+// closed: it is asking just now. The table is locked.
 func (t *connTable) evict(c *clientConn, phase int32, reason string) bool {
-	if !c.phase.CompareAndSwap(phase, evicted) {
+	if phase == quiet && !upstream.Quiet(c.Conn) || !c.phase.CompareAndSwap(phase, evicted) {
 		return false
 	}
 	c.end(reason)
@@ -232,13 +233,12 @@
 
 // leastNeeded is the connection to close for a new one: one that has been refused; otherwise one that has said nothing
 // for a while or is slow with its first request, the oldest first; otherwise the one unused longest; otherwise, where the
-// table is full, one that is new and silent. Never one with a request open.
-func (t *connTable) leastNeeded(but *clientConn, full bool) *clientConn {
+// table is full, one that is new and silent. Never one with a request open. With it comes the phase it was seen in.
+func (t *connTable) leastNeeded(but *clientConn, full bool) (best *clientConn, seen int32) {
 	now := time.Now()
-	var best *clientConn
-	rank := func(c *clientConn) int {
+	rank := func(c *clientConn, phase int32) int {
 		first := !c.used.Load()
-		switch c.phase.Load() {
+		switch phase {
 		case spent:
 			return 4
 		case quiet:
@@ -259,11 +259,12 @@
 	}
 	most := 0
 	for c := range t.open {
-		if r := rank(c); c != but && r > 0 && (r > most || r == most && c.since.Before(best.since)) {
-			best, most = c, r
+		phase := c.phase.Load()
+		if r := rank(c, phase); c != but && r > 0 && (r > most || r == most && c.since.Before(best.since)) {
+			best, seen, most = c, phase, r
 		}
 	}
-	return best
+	return best, seen
 }
 
 // state follows net/http's states, and logs one line when a connection ends.
@@ -310,8 +311,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.open {
-		if p := c.phase.Load(); p != active && (p != quiet || upstream.Quiet(c.Conn)) {
-			t.evict(c, p, "LEAVING")
+		if phase := c.phase.Load(); phase != active {
+			t.evict(c, phase, "LEAVING")
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -104,7 +104,6 @@
 		(*l).Close()
 	}
 	core.Pause(ctx, now.Add(core.ServeFor))
-	s.http.SetKeepAlivesEnabled(false)
 	s.conns.endUnasked()
 	return s.http.Shutdown(ctx)
 }
@@ -112,42 +111,36 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
 	arrived := conn.arrival()
-	switch own := r.URL.Path == "/-/ready"; {
-	case !own && !s.opt.ReadyOnly && (conn == nil || !conn.extra):
-	case !conn.claim():
-		panic(http.ErrAbortHandler)
-	case own:
-		s.ready(w)
-		return
-	case s.opt.ReadyOnly:
-		http.NotFound(w, r)
-		return
-	default:
-		w.Header().Set("Connection", "close")
-		write(w, core.TooMany)
+	if ready := r.URL.Path == "/-/ready"; ready || s.opt.ReadyOnly || conn.extra {
+		conn.claim()
+		switch {
+		case ready:
+			s.ready(w)
+		case s.opt.ReadyOnly:
+			http.NotFound(w, r)
+		default:
+			w.Header().Set("Connection", "close")
+			write(w, core.TooMany)
+		}
 		return
 	}
-	j, m, err := s.parse(r)
-	if err == nil {
-		m.Body, err = readBody(r)
+	j, m, f := s.parse(r)
+	if f == nil {
+		m.Body, f = readBody(r)
 	}
-	if err != nil {
-		refuseBad(w, r, conn, err)
+	if f != nil {
+		refuseBad(w, r, conn, f)
 		return
 	}
-	if !conn.claim() {
-		panic(http.ErrAbortHandler) // closed to make room while it came
-	}
+	conn.claim()
 	if len(m.Body) > 0 {
 		arrived = conn.arrival()
 	}
 	// The time for the request to come must not run out on it while it is open.
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && conn != nil {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		panic(http.ErrAbortHandler)
 	}
-	if left := s.left.Load(); left != nil {
-		j.Patience = core.Cut(j.Patience, arrived, *left)
-	}
+	j.Patience = core.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := make(chan core.Answer, 1)
 	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
@@ -179,20 +172,14 @@
 
 // refuseBad answers what could not be taken, before what is left of its body, and then reads that away for a while. None
 // of these is a 429 or 503: a repeat would fare no better.
-func refuseBad(w http.ResponseWriter, r *http.Request, conn *clientConn, err error) {
-	var f *fault
-	if !errors.As(err, &f) {
-		f = &fault{http.StatusBadRequest, "body: not readable"}
-	}
+func refuseBad(w http.ResponseWriter, r *http.Request, conn *clientConn, f *fault) {
 	rc := http.NewResponseController(w)
 	// Without it net/http would first wait for the body, which may never come.
 	rc.EnableFullDuplex()
 	w.Header().Set("Connection", "close")
 	http.Error(w, f.text, f.status)
 	flushed := rc.Flush() == nil
-	if conn != nil {
-		conn.phase.CompareAndSwap(reading, spent)
-	}
+	conn.phase.CompareAndSwap(reading, spent)
 	if flushed && f.status != http.StatusRequestTimeout && rc.SetReadDeadline(time.Now().Add(drainFor)) == nil {
 		io.CopyBuffer(struct{ io.Writer }{io.Discard}, io.LimitReader(r.Body, drainMost), make([]byte, 16<<10))
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -20,14 +20,12 @@
 	text   string
 }
 
-func (f *fault) Error() string { return f.text }
-
-func bad(status int, format string, args ...any) error {
+func bad(status int, format string, args ...any) *fault {
 	return &fault{status, fmt.Sprintf(format, args...)}
 }
 
 // parse reads the head of a request into a job; the body comes later.
-func (s *Server) parse(r *http.Request) (*core.Job, *upstream.Message, error) {
+func (s *Server) parse(r *http.Request) (*core.Job, *upstream.Message, *fault) {
 	// net/http takes a Content-Length beside a Transfer-Encoding for nothing and drops it, and of HTTP/1.0 takes the
 	// coding for nothing: whoever stands before or after may see another request in the body. A length is asked for
 	// instead, of everyone.
@@ -68,10 +66,11 @@
 	if err != nil || ms > maxTimeoutMs {
 		return nil, nil, bad(http.StatusBadRequest, "Request-Timeout-Ms: wanted whole milliseconds, 0 to %d", maxTimeoutMs)
 	}
-	j := &core.Job{Name: id, Patience: time.Duration(ms) * time.Millisecond}
-	if j.Request, err = parseInfo(r.Header.Get("IO-Info")); err != nil {
-		return nil, nil, err
+	q, f := parseInfo(r.Header.Get("IO-Info"))
+	if f != nil {
+		return nil, nil, f
 	}
+	j := &core.Job{Request: q, Name: id, Patience: time.Duration(ms) * time.Millisecond}
 	j.Class, j.Plan, j.Extent = class, r.Header.Get("Tier"), key
 	if !s.opt.Classes[j.Class] {
 		return nil, nil, bad(http.StatusNotFound, "class %q is not served here", j.Class)
@@ -83,7 +82,7 @@
 }
 
 // parseInfo reads IO-Info: volume, units, shard and hosts, in any order; other fields are skipped.
-func parseInfo(s string) (spindlehitch.Request, error) {
+func parseInfo(s string) (spindlehitch.Request, *fault) {
 	var q spindlehitch.Request
 	var seen [4]bool
 	for field := range strings.SplitSeq(s, ",") {
@@ -135,7 +134,7 @@
 }
 
 // readBody reads the request's body, of a length that is told and not too large, within requestWithin.
-func readBody(r *http.Request) ([]byte, error) {
+func readBody(r *http.Request) ([]byte, *fault) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -143,9 +142,5 @@
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, bad(http.StatusRequestTimeout, "body: did not come whole")
 	}
-	// Its end has to be seen as well, or net/http would take it for unread.
-	if _, err := io.ReadFull(r.Body, make([]byte, 1)); err != io.EOF {
-		return nil, bad(http.StatusBadRequest, "body: not readable")
-	}
 	return body, nil
 }
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -504,10 +504,7 @@
 func (q *queue) submit(p *pending) {
 	ns := q.server.spaces[p.io.NSID]
 	j := &core.Job{Request: ns.request(p.io), Arrived: time.Now(), Payload: p.io}
-	j.Patience = q.server.opt.Patience[j.Class]
-	if left := q.server.left.Load(); left != nil {
-		j.Patience = core.Cut(j.Patience, j.Arrived, *left)
-	}
+	j.Patience = core.Cut(q.server.opt.Patience[j.Class], j.Arrived, q.server.left.Load())
 	delays := q.ctrl.wantsDelays()
 	j.Done = func(a core.Answer) {
 		st := statusOf(a, delays)
--- a/scheduler.go
+++ b/scheduler.go
@@ -670,7 +670,7 @@
 	if e.Code != NoConnection && e.Code != Moot {
 		r.by = r.due - 2*s.set.Tick // an attempt was written: its client is not held back for nothing
 	}
-	if e.Code != Full && e.Code != NoConnection && e.Code != Moot && !r.mayRun {
+	if e.Code.MayRun() && !r.mayRun {
 		r.mayRun, r.ranZone, r.ranShard, r.ranSince = true, n.Zone, n.Shard, r.outAt
 	}
 	switch {
