--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -248,7 +248,9 @@
 // mostLoad is past any number of requests that a target holds: what tells of more is no report.
 const mostLoad = 1e5
 
-// parseLoad reads a load report such as inflight=7,queue=2; nil where there is none that can be read.
+// parseLoad reads a load report such as concurrent=7,depth=2; nil where there is none that can be read. Its fields have
+// the names that the settings give (report.fields: concurrent, depth); inflight and queue are the names in the protocol's
+// own example. A report under names that are not known here would be missed without a sign.
 func parseLoad(s string) *spindlehitch.Load {
 	if s == "" {
 		return nil
@@ -261,9 +263,9 @@
 			continue
 		}
 		switch name {
-		case "queue":
+		case "depth", "queue":
 			l.Queue = x
-		case "inflight":
+		case "concurrent", "inflight":
 			l.InFlight = x
 		}
 	}
--- a/scheduler.go
+++ b/scheduler.go
@@ -42,6 +42,12 @@
 	quietFactor = 4
 	// shareFloor is the least part of an even share that a host is taken to have. Double makes all even.
 	shareFloor = 0.5
+	// loadFree is how many requests a node may report before they tell of a queue: what it serves at once is no
+	// wait, and reports are late. At 0 nodes idle half-empty (lost 0.08), at 2 some (lost 0.04).
+	loadFree = 4
+	// loadAdds is the part of the base latency that each one past them adds. Learned from answers it came out high,
+	// as few of those that met a report had met the load in it.
+	loadAdds = 0.25
 	// meterFresh is how many periods a reading of use is believed. Half drops seldom ones, double lags.
 	meterFresh = 5
 )
@@ -70,7 +76,6 @@
 	taken, extra                                    []time.Duration
 	timerAt, wakeAt, swept, stalled, askAt, askWait time.Duration
 
-	adds    float64    // part of the base latency that a request waiting at a node adds
 	ready   []*request // what the gate lets through at the lane in hand
 	actions []Action
 }
@@ -95,7 +100,6 @@
 		byID:     map[string]*node{},
 		keys:     map[string]*orderKey{},
 		timerAt:  never,
-		adds:     0.5, // two served at once, until seen
 		askAt:    never,
 		askWait:  time.Second,
 	}
@@ -425,10 +429,7 @@
 		n.recent = append(n.recent, draw{s.now, r.Units})
 	}
 	r.sent++
-	r.out, r.outAt, r.met = n, s.now, -1
-	if s.now-n.told < s.leastAim/2 {
-		r.met = n.load
-	}
+	r.out, r.outAt = n, s.now
 	n.out = append(n.out, r)
 	wait := s.patience(n, r)
 	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: min(wait, max(r.due-s.now, s.set.Tick))})
@@ -492,19 +493,18 @@
 func (s *Scheduler) expect(n *node) float64 {
 	spell := spellAims * s.leastAim.Seconds()
 	seen := (n.latency - n.base) * math.Exp(-(s.now-n.heard).Seconds()/spell)
-	told := n.base * s.adds * n.load * math.Exp(-(s.now-n.told).Seconds()/spell)
+	told := n.base * loadAdds * max(0, n.load-loadFree) * math.Exp(-(s.now-n.told).Seconds()/spell)
 	return n.base + max(seen, told)
 }
 
-// onLoad takes a node's report for one more sign of its latency: what waits there is answered first. How
-// much a waiting request adds is learned over all nodes, as a part of the base. Where reports are missing
-// the answers have the word; absurd ones are ignored.
+// onLoad takes a node's report for one more sign of its latency: what waits there is answered first. Where
+// reports are missing the answers have the word; absurd ones are ignored.
 func (s *Scheduler) onLoad(n *node, l *Load) {
 	if l == nil || n.latency == 0 {
 		return
 	}
-	load := l.Queue
-	if !(load >= 0) {
+	load := l.Queue + loadFree
+	if !(load >= loadFree) {
 		load = l.InFlight
 	}
 	if load >= 0 && load < 1e6 {
@@ -552,9 +552,6 @@
 		if n.latency == 0 {
 			n.latency, n.base = took, took
 		}
-		if r.met > 0 && n.base > 0 {
-			s.adds += (max(0, took/n.base-1)/r.met - s.adds) * windowGain
-		}
 		gain := max(windowGain, 1-math.Exp(-(s.now-n.heard).Seconds()/(spellAims*s.leastAim.Seconds())))
 		if took < n.base {
 			n.base += (took - n.base) * gain
--- a/state.go
+++ b/state.go
@@ -43,7 +43,6 @@
 	ranShard int           // and at which shard
 	ranSince time.Duration // since when
 	drawn    bool          // its units were drawn from the volume's limit
-	met      float64       // load that the node told of just before the attempt; -1: not known
 	late     bool          // can no longer be answered within the aim
 	aside    bool          // set aside: the node cannot do all in time, and this earns least
 	done     bool
