--- a/scheduler.go
+++ b/scheduler.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -264,8 +265,8 @@
 	l.wake = never
 	for l.node != nil && len(l.held) > 0 {
 		room := s.room(l.node, 0)
-		if !room && !s.room(l.node, runLength-1) {
-			return
+		if !room && !(s.follows(l) && s.room(l.node, runLength-1)) {
+			return // without a look at all that is held, which each event would cost where much is
 		}
 		r := s.pick(l, room)
 		if r == nil {
@@ -275,6 +276,13 @@
 	}
 }
 
+// follows tells whether something held is of the extent that the lane's node was sent last, and may go on with it.
+func (s *Scheduler) follows(l *lane) bool {
+	n := l.node
+	return n.last != "" && n.run < runLength &&
+		slices.ContainsFunc(l.held, func(r *request) bool { return r.Extent == n.last && r.sent == 0 })
+}
+
 // pick returns what leaves next: of what can make its aim the eligible request of least finish tag, or one of
 // the last extent; at a synchronization point the next to become eligible; on an idle node what is set aside.
 func (s *Scheduler) pick(l *lane, room bool) *request {
@@ -284,7 +292,7 @@
 	for _, r := range s.ready {
 		switch {
 		case r.aside:
-			if aside == nil || s.value(r) > s.value(aside) {
+			if aside == nil || r.earns > aside.earns {
 				aside = r
 			}
 		case r.start > s.now:
@@ -337,13 +345,13 @@
 			continue
 		}
 		s.ready = append(s.ready, r)
-		r.aside = false
+		r.aside, r.earns = false, s.value(r)
 		alone := s.now + seconds(usual*s.size(r.Units))
 		work += r.Units
 		for alone+seconds((work-r.Units)*each) > r.fullAim && !r.aside {
 			least := r
 			for _, q := range s.ready {
-				if !q.aside && s.value(q) < s.value(least) {
+				if !q.aside && q.earns < least.earns {
 					least = q
 				}
 			}
@@ -568,7 +576,9 @@
 		if next < n.window || float64(len(n.out)) >= math.Floor(n.window) {
 			n.window += (next - n.window) * windowGain
 		}
-		n.window = min(windowMost, max(1, n.window))
+		// Where few share a node, each has its part of what it serves at once: two with one out each idled cores,
+		// most after each trouble, and a link that fell silent is one.
+		n.window = min(windowMost, max(1, loadFree/float64(s.set.Initiators), n.window))
 	case Full:
 		n.window = max(1, n.window/2)
 		n.heard = s.now
@@ -829,12 +839,12 @@
 func (s *Scheduler) coldGate(n *node, units float64) time.Duration {
 	ru := s.set.Rules
 	age := s.now - n.Started
-	var sum, shown float64
-	n.recent, sum = within(n.recent, s.now-ru.FallWithin-s.set.Tick) // also while warm: a start is told late
-	n.served, shown = within(n.served, s.now-ru.FallWithin+s.set.Tick)
+	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick) // also while warm: a start is told late
+	n.served = since(n.served, s.now-ru.FallWithin+s.set.Tick)
 	if n.Started <= 0 || age >= ru.WarmWithin || ru.FallWithin <= 0 {
-		return 0
+		return 0 // before the sums: every held request comes here at every step
 	}
+	sum, shown := total(n.recent), total(n.served)
 	grown := 1 + (1/max(ru.ColdShare, 0.01)-1)*max(0, age.Seconds())/ru.WarmWithin.Seconds()
 	part := s.set.ColdUnits / float64(s.set.Initiators) * grown
 	if s.crowd && sum == 0 || sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -240,7 +240,9 @@
 // TestQuietNodeGetsTrials checks that a node that answers nothing is left with one fresh attempt at a time,
 // and is used again from its first answer on.
 func TestQuietNodeGetsTrials(t *testing.T) {
-	r := newRig(t, plain(), up("n", 0))
+	set := plain()
+	set.Initiators = 4 // each with one as its part of what the node serves at once
+	r := newRig(t, set, up("n", 0))
 	r.step(req("a", "v", 1), req("b", "v", 1))
 	r.now += 500 * ms
 	for i := range 5 {
@@ -472,7 +474,9 @@
 // until requests became late. Under pressure the same latencies must leave the depth shallow.
 func TestCalmNodeGetsDepth(t *testing.T) {
 	depth := func(pressed bool) float64 {
-		r := newRig(t, plain(), up("n", 0))
+		set := plain()
+		set.Initiators = 8 // else its part of what the node serves at once is deeper than either
+		r := newRig(t, set, up("n", 0))
 		n := r.s.byID["n"]
 		r.wait(time.Minute)
 		for i := range 60 {
@@ -570,6 +574,47 @@
 	}
 }
 
+// TestFullNodeCostsNoLook guards against a loss seen at 600 requests a second on a quarter of a core: each event had all
+// that is held at a full node judged anew. Only a request that may follow on the last extent is worth it.
+func TestFullNodeCostsNoLook(t *testing.T) {
+	for _, extent := range []string{"other", "same"} {
+		r := newRig(t, plain(), up("n", 0))
+		r.s.byID["n"].window = 1
+		out := req("out", "v", 1)
+		out.Extent = "same"
+		r.step(out)
+		r.s.ready = nil
+		held := req("held", "w", 1)
+		held.Extent = extent
+		r.step(held)
+		if looked := r.s.ready != nil; looked != (extent == "same") || looked != (len(r.sends) == 2) {
+			t.Errorf("held of extent %q: looked at %v, sent %v", extent, looked, r.sent())
+		}
+	}
+}
+
+// TestFewShareANode guards against cores that idle where only two initiators share the nodes: however slow the answers,
+// each keeps its part of what a node serves at once.
+func TestFewShareANode(t *testing.T) {
+	for initiators, want := range map[int]float64{1: 4, 2: 2, 8: 1} {
+		set := plain()
+		set.Initiators = initiators
+		r := newRig(t, set, up("n", 0))
+		r.s.byID["n"].window = 6
+		for i := range 80 {
+			id := fmt.Sprintf("a%d", i)
+			r.step(req(id, "v", 1))
+			took := time.Duration(10+i*5) * ms
+			r.wait(took)
+			r.s.byID["n"].pressed = r.now
+			r.end(id, Delivered, took)
+		}
+		if got := math.Round(r.s.byID["n"].window); got != want {
+			t.Errorf("%d initiators: depth %v after ever slower answers, want %v", initiators, got, want)
+		}
+	}
+}
+
 // TestHeldToTheAim guards against requests that wait on once their aim is lost, sent before or not: each holds one of
 // the few connections that its client has. Up to then a request that came back unrun is not given up.
 func TestHeldToTheAim(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -44,6 +44,7 @@
 	ranSince time.Duration // since when
 	drawn    bool          // its units were drawn from the volume's limit
 	late     bool          // can no longer be answered within the aim
+	earns    float64       // what a unit of it earns, as last looked at
 	aside    bool          // set aside: the node cannot do all in time, and this earns least
 	done     bool
 	heapAt   int // place among the times to answer by; -1: not there
@@ -115,16 +116,20 @@
 	units float64
 }
 
-// within drops the draws before from, and sums the rest.
-func within(list []draw, from time.Duration) ([]draw, float64) {
+// since drops the draws before from.
+func since(list []draw, from time.Duration) []draw {
 	for len(list) > 0 && list[0].at < from {
 		list = list[1:]
 	}
-	sum := 0.0
+	return list
+}
+
+// total sums the draws.
+func total(list []draw) (sum float64) {
 	for _, d := range list {
 		sum += d.units
 	}
-	return list, sum
+	return sum
 }
 
 // orderKey is the queue of one extent whose requests take turns.
