The base latency fades while no answer renews it, so that one slow answer bars no class

Seen by reading, after late requests came to be refused at once: sift lapses what takes longer than the time left by the node's base latency, and the base changes with answers alone (scheduler.go, learn). A node whose first answer to an instance took longer than the aim of reads, as one does that starts or pauses, got no reads from it any more, and where others do not come it was never heard of again. Before, a late request was its trial. Checked with a test: after one answer in 900 ms at an aim of 400 everything lapsed, also 3 s later. Mended: sift takes the base as believed by the time since the node was heard (fresh, which expect and learn share).

--- a/scheduler.go
+++ b/scheduler.go
@@ -18,8 +18,8 @@
 const (
 	// runLength bounds a run on one extent. Half saves less work, double passes others' deadlines.
 	runLength = 6
-	// latencyRise is how far above its base a node may answer before the depth shrinks to windowPush more than its
-	// part: what waits there can no longer be ordered. Double lost 0.09, thrice 0.17 on overloaded days.
+	// latencyRise is how far above its base a node may answer before the depth shrinks: what waits there can
+	// no longer be ordered. Double lost 0.09, thrice 0.17 on overloaded days.
 	latencyRise = 1.0
 	// calmAims is how many least aims without a late or set-aside request make a node calm: then it may have
 	// twice the depth. Half queues more between surges, double idles cores (without: quiet days lose 0.2).
@@ -41,11 +41,11 @@
 	quietFactor = 4
 	// shareFloor is the least part of an even share that a host is taken to have. Double makes all even.
 	shareFloor = 0.5
-	// loadFree is how many requests a node may report before they tell of a queue: what it serves at once is no
-	// wait, and reports are late. At 0 nodes idle half-empty (lost 0.08), at 2 some (lost 0.04).
+	// loadFree is how many requests a node may report before they tell of a queue: what it serves at once is
+	// no wait, and reports are late. At 0 nodes idle half-empty (lost 0.08), at 2 some (lost 0.04).
 	loadFree = 4
-	// loadAdds is the part of the base latency that each one past them adds. Learned from answers it came out high,
-	// as few of those that met a report had met the load in it.
+	// loadAdds is the part of the base latency that each one past them adds. Learned from answers it came out
+	// high, as few of those that met a report had met the load in it.
 	loadAdds = 0.25
 	// meterFresh is how many periods a reading of use is believed. Half drops seldom ones, double lags.
 	meterFresh = 5
@@ -276,7 +276,7 @@
 	}
 }
 
-// follows tells whether something held is of the extent that the lane's node was sent last, and may go on with it.
+// follows tells whether something held may go on with the extent that the lane's node was sent last.
 func (s *Scheduler) follows(l *lane) bool {
 	n := l.node
 	return n.last != "" && n.run < runLength &&
@@ -331,14 +331,15 @@
 func (s *Scheduler) sift(l *lane) {
 	n := l.node
 	s.ready = s.ready[:0]
-	usual := s.expect(n)
+	usual, fresh := s.expect(n), s.fresh(n.heard)
 	work, each := 0.0, usual/n.window/s.set.MeanUnits
 	for _, r := range l.held { // in order of aim
 		if wait := s.gate(r, l); wait > s.now {
 			l.wake = min(l.wake, wait)
 			continue
 		}
-		if s.now+seconds(n.base*s.size(r.Units)) > r.fullAim {
+		// The base fades while no answer renews it: else one slow answer would bar a class for ever.
+		if s.now+seconds(n.base*fresh*s.size(r.Units)) > r.fullAim {
 			s.lapse(r)
 		}
 		if r.late {
@@ -361,8 +362,8 @@
 	}
 }
 
-// lapse gives up a request that can no longer make its aim: it is answered before the step is over. Waiting on,
-// it would hold a connection that its client needs for the next one, and a late answer earns next to nothing.
+// lapse gives up a request that can no longer make its aim: it is answered before the step is over. Waiting
+// on, it would hold a connection that its client needs for the next, and a late answer earns next to nothing.
 func (s *Scheduler) lapse(r *request) {
 	if r.late {
 		return
@@ -499,12 +500,16 @@
 // expect is the latency to expect now: as answers or reports tell, falling to the base while none renews it,
 // so that one bad spell is not believed for ever by an initiator that holds back because of it.
 func (s *Scheduler) expect(n *node) float64 {
-	spell := spellAims * s.leastAim.Seconds()
-	seen := (n.latency - n.base) * math.Exp(-(s.now-n.heard).Seconds()/spell)
-	told := n.base * loadAdds * max(0, n.load-loadFree) * math.Exp(-(s.now-n.told).Seconds()/spell)
+	seen := (n.latency - n.base) * s.fresh(n.heard)
+	told := n.base * loadAdds * max(0, n.load-loadFree) * s.fresh(n.told)
 	return n.base + max(seen, told)
 }
 
+// fresh is how much of what was learned at that time is still believed.
+func (s *Scheduler) fresh(at time.Duration) float64 {
+	return math.Exp(-(s.now - at).Seconds() / (spellAims * s.leastAim.Seconds()))
+}
+
 // onLoad takes a node's report for one more sign of its latency: what waits there is answered first. Where
 // reports are missing the answers have the word; absurd ones are ignored.
 func (s *Scheduler) onLoad(n *node, l *Load) {
@@ -560,7 +565,7 @@
 		if n.latency == 0 {
 			n.latency, n.base = took, took
 		}
-		gain := max(windowGain, 1-math.Exp(-(s.now-n.heard).Seconds()/(spellAims*s.leastAim.Seconds())))
+		gain := max(windowGain, 1-s.fresh(n.heard))
 		if took < n.base {
 			n.base += (took - n.base) * gain
 		} else {
@@ -576,8 +581,8 @@
 		if next < n.window || float64(len(n.out)) >= math.Floor(n.window) {
 			n.window += (next - n.window) * windowGain
 		}
-		// Where few share a node, each has its part of what it serves at once: two with one out each idled cores,
-		// most after each trouble, and a link that fell silent is one.
+		// Where few share a node, each has its part of what it serves at once: two with one out each idled
+		// cores, most after each trouble, and a link that fell silent is one.
 		n.window = min(windowMost, max(1, loadFree/float64(s.set.Initiators), n.window))
 	case Full:
 		n.window = max(1, n.window/2)
@@ -761,8 +766,8 @@
 	}
 }
 
-// answerDue ends the held requests that can no longer make their aim, and those of which half the time is over
-// without an attempt: what still comes of them earns next to nothing, and clients pay for being held back.
+// answerDue ends the held requests that can no longer make their aim, and those of which half the time is
+// over without an attempt: what still comes of them earns next to nothing, and clients pay for being held.
 func (s *Scheduler) answerDue() {
 	for len(s.dues) > 0 {
 		r := s.dues[0]
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -615,6 +615,24 @@
 	}
 }
 
+// TestSlowAnswerBarsNoClass guards against a node whose first answer came after the aim: everything lapses there at once,
+// so that no answer could ever show that the node is quick again.
+func TestSlowAnswerBarsNoClass(t *testing.T) {
+	r := newRig(t, plain(), up("n", 0))
+	r.step(req("slow", "v", 1))
+	r.wait(900 * ms)
+	r.end("slow", Delivered, 900*ms)
+	r.step(req("lapsed", "v", 1))
+	if len(r.ends) != 1 || r.ends[0].Request != "lapsed" {
+		t.Fatalf("ends %v, want one refused: the node takes 900 ms", r.ends)
+	}
+	r.wait(3 * time.Second)
+	r.step(req("trial", "v", 1))
+	if got := r.sent(); !slices.Contains(got, "trial") {
+		t.Errorf("sent %v, want a trial once nothing was heard for a while", got)
+	}
+}
+
 // TestHeldToTheAim guards against requests that wait on once their aim is lost, sent before or not: each holds one of
 // the few connections that its client has. Up to then a request that came back unrun is not given up.
 func TestHeldToTheAim(t *testing.T) {
