--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	// watchFor is how long a watch may wait. Longer ones are asked for less often.
-	watchFor = 20 * time.Second
-	// graceFor is how long an answer may be overdue before the call is given up: discovery is silent while
-	// it is down, and what it has to say counts as told that long after the wait.
-	graceFor = 1500 * time.Millisecond
+	// watchFor is how long a watch may wait. It is short, since a call whose connection fell silent looks just like a
+	// list that does not change, until the wait is over: at 20 s, targets that were long replaced were still sent to.
+	watchFor = time.Second
+	// graceFor is how long an answer may be overdue before the call is given up. Discovery is the machine's own agent
+	// and answers at once; far above what a busy process is late by.
+	graceFor = 500 * time.Millisecond
 	// retryAfter is the pause after a call that failed.
 	retryAfter = 100 * time.Millisecond
 	maxList    = 4 << 20
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -33,13 +33,13 @@
 		ask    string // what must have been asked
 	}{
 		{200, list(5, true, one), "/api/targets"},
-		{200, list(6, false, strings.Replace(one, "SERVING", "DRAINING", 1)), "/api/targets?after=5&wait_ms=20000"},
-		{200, list(6, false), "/api/targets?after=6&wait_ms=20000"},
-		{500, "", "/api/targets?after=6&wait_ms=20000"},
+		{200, list(6, false, strings.Replace(one, "SERVING", "DRAINING", 1)), "/api/targets?after=5&wait_ms=1000"},
+		{200, list(6, false), "/api/targets?after=6&wait_ms=1000"},
+		{500, "", "/api/targets?after=6&wait_ms=1000"},
 		{200, "nonsense", "/api/targets"},
 		{200, list(7, false, one), "/api/targets"}, // a change where the whole list was due
 		{200, list(8, true, one), "/api/targets"},
-		{200, list(2, false, one), "/api/targets?after=8&wait_ms=20000"}, // went back
+		{200, list(2, false, one), "/api/targets?after=8&wait_ms=1000"}, // went back
 		{200, list(9, true, one), "/api/targets"},
 	}
 	asked := make(chan string, 64)
@@ -88,6 +88,32 @@
 	}
 }
 
+// TestSilentWatch guards against a watch that fell silent while discovery goes on: it looks like a list that does not
+// change. The whole list must be asked for soon, since targets that drain are sent to meanwhile.
+func TestSilentWatch(t *testing.T) {
+	asked := make(chan string, 64)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Path + r.URL.RawQuery
+		if r.URL.Query().Has("after") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, list(5, true, one))
+	}))
+	defer s.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	w := New(strings.TrimPrefix(s.URL, "http://"), nil, func(*List) {}, slog.New(slog.DiscardHandler))
+	go w.Run(ctx)
+	<-asked
+	<-asked
+	select {
+	case <-asked:
+	case <-time.After(3 * time.Second):
+		t.Error("a silent watch is still waited for after 3 s")
+	}
+}
+
 // TestMove has discovery move twice while a watch waits: the whole list is asked for at once at the last address,
 // also where its version is an older one, and the connections to the first are closed.
 func TestMove(t *testing.T) {
@@ -111,14 +137,14 @@
 	told := make(chan int64, 64)
 	w := New(strings.TrimPrefix(first.URL, "http://"), nil, func(l *List) { told <- *l.Version }, slog.New(slog.DiscardHandler))
 	go w.Run(ctx)
-	for _, want := range []string{"/api/targets", "/api/targets?after=9&wait_ms=20000"} {
+	for _, want := range []string{"/api/targets", "/api/targets?after=9&wait_ms=1000"} {
 		if got := <-askedFirst; got != want {
 			t.Fatalf("at first %q was asked, want %q", got, want)
 		}
 	}
 	w.Move("127.0.0.1:1")
 	w.Move(strings.TrimPrefix(second.URL, "http://"))
-	for _, want := range []string{"/api/targets", "/api/targets?after=4&wait_ms=20000"} {
+	for _, want := range []string{"/api/targets", "/api/targets?after=4&wait_ms=1000"} {
 		if got := <-askedSecond; got != want {
 			t.Fatalf("after the move %q was asked, want %q", got, want)
 		}
