--- a/scheduler.go
+++ b/scheduler.go
@@ -461,9 +461,9 @@
 			s.nodes = append(s.nodes, n)
 		}
 		if x.Started != n.Started && s.now-x.Started < s.set.Rules.WarmWithin {
-			n.window, n.streak, n.latency = 1, 0, 0
+			n.window, n.streak, n.latency, n.load = 1, 0, 0, -1
 			if s.crowd { // each starts at a moment of its own, so that what was held does not come at once
-				n.openAt = s.now + time.Duration(s.rng.Float64()*float64(s.set.Rules.WarmWithin/2))
+				n.openAt = s.now + time.Duration(s.rng.Float64()*float64(s.set.Rules.FallWithin))
 			}
 		}
 		n.Node = x
@@ -835,8 +835,9 @@
 }
 
 // coldGate keeps what this initiator sends to a cold node within its part of what such a node bears, growing
-// along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is
-// under one mean request, few of the initiators have work for it at a time: one request a span may go.
+// along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is under
+// one mean request the node's own reports tell of all initiators' sends: while it holds few requests, each may
+// have one out there. They are as late as FallWithin allows; without one, a request a span may go.
 func (s *Scheduler) coldGate(n *node, units float64) time.Duration {
 	ru := s.set.Rules
 	age := s.now - n.Started
@@ -848,7 +849,10 @@
 	sum, shown := total(n.recent), total(n.served)
 	grown := 1 + (1/max(ru.ColdShare, 0.01)-1)*max(0, age.Seconds())/ru.WarmWithin.Seconds()
 	part := s.set.ColdUnits / float64(s.set.Initiators) * grown
-	if s.crowd && sum == 0 || sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
+	if sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
+		return 0
+	}
+	if s.crowd && len(n.out) == 0 && (sum == 0 || n.load >= 0 && n.load <= loadFree && s.now-n.told < ru.FallWithin) {
 		return 0
 	}
 	return s.now + ru.FallWithin/16
