--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -129,7 +129,11 @@
 		listed.Store(true)
 	}
 	go c.Run(work)
-	list := discovery.New(cfg.Discovery, cfg.Known, tell, log)
+	about := discovery.Options{Addr: cfg.Discovery, Known: cfg.Known, Seed: cfg.Seed, Log: log}
+	if cfg.Module.AskForList {
+		about.Crowd = cfg.Module.Initiators
+	}
+	list := discovery.New(about, tell)
 	go list.Run(work)
 	go func() {
 		for {
