--- a/api.go
+++ b/api.go
@@ -79,6 +79,7 @@
 	ColdUnits    float64       // units within FallWithin that a cold node bears from all initiators
 	FairWorth    float64       // part of the worth that units beyond the reserve earn inside the share
 	IdleWorth    float64       // part of the worth that units beyond the share earn
+	Handshake    float64       // what a new connection to a node costs, in requests
 	Meter        time.Duration // period of the use meter; 0: none
 	AskForList   bool          // the node list must be subscribed to
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -47,6 +47,9 @@
 		ConnIdleUs    int64 `json:"connIdleUs"`
 		DialTimeoutUs int64 `json:"dialTimeoutUs"`
 	} `json:"limits"`
+	Prices struct {
+		Handshake float64 `json:"handshake"`
+	} `json:"prices"`
 	RegistryMode string `json:"registryMode"`
 	Rules        struct {
 		ColdShare          float64  `json:"coldShare"`
@@ -84,6 +87,7 @@
 		IdleWorth:    o.Extra.IdleWorth,
 		LargestUnits: o.Extra.Largest,
 		ColdUnits:    o.Extra.ColdBears,
+		Handshake:    o.Prices.Handshake,
 		Meter:        Us(o.Extra.MeteringUs),
 		AskForList:   o.RegistryMode == "on_request",
 		Rules: spindlehitch.Rules{
--- a/scheduler.go
+++ b/scheduler.go
@@ -263,6 +263,10 @@
 func (s *Scheduler) releaseLane(l *lane) {
 	l.wake = never
 	for l.node != nil && len(l.held) > 0 {
+		if wait := s.thrift(l); wait > s.now {
+			l.wake = min(l.wake, wait)
+			return
+		}
 		room := s.room(l.node, 0)
 		if !room && !(s.room(l.node, runLength-1) && slices.ContainsFunc(l.held, l.node.follows)) {
 			return // without a look at all that is held, which each event would cost where much is
@@ -275,6 +279,16 @@
 	}
 }
 
+// thrift tells until when the lane makes do with the connections it has to its node, where the settings price a
+// handshake: what can wait for one in use until half of its aim is over does so. At two thirds it is no better.
+func (s *Scheduler) thrift(l *lane) time.Duration {
+	n, r := l.node, l.held[0]
+	if s.set.Handshake <= 0 || len(n.out) == 0 || len(n.out) < n.wide {
+		return 0
+	}
+	return min(r.fullAim-seconds(2*s.expect(n)*s.size(r.Units)), r.fullAim-r.class.Aim/2)
+}
+
 // follows tells whether the request may go on with the extent that the node was sent last.
 func (n *node) follows(r *request) bool {
 	return n.run < runLength && r.Extent != "" && r.Extent == n.last && r.sent == 0
@@ -436,6 +450,7 @@
 	r.sent++
 	r.out, r.outAt = n, s.now
 	n.out = append(n.out, r)
+	n.wide = max(n.wide, len(n.out))
 	wait := s.patience(n, r)
 	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: min(wait, max(r.due-s.now, s.set.Tick))})
 }
@@ -463,7 +478,7 @@
 		if x.Started != n.Started && s.now-x.Started < s.set.Rules.WarmWithin {
 			n.window, n.streak, n.latency, n.load = 1, 0, 0, -1
 			if s.crowd { // each starts at a moment of its own, so that what was held does not come at once
-				n.openAt = s.now + time.Duration(s.rng.Float64()*float64(s.set.Rules.FallWithin))
+				n.openAt = s.now + time.Duration(s.rng.Float64()*float64(s.set.Rules.FallWithin/2))
 			}
 		}
 		n.Node = x
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -573,6 +573,34 @@
 	}
 }
 
+// TestConnectionsAreScarce guards against what the fleet's days showed: 80 initiators opened two connections and more to
+// each of their nodes for requests that had time to wait for the first, where the settings price each handshake.
+func TestConnectionsAreScarce(t *testing.T) {
+	set := plain()
+	r := newRig(t, set, up("n", 0))
+	r.step(req("a", "v", 1), req("b", "v", 1))
+	if len(r.sends) != 2 {
+		t.Fatalf("%d of 2 sent at once where handshakes cost nothing", len(r.sends))
+	}
+	set.Handshake = 0.08
+	r = newRig(t, set, up("n", 0))
+	r.step(req("a", "v", 1), req("b", "v", 1))
+	r.wait(100 * ms)
+	if len(r.sends) != 1 {
+		t.Fatalf("%d out 100 ms into an aim of 400, want 1 while there is one connection", len(r.sends))
+	}
+	r.wait(120 * ms)
+	if len(r.sends) != 2 {
+		t.Fatalf("%d out past half of the aim, want the second on a connection of its own", len(r.sends))
+	}
+	r.end("a", Delivered, 220*ms)
+	r.end("b", Delivered, 20*ms)
+	r.step(req("c", "v", 1), req("d", "v", 1))
+	if len(r.sends) != 4 {
+		t.Errorf("%d of 2 more sent at once on the two connections there are", len(r.sends)-2)
+	}
+}
+
 // TestAbsurdReports checks that figures no node can mean change nothing, and that a report for a node without an
 // answer yet is no harm.
 func TestAbsurdReports(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -97,6 +97,7 @@
 	Node
 	out     []*request
 	window  float64
+	wide    int           // most requests ever out there at once: so many connections there are
 	latency float64       // smoothed, seconds for a request of mean size; 0: not known
 	base    float64       // a low quantile of it: what the node takes when little waits there
 	heard   time.Duration // when it last answered an attempt
