--- a/scheduler.go
+++ b/scheduler.go
@@ -853,9 +853,9 @@
 }
 
 // coldGate keeps what this initiator sends to a cold node within its part of what such a node bears, growing
-// along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is under
-// one mean request the node's own reports tell of all initiators' sends: while it holds few requests, each may
-// have one out there. They are as late as FallWithin allows; without one, a request a span may go.
+// along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is
+// under one mean request the node's own reports tell of all initiators' sends: while it holds few requests,
+// each may have one out there. They are as late as FallWithin allows; without one, a request a span may go.
 func (s *Scheduler) coldGate(n *node, units float64) time.Duration {
 	ru := s.set.Rules
 	age := s.now - n.Started
@@ -870,7 +870,8 @@
 	if sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
 		return 0
 	}
-	if s.crowd && len(n.out) == 0 && (sum == 0 || n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin) {
+	few := n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
+	if s.crowd && len(n.out) == 0 && (sum == 0 || few) {
 		return 0
 	}
 	return s.now + ru.FallWithin/16
