--- a/scheduler.go
+++ b/scheduler.go
@@ -282,8 +282,8 @@
 	}
 }
 
-// thrift tells until when the lane makes do with the connections it has to its node, where the settings price a
-// handshake: what can wait for one in use until half of its aim is over does so. At two thirds it is no better.
+// thrift tells until when the lane makes do with the connections it has to its node, where the settings price
+// a handshake: what can wait for one in use until half of its aim is over does so. Two thirds are no better.
 func (s *Scheduler) thrift(l *lane) time.Duration {
 	n, r := l.node, l.held[0]
 	if s.set.Handshake <= 0 || len(n.out) == 0 || len(n.out) < n.wide {
