--- a/scheduler.go
+++ b/scheduler.go
@@ -48,8 +48,9 @@
 	// loadAdds is the part of the base latency that each one past them adds. Learned from answers it came out
 	// high, as few of those that met a report had met the load in it.
 	loadAdds = 0.25
-	// coldLoad is how many requests a cold node may report for initiators that are a crowd to send it the next. Half
-	// refuses what it would serve in time (fleet days' quick score 0.903 to 0.919), half as many more is no better.
+	// coldLoad is how many requests a cold node may report for initiators that are a crowd to send it the
+	// next. Half refuses what it would serve in time (0.903 on the fleet's days, 0.919 so), half as many
+	// more is no better.
 	coldLoad = 8
 	// meterFresh is how many periods a reading of use is believed. Half drops seldom ones, double lags.
 	meterFresh = 5
