NVMe front: log pages, events, features, discovery, optional commands, splits by shard

Need: a host found the subset too small between connect and disconnect (no log pages, no events, no Flush, Compare, Write Zeroes or Dataset Management, no discovery), and a command over several shards went to the first block's target alone. Change: Get Log Page (errors, health, firmware slot, changed namespaces, effects; any part of them), Asynchronous Event Request with namespace notices, the features that hosts set, Disconnect, Identify 06h, 10h and 11h, a discovery controller.

--- a/internal/nvme/admin.go
+++ b/internal/nvme/admin.go
@@ -16,6 +16,8 @@
 	cstsReady    = 1 << 0
 	cstsShutdown = 2 << 2
 	staticID     = 0xFFFF
+
+	hostBehaviorLen = 512
 )
 
 // connect takes the first command of a connection: it makes the association, or joins an I/O queue to it.
@@ -36,7 +38,8 @@
 	qid, size := uint16(c.dw(10)>>16), c.dw(11)&0xFFFF+1
 	cntlid := binary.LittleEndian.Uint16(data[16:])
 	subnqn, host := nqn(data[256:512]), nqn(data[512:768])
-	if subnqn != s.opt.Subsystem || host == "" || size < 2 || int(size) > max(s.opt.QueueDepth, 32) || qid > 0 && int(size) > s.opt.QueueDepth {
+	finder := subnqn == discoveryNQN
+	if subnqn != s.opt.Subsystem && (!finder || qid > 0) || host == "" || size < 2 || int(size) > max(s.opt.QueueDepth, 32) || qid > 0 && int(size) > s.opt.QueueDepth {
 		q.complete(p, stBadConnect|dnr, 0, nil)
 		return
 	}
@@ -44,7 +47,7 @@
 	if qid == 0 {
 		if cntlid != staticID {
 			st = stBadConnect | dnr
-		} else if q.ctrl = s.associate(q, host, time.Duration(c.dw(12))*time.Millisecond); q.ctrl == nil {
+		} else if q.ctrl = s.associate(q, host, time.Duration(c.dw(12))*time.Millisecond, finder); q.ctrl == nil {
 			st = stControllerBusy
 		}
 	} else {
@@ -52,7 +55,7 @@
 		ctrl := s.controllers[cntlid]
 		s.mu.Unlock()
 		switch {
-		case ctrl == nil || ctrl.host != host || qid > mostQueues:
+		case ctrl == nil || ctrl.host != host || ctrl.finder || qid > mostQueues:
 			st = stBadConnect | dnr
 		case !ctrl.join(q, qid):
 			st = stSequence | dnr // not enabled, or the queue is there already
@@ -77,7 +80,7 @@
 }
 
 // associate makes a controller for a host's admin queue; nil when all ids are in use.
-func (s *Server) associate(q *queue, host string, kato time.Duration) *controller {
+func (s *Server) associate(q *queue, host string, kato time.Duration, finder bool) *controller {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for range 0xFF00 {
@@ -85,7 +88,7 @@
 		if s.controllers[s.nextID] != nil {
 			continue
 		}
-		c := &controller{id: s.nextID, server: s, host: host, queues: map[uint16]*queue{0: q}, kato: kato}
+		c := &controller{id: s.nextID, server: s, host: host, queues: map[uint16]*queue{0: q}, kato: kato, finder: finder}
 		if kato > 0 {
 			c.alive = time.AfterFunc(kato, func() { c.endAll("KEEP_ALIVE_LATE") })
 		}
@@ -144,13 +147,22 @@
 	return c.delays
 }
 
-// fabrics takes Property Get and Set; what else there is lies outside the subset.
+// fabrics takes Property Get and Set, and Disconnect on an I/O queue; what else there is lies outside the subset.
 func (q *queue) fabrics(p *pending) {
 	c := &p.cmd
 	if c.fctype() == fctConnect {
 		q.complete(p, stSequence|dnr, 0, nil)
 		return
 	}
+	if q.qid != 0 && c.fctype() == fctDisconnect {
+		if c.dw(10)&0xFFFF != 0 {
+			q.complete(p, stBadFormat|dnr, 0, nil)
+			return
+		}
+		q.complete(p, stOK, 0, nil)
+		q.end("HOST_DISCONNECTED") // what is still open on it goes with it, as the host asked
+		return
+	}
 	if q.qid != 0 || c.fctype() != fctPropertyGet && c.fctype() != fctPropertySet {
 		q.complete(p, stInvalidOpcode|dnr, 0, nil)
 		return
@@ -185,6 +197,7 @@
 	switch {
 	case cc&ccEnable == 0:
 		c.csts = 0
+		c.events.reset()
 	case cc&ccShutdown != 0:
 		c.csts |= cstsShutdown
 	default:
@@ -223,35 +236,75 @@
 		q.complete(p, stOK, 0, page)
 	case opSetFeatures, opGetFeatures:
 		q.feature(p, data)
+	case opAsyncEvent:
+		q.awaitEvent(p)
+	case opGetLogPage:
+		q.logPage(p)
 	default:
 		q.complete(p, stInvalidOpcode|dnr, 0, nil)
 	}
 }
 
-// feature knows the two features that the rest rests on: how many queues there are, and whether the host
-// wants retry delays.
+// feature knows what hosts set at their start: how many queues there are, which events they want told, the keep-alive
+// time, and whether they want retry delays. None can be saved.
 func (q *queue) feature(p *pending, data []byte) {
-	c := &p.cmd
-	switch fid := c.dw(10) & 0xFF; {
-	case fid == featQueues:
-		q.complete(p, stOK, (mostQueues-1)<<16|(mostQueues-1), nil)
-	case fid == featHostBehavior && c.op() == opSetFeatures && len(data) == 512:
-		q.ctrl.mu.Lock()
-		q.ctrl.delays = data[0] == 1
-		q.ctrl.mu.Unlock()
-		q.complete(p, stOK, 0, nil)
+	c, ctrl := &p.cmd, q.ctrl
+	set, fid, value := c.op() == opSetFeatures, c.dw(10)&0xFF, c.dw(11)
+	const save, selectBits, capabilities = 1 << 31, 7 << 8, 3 << 8
+	if set && c.dw(10)&save != 0 {
+		q.complete(p, stNotChangeable|dnr, 0, nil)
+		return
+	}
+	changeable := uint64(0)
+	switch fid {
+	case featQueues, featAsyncEvents, featHostBehavior:
+		changeable = 1 << 2
+	case featKeepAlive:
 	default:
 		q.complete(p, stInvalidField|dnr, 0, nil)
+		return
 	}
+	if !set && c.dw(10)&selectBits == capabilities {
+		q.complete(p, stOK, changeable, nil)
+		return
+	}
+	ctrl.mu.Lock()
+	result, page, st := uint64(0), []byte(nil), stOK
+	switch {
+	case fid == featQueues:
+		result = (mostQueues-1)<<16 | (mostQueues - 1)
+	case fid == featAsyncEvents && set:
+		ctrl.events.wanted = value & eventsKnown
+	case fid == featAsyncEvents:
+		result = uint64(ctrl.events.wanted)
+	case fid == featKeepAlive && set:
+		st = stNotChangeable | dnr // it is given with Connect
+	case fid == featKeepAlive:
+		result = uint64(ctrl.kato.Milliseconds())
+	case set && len(data) != hostBehaviorLen:
+		st = stInvalidField | dnr
+	case set:
+		ctrl.delays = data[0] == 1
+	default:
+		page = make([]byte, hostBehaviorLen)
+		if ctrl.delays {
+			page[0] = 1
+		}
+	}
+	ctrl.mu.Unlock()
+	q.complete(p, st, result, page)
 }
 
 // identify fills the page asked for; nil where the subset has none.
 func (q *queue) identify(c *command) []byte {
 	page := make([]byte, identifyLen)
 	s := q.server
-	ns := s.spaces[c.nsid()]
+	ns := s.space(c.nsid())
+	if q.ctrl.finder && c.dw(10)&0xFF != 1 {
+		return nil
+	}
 	switch c.dw(10) & 0xFF {
-	case 0: // namespace
+	case 0, 0x11: // namespace, active or allocated: here they are the same
 		if ns == nil {
 			return nil
 		}
@@ -270,23 +323,40 @@
 		binary.LittleEndian.PutUint16(page[78:], q.ctrl.id)
 		binary.LittleEndian.PutUint32(page[80:], version)
 		page[111] = 1 // an I/O controller
+		if q.ctrl.finder {
+			page[111] = 2
+		}
+		binary.LittleEndian.PutUint32(page[92:], eventsKnown) // OAES
 		for i, d := range retryDelays {
 			binary.LittleEndian.PutUint16(page[128+2*i:], d)
 		}
 		page[258] = 3                                   // four aborts at a time
+		page[259] = mostEvents - 1                      // and as many event requests
+		page[261] = 1<<1 | 1<<2                         // commands and their effects, log pages with an offset
+		page[262] = errorEntries - 1                    // kept
 		binary.LittleEndian.PutUint16(page[320:], 1)    // keep-alive granularity of 100 ms
 		page[512], page[513] = 0x66, 0x44               // entry sizes
 		binary.LittleEndian.PutUint16(page[514:], 1024) // most commands
 		binary.LittleEndian.PutUint32(page[516:], s.topNSID())
-		binary.LittleEndian.PutUint32(page[536:], 1|1<<20) // SGLs, with offsets in the capsule
+		binary.LittleEndian.PutUint16(page[520:], 1|1<<2|1<<3) // Compare, Dataset Management, Write Zeroes
+		binary.LittleEndian.PutUint32(page[536:], 1|1<<20)     // SGLs, with offsets in the capsule
 		copy(page[768:1024], s.opt.Subsystem)
+		if q.ctrl.finder {
+			copy(page[768:1024], discoveryNQN+"\x00")
+		}
 		binary.LittleEndian.PutUint32(page[1792:], (64+inCapsule)/16)
 		binary.LittleEndian.PutUint32(page[1796:], 1)
 		page[1803] = 1
-	case 2: // active namespaces
+		binary.LittleEndian.PutUint16(page[1804:], 1) // Disconnect
+	case 6: // the NVM command set's controller page
+		page[1] = 5 // Write Zeroes takes as much as a transfer, WZSL
+	case 2, 0x10: // active or allocated namespaces, from the one after the given
+		if c.nsid() >= everyNS-1 {
+			return nil
+		}
 		at := 0
 		for id := c.nsid() + 1; id != 0 && id <= s.topNSID() && at < identifyLen; id++ {
-			if s.spaces[id] != nil {
+			if s.space(id) != nil {
 				binary.LittleEndian.PutUint32(page[at:], id)
 				at += 4
 			}
@@ -305,7 +375,7 @@
 
 func (s *Server) topNSID() uint32 {
 	top := uint32(0)
-	for id := range s.spaces {
+	for id := range *s.spaces.Load() {
 		top = max(top, id)
 	}
 	return top
--- a/internal/nvme/command.go
+++ b/internal/nvme/command.go
@@ -10,21 +10,33 @@
 
 // Opcodes of the subset.
 const (
+	opFlush        = 0x00
 	opWrite        = 0x01
 	opRead         = 0x02
+	opCompare      = 0x05
+	opWriteZeroes  = 0x08
+	opDataset      = 0x09
 	opFabrics      = 0x7F
+	opGetLogPage   = 0x02
 	opIdentify     = 0x06
 	opAbort        = 0x08
 	opSetFeatures  = 0x09
 	opGetFeatures  = 0x0A
+	opAsyncEvent   = 0x0C
 	opKeepAlive    = 0x18
 	fctPropertySet = 0x00
 	fctConnect     = 0x01
 	fctPropertyGet = 0x04
+	fctDisconnect  = 0x08
 
 	featQueues       = 0x07
+	featAsyncEvents  = 0x0B
+	featKeepAlive    = 0x0F
 	featHostBehavior = 0x16
 
+	// fua has a write completed only once it is on the medium.
+	fua = 1 << 30
+
 	propCAP  = 0x00
 	propVS   = 0x08
 	propCC   = 0x14
@@ -56,9 +68,13 @@
 	stTransient             = sct(0, 0x22)
 	stLBARange              = sct(0, 0x80)
 	stNSNotReady            = sct(0, 0x82)
+	stAsyncLimit            = sct(1, 0x05)
+	stInvalidLogPage        = sct(1, 0x09)
+	stNotChangeable         = sct(1, 0x0E)
 	stBadFormat             = sct(1, 0x80)
 	stControllerBusy        = sct(1, 0x81)
 	stBadConnect            = sct(1, 0x82)
+	stCompareFailure        = sct(2, 0x85)
 )
 
 // code is the status without its CRD, More and DNR bits.
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -43,8 +44,9 @@
 type Server struct {
 	opt     Options
 	core    Core
-	spaces  map[uint32]*Namespace
+	spaces  atomic.Pointer[map[uint32]*Namespace]
 	bytes   atomic.Int64
+	health  health
 	open    atomic.Int64              // commands in the core
 	left    atomic.Pointer[time.Time] // when Stop was called
 	leaving atomic.Bool               // new commands are turned away
@@ -58,14 +60,21 @@
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
-	s := &Server{opt: opt, core: c, spaces: map[uint32]*Namespace{}, controllers: map[uint16]*controller{},
-		queues: map[*queue]bool{}}
-	for i := range opt.Namespaces {
-		s.spaces[opt.Namespaces[i].ID] = &s.opt.Namespaces[i]
-	}
+	s := &Server{opt: opt, core: c, controllers: map[uint16]*controller{}, queues: map[*queue]bool{}}
+	s.spaces.Store(byID(opt.Namespaces))
 	return s
 }
 
+func byID(list []Namespace) *map[uint32]*Namespace {
+	m := make(map[uint32]*Namespace, len(list))
+	for i := range list {
+		m[list[i].ID] = &list[i]
+	}
+	return &m
+}
+
+func (s *Server) space(id uint32) *Namespace { return (*s.spaces.Load())[id] }
+
 // controller is one association: an admin queue and its I/O queues.
 type controller struct {
 	id     uint16
@@ -76,6 +85,9 @@
 	cc     uint32
 	csts   uint32
 	delays bool // the host wants to be told how long to stay away (ACRE)
+	finder bool // a discovery controller
+	events events
+	errors errorLog
 	kato   time.Duration
 	alive  *time.Timer
 }
@@ -110,7 +122,9 @@
 	got  int
 	tag  uint16
 	wait *time.Timer // for the host's data
-	job  *core.Job
+	jobs []*core.Job // the parts of it in the core
+	left int         // of them without an answer
+	ends []core.Answer
 }
 
 // Serve accepts until Stop.
@@ -252,8 +266,13 @@
 // drop lets go of a command that will not be answered any more.
 func (q *queue) drop(p *pending) {
 	q.release(p)
-	if p.job != nil {
-		q.server.core.Depart(p.job)
+	q.depart(p)
+}
+
+// depart tells the core that nobody waits for the command's parts any more.
+func (q *queue) depart(p *pending) {
+	for _, j := range p.jobs {
+		q.server.core.Depart(j)
 	}
 }
 
@@ -265,7 +284,7 @@
 	if p.io != nil {
 		q.server.bytes.Add(-int64(p.io.Bytes))
 	}
-	if p.job != nil {
+	if p.jobs != nil {
 		q.server.open.Add(-1)
 	}
 }
@@ -353,6 +372,9 @@
 		return false
 	}
 	delete(q.cmds, cid)
+	if q.ctrl != nil && st != stOK {
+		q.ctrl.errors.add(q.qid, &p.cmd, st)
+	}
 	for at := 0; at < len(data); at += maxH2CData {
 		part := data[at:min(at+maxH2CData, len(data))]
 		flags := byte(0)
@@ -409,39 +431,59 @@
 	return nil
 }
 
-// io takes a read or a write. A write's data is in the capsule, or asked for.
+// io takes a command of the NVM command set. Data towards here is in the capsule, or asked for.
 func (q *queue) io(p *pending, data []byte) error {
 	s, c := q.server, &p.cmd
-	op := c.op()
-	if op != opRead && op != opWrite {
+	ns := s.space(c.nsid())
+	switch c.op() {
+	case opFlush:
+		// There is no volatile write cache: what was completed is kept (see HostOptions on targets that have one).
+		if ns == nil && c.nsid() != everyNS {
+			q.complete(p, stInvalidNS|dnr, 0, nil)
+		} else {
+			q.complete(p, stOK, 0, nil)
+		}
+		return nil
+	case opRead, opWrite, opCompare, opWriteZeroes, opDataset:
+	default:
 		q.complete(p, stInvalidOpcode|dnr, 0, nil)
 		return nil
 	}
-	ns := s.spaces[c.nsid()]
 	if ns == nil {
 		q.complete(p, stInvalidNS|dnr, 0, nil)
 		return nil
 	}
-	x := &IO{Write: op == opWrite, NSID: ns.ID, SLBA: c.slba(), Blocks: c.blocks()}
-	bytes := int(x.Blocks) * ns.BlockBytes
-	inside := c.sglType() == sglOffset
+	if c.op() == opDataset {
+		q.complete(p, ns.dataset(c, data), 0, nil)
+		return nil
+	}
+	x := &IO{Write: c.op() == opWrite || c.op() == opWriteZeroes, NSID: ns.ID, SLBA: c.slba(), Blocks: c.blocks()}
+	length := int(x.Blocks) * ns.BlockBytes
+	takes := c.op() == opWrite || c.op() == opCompare // data of the host's
+	inside, moved := c.sglType() == sglOffset, int(c.sglLen()) == length
+	if c.op() == opWriteZeroes {
+		inside, moved = false, len(data) == 0 // no data pointer
+	}
 	switch {
 	case x.SLBA >= ns.Blocks || uint64(x.Blocks) > ns.Blocks-x.SLBA:
 		q.complete(p, stLBARange|dnr, 0, nil)
-	case bytes > maxTransfer, int(c.sglLen()) != bytes, c.sglType() != sglOffset && c.sglType() != sglTransport,
-		inside && (!x.Write || len(data) != bytes || bytes > inCapsule), !inside && len(data) > 0:
+	case length > maxTransfer, !moved, c.op() != opWriteZeroes && c.sglType() != sglOffset && c.sglType() != sglTransport,
+		inside && (!takes || len(data) != length || length > inCapsule), !inside && len(data) > 0:
 		q.complete(p, stInvalidField|dnr, 0, nil)
-	case s.leaving.Load(), s.bytes.Load()+int64(bytes) > s.opt.MostBytes:
+	case s.leaving.Load(), s.bytes.Load()+int64(length) > s.opt.MostBytes:
 		// Nothing of it was begun; the host may come back, or go elsewhere.
 		q.complete(p, statusOf(core.TooMany, q.ctrl.wantsDelays()), 0, nil)
 	default:
-		x.Bytes = bytes
+		x.Bytes = length
 		q.mu.Lock()
 		p.io = x
-		s.bytes.Add(int64(bytes))
+		s.bytes.Add(int64(length))
 		q.mu.Unlock()
 		switch {
-		case !x.Write:
+		case c.op() == opWriteZeroes:
+			x.Data = make([]byte, length)
+			q.submit(p)
+		case !takes:
 			q.submit(p)
 		case inside:
 			x.Data = data
@@ -500,38 +542,66 @@
 	return nil
 }
 
-// submit hands the command to the core, which owns its end from here on.
+// submit hands the command to the core, in parts where it lies on several shards; the core owns its end from here on.
 func (q *queue) submit(p *pending) {
-	ns := q.server.spaces[p.io.NSID]
-	j := &core.Job{Request: ns.request(p.io), Arrived: time.Now(), Payload: p.io}
-	j.Patience = core.Cut(q.server.opt.Patience[j.Class], j.Arrived, q.server.left.Load())
-	delays := q.ctrl.wantsDelays()
-	j.Done = func(a core.Answer) {
-		st := statusOf(a, delays)
-		body, _ := a.Payload.([]byte)
-		switch {
-		case a.Ending != core.Served || p.io.Write:
-			body = nil
-		case len(body) != p.io.Bytes:
-			st, body = stInternal|dnr, nil // no target's whole answer: never passed off as one
-		}
-		q.complete(p, st, 0, body)
+	ns := q.server.space(p.io.NSID)
+	if ns == nil { // taken away while the host's data came
+		q.complete(p, stInvalidNS|dnr, 0, nil)
+		return
+	}
+	parts := ns.split(p.io)
+	jobs := make([]*core.Job, len(parts))
+	now := time.Now()
+	for i, x := range parts {
+		j := &core.Job{Request: ns.request(x), Arrived: now, Payload: x}
+		j.Patience = core.Cut(q.server.opt.Patience[j.Class], now, q.server.left.Load())
+		j.Done = func(a core.Answer) { q.part(p, i, a) }
+		jobs[i] = j
 	}
 	// Under the lock, so that an Abort finds the command either not handed over or wholly so. Submit does
 	// not wait, and Done never runs within it.
 	q.mu.Lock()
-	gone, taken := q.cmds[p.cmd.cid()] != p, false
-	if !gone {
-		p.job = j
-		q.server.open.Add(1)
-		taken = q.server.core.Submit(j)
+	if q.cmds[p.cmd.cid()] != p {
+		q.mu.Unlock()
+		return
+	}
+	p.jobs, p.left, p.ends = jobs, len(jobs), make([]core.Answer, len(jobs))
+	q.server.open.Add(1)
+	var turned []int
+	for i, j := range jobs {
+		if !q.server.core.Submit(j) {
+			turned = append(turned, i)
+		}
 	}
 	q.mu.Unlock()
-	if !gone && !taken {
-		q.complete(p, statusOf(core.TooMany, delays), 0, nil)
+	for _, i := range turned {
+		q.part(p, i, core.TooMany)
 	}
 }
 
+// part takes the end of a part; the last one completes the command.
+func (q *queue) part(p *pending, i int, a core.Answer) {
+	q.mu.Lock()
+	p.ends[i] = a
+	p.left--
+	last := p.left == 0
+	q.mu.Unlock()
+	if !last {
+		return
+	}
+	st, body := gather(p.io, p.jobs, p.ends, q.ctrl.wantsDelays())
+	switch {
+	case st == stOK && p.cmd.op() == opCompare:
+		if !bytes.Equal(body, p.io.Data) {
+			st = stCompareFailure
+		}
+		body = nil
+	case st == stOK:
+		q.server.health.served(p.io)
+	}
+	q.complete(p, st, 0, body)
+}
+
 // abort ends a command from the admin queue; false where there is no such command.
 func (q *queue) abort(cid uint16) bool {
 	q.mu.Lock()
@@ -540,9 +610,7 @@
 	if p == nil || !q.complete(p, stAborted|dnr, 0, nil) {
 		return false
 	}
-	if p.job != nil {
-		q.server.core.Depart(p.job)
-	}
+	q.depart(p)
 	return true
 }
 
--- /dev/null
+++ b/internal/nvme/events.go
@@ -0,0 +1,126 @@
+package nvme
+
+import (
+	"encoding/binary"
+	"reflect"
+	"slices"
+)
+
+const (
+	mostEvents  = 4      // Asynchronous Event Requests that wait at a time
+	eventsKnown = 1 << 8 // namespace attribute notices, the bit in OAES and in the feature alike
+	// namespaceNotice is a notice (type 2) on namespaces (0) whose log page is the changed-namespaces one.
+	namespaceNotice = 2 | 0<<8 | logNamespaces<<16
+	mostChanged     = 1024 // entries of that page
+)
+
+// events is what a controller has to tell its host by itself; the controller's lock guards it.
+type events struct {
+	wanted  uint32
+	waiting []*pending // event requests, on the admin queue
+	changed []uint32   // namespaces since the page was last read
+	told    bool       // an event is out, and masked until the page is read
+}
+
+func (e *events) reset() { *e = events{} }
+
+// awaitEvent takes an Asynchronous Event Request, which is completed when there is something to tell.
+func (q *queue) awaitEvent(p *pending) {
+	c := q.ctrl
+	c.mu.Lock()
+	// Those that were aborted wait no more.
+	c.events.waiting = slices.DeleteFunc(c.events.waiting, func(w *pending) bool {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return q.cmds[w.cmd.cid()] != w
+	})
+	full := len(c.events.waiting) >= mostEvents
+	if !full {
+		c.events.waiting = append(c.events.waiting, p)
+	}
+	c.mu.Unlock()
+	if full {
+		q.complete(p, stAsyncLimit|dnr, 0, nil)
+		return
+	}
+	c.tell()
+}
+
+// tell completes a waiting request where there is news that the host wants and has not been told.
+func (c *controller) tell() {
+	c.mu.Lock()
+	admin := c.queues[0]
+	e := &c.events
+	if admin == nil || e.told || len(e.changed) == 0 || e.wanted&eventsKnown == 0 || len(e.waiting) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	p := e.waiting[0]
+	e.waiting, e.told = e.waiting[1:], true
+	c.mu.Unlock()
+	if !admin.complete(p, stOK, namespaceNotice, nil) {
+		// Aborted meanwhile: the next one that waits is told.
+		c.mu.Lock()
+		c.events.told = false
+		c.mu.Unlock()
+		c.tell()
+	}
+}
+
+// changed is the changed-namespaces page; reading it, unless the event is to be retained, lets the next event out.
+func (c *controller) changed(retain bool) []byte {
+	page := make([]byte, 4*mostChanged)
+	c.mu.Lock()
+	if len(c.events.changed) > mostChanged {
+		binary.LittleEndian.PutUint32(page, everyNS)
+	} else {
+		for i, id := range c.events.changed {
+			binary.LittleEndian.PutUint32(page[4*i:], id)
+		}
+	}
+	if !retain {
+		c.events.changed, c.events.told = nil, false
+	}
+	c.mu.Unlock()
+	return page
+}
+
+// Update takes other namespaces into use and tells every host which have changed. Commands already with the core end as
+// they would have.
+func (s *Server) Update(list []Namespace) {
+	next := byID(list)
+	was := *s.spaces.Swap(next)
+	var changed []uint32
+	for id, n := range was {
+		if now := (*next)[id]; now == nil || !reflect.DeepEqual(n, now) {
+			changed = append(changed, id)
+		}
+	}
+	for id := range *next {
+		if was[id] == nil {
+			changed = append(changed, id)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	slices.Sort(changed)
+	s.mu.Lock()
+	all := make([]*controller, 0, len(s.controllers))
+	for _, c := range s.controllers {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		if c.finder {
+			continue
+		}
+		c.mu.Lock()
+		c.events.changed = append(c.events.changed, changed...)
+		slices.Sort(c.events.changed)
+		c.events.changed = slices.Compact(c.events.changed)
+		c.events.changed = c.events.changed[:min(len(c.events.changed), mostChanged+1)]
+		c.mu.Unlock()
+		c.tell()
+	}
+}
--- a/internal/nvme/namespace.go
+++ b/internal/nvme/namespace.go
@@ -71,12 +71,15 @@
 	return class("bulk", n.Bulk)
 }
 
-// request is what the module is told of a command. One that spans stripes belongs to the first.
+// shard is where a stripe lies.
+func (n *Namespace) shard(stripe uint64) int { return n.Shards[stripe%uint64(len(n.Shards))] }
+
+// request is what the module is told of a command, or of a part of one: all of it lies on one shard.
 func (n *Namespace) request(io *IO) spindlehitch.Request {
 	stripe := io.SLBA / n.StripeBlocks
 	q := spindlehitch.Request{Class: n.Read, Plan: n.Plan, Volume: n.Volume, Initiators: n.Hosts,
 		Extent: fmt.Sprintf("%s/%x", n.Volume, stripe),
-		Shard:  n.Shards[stripe%uint64(len(n.Shards))],
+		Shard:  n.shard(stripe),
 		Units:  float64((io.Blocks + n.UnitBlocks - 1) / n.UnitBlocks)}
 	switch {
 	case io.Write:
