NVMe: rests after failed associations, stalled answers bounded, writes reach the medium, SIGHUP

Need: a target that was down was dialled by each attempt at once; an answer that stopped midway kept its attempt until its time was over (HTTP gives it 250 ms); hosts are told that there is no volatile write cache, which targets may have; other namespaces needed a restart.

--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -54,7 +54,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(stop, cfg, op, log, nil, reloads(hup, os.Getenv, cfg.Discovery, log))
+			return serve(stop, cfg, op, log, nil, reloads(hup, os.Getenv, cfg.Discovery, operator, log))
 		},
 	}
 	cmd.Flags().StringVar(&operator, "operator", "", "an operator's file (TOML), such as deploy/nvme.toml")
@@ -72,25 +72,42 @@
 	return cfg, op, err
 }
 
-// reloads reads the configuration again at each SIGHUP and passes on where discovery is from then on; the rest of it
-// waits for the next start. One that cannot be served changes nothing.
-func reloads(hup <-chan os.Signal, getenv func(string) string, discovery string, log *slog.Logger) <-chan string {
-	moves := make(chan string)
+// change is what a reload takes over.
+type change struct {
+	discovery string           // where it is now; empty: where it was
+	spaces    []nvme.Namespace // in place of those there are; nil: as they were
+}
+
+// reloads reads the configuration and the operator's file again at each SIGHUP and passes on where discovery is and which
+// namespaces there are from then on; the rest of them waits for the next start. What cannot be served changes nothing.
+func reloads(hup <-chan os.Signal, getenv func(string) string, discovery, operator string, log *slog.Logger) <-chan change {
+	changes := make(chan change)
 	go func() {
 		for range hup {
 			cfg, err := config.Reload(getenv)
+			op := &config.Operator{}
+			if err == nil && operator != "" {
+				op, err = config.ReadOperator(operator, cfg)
+			}
 			if err != nil {
 				log.Error("configuration not taken", slog.String("reason", "BAD_CONFIG"), slog.Any("error", err))
 				continue
 			}
 			log.Info("configuration taken", slog.String("discovery", cfg.Discovery))
+			var c change
 			if cfg.Discovery != discovery {
 				discovery = cfg.Discovery
-				moves <- discovery
+				c.discovery = discovery
+			}
+			if op.NVMe != nil {
+				c.spaces = op.NVMe.Namespaces
+			}
+			if c.discovery != "" || c.spaces != nil {
+				changes <- c
 			}
 		}
 	}()
-	return moves
+	return changes
 }
 
 // door is a front: it accepts until it is told to stop, and then finishes what it has taken.
@@ -101,9 +118,9 @@
 
 // serve runs until stop ends, and then until everything taken is answered. Where listening is given, it is called once
 // all addresses are listened at, and they may be listened at by a predecessor that is about to leave. Discovery is
-// asked at the addresses that come by moves, also while the program leaves.
+// asked at the addresses that come by changes, also while the program leaves.
 func serve(stop context.Context, cfg *config.Config, op *config.Operator, log *slog.Logger, listening func(),
-	moves <-chan string) error {
+	changes <-chan change) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 
@@ -135,25 +152,31 @@
 	}
 	list := discovery.New(about, tell)
 	go list.Run(work)
+	update := func([]nvme.Namespace) {} // of the front that has namespaces
+	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
+	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
+		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
+	if op.NVMe != nil {
+		o := op.NVMe.Controller(cfg)
+		o.Log = log
+		controller := nvme.New(c, o)
+		doors[op.NVMe.Listen], update = controller, controller.Update
+	}
 	go func() {
 		for {
 			select {
 			case <-work.Done():
 				return
-			case addr := <-moves:
-				list.Move(addr)
+			case next := <-changes:
+				if next.discovery != "" {
+					list.Move(next.discovery)
+				}
+				if next.spaces != nil {
+					update(next.spaces)
+				}
 			}
 		}
 	}()
-
-	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
-	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
-	if op.NVMe != nil {
-		o := op.NVMe.Controller(cfg)
-		o.Log = log
-		doors[op.NVMe.Listen] = nvme.New(c, o)
-	}
 	failed := make(chan error, len(doors))
 	var lc net.ListenConfig
 	if listening != nil {
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -169,7 +169,7 @@
 	defer signal.Stop(hup)
 	stop, leave := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(stop, cfg, op, quiet, nil, reloads(hup, getenv, cfg.Discovery, quiet)) }()
+	go func() { ended <- serve(stop, cfg, op, quiet, nil, reloads(hup, getenv, cfg.Discovery, "", quiet)) }()
 	w.until(t)
 	signalled := func() {
 		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
--- a/internal/nvme/commands_test.go
+++ b/internal/nvme/commands_test.go
@@ -1,10 +1,12 @@
 package nvme
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -424,3 +426,97 @@
 		t.Errorf("status after a reset: %#x, %v", v, err)
 	}
 }
+
+// scripted is a target's I/O queue played by hand: it gives the command it got to the script, which writes what it likes.
+func scripted(t *testing.T, can bears, x *IO, script func(net.Conn, *pdu)) (core.Result, string) {
+	t.Helper()
+	here, there := net.Pipe()
+	defer here.Close()
+	defer there.Close()
+	go func() {
+		if p, err := readPDU(bufio.NewReader(there), framing{}); err == nil {
+			script(there, p)
+		}
+	}()
+	s := &session{wire: &wire{Conn: here, in: bufio.NewReader(here), most: minH2CData}, bears: can,
+		from: &association{talk: make(chan struct{}, 1), inUse: map[uint16]bool{}}}
+	r, _, reason := s.Do(core.Attempt{Until: time.Now().Add(patient), Payload: x}, func() bool { return true })
+	return r, reason
+}
+
+// TestAnswerStopsMidway bounds an answer that has begun, as on HTTP: it is not waited for until its time is over.
+func TestAnswerStopsMidway(t *testing.T) {
+	x := &IO{NSID: 1, Blocks: 2, Bytes: 2 * blockSize}
+	part := func(p *pdu, at, length int) []byte {
+		return appendPDU(nil, framing{}, typeC2HData, 0, dataHead(p.u16(10), 0, uint32(at), uint32(length)), make([]byte, length))
+	}
+	for name, script := range map[string]func(net.Conn, *pdu){
+		"within a PDU": func(c net.Conn, p *pdu) { c.Write(part(p, 0, blockSize)[:100]) },
+		"between two":  func(c net.Conn, p *pdu) { c.Write(part(p, 0, blockSize)) },
+	} {
+		began := time.Now()
+		r, reason := scripted(t, bears{}, x, script)
+		if r.Code != spindlehitch.Reset || reason != "READ_STALLED" || time.Since(began) > patient/2 {
+			t.Errorf("%s: %v %s after %v", name, r.Code, reason, time.Since(began))
+		}
+	}
+}
+
+// TestWritesReachTheMedium asks a target with a volatile write cache to have a write on its medium before it says so:
+// hosts are told that there is no such cache, and that Flush has nothing to do.
+func TestWritesReachTheMedium(t *testing.T) {
+	for _, cache := range []bool{false, true} {
+		asked := uint32(0)
+		x := &IO{Write: true, NSID: 1, Blocks: 1, Bytes: blockSize, Data: make([]byte, blockSize)}
+		r, reason := scripted(t, bears{inside: inCapsule, cache: cache}, x, func(c net.Conn, p *pdu) {
+			var cmd command
+			copy(cmd[:], p.head[commonLen:])
+			asked = cmd.dw(12)
+			c.Write(appendPDU(nil, framing{}, typeResp, 0, completion{cid: cmd.cid()}.head(), nil))
+		})
+		if r.Code != spindlehitch.Delivered || (asked&fua != 0) != cache || asked&0xFFFF != 0 {
+			t.Errorf("cache %v: %v %s, dword 12 %#x", cache, r.Code, reason, asked)
+		}
+	}
+}
+
+// TestRests bounds the rests after associations that failed, spreads them, and has none while they work.
+func TestRests(t *testing.T) {
+	for failed := range 100 {
+		least, most := restAfter(failed, 0), restAfter(failed, 1)
+		if least < restLeast/2 || most > restMost*3/2 || least >= most {
+			t.Errorf("after %d: %v to %v", failed, least, most)
+		}
+	}
+	h := NewHost(HostOptions{Subsystem: targetNQN, HostNQN: "nqn.2026-12.example.test:client", KeepAlive: time.Minute})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	ctx, stop := context.WithTimeout(context.Background(), patient)
+	defer stop()
+	if _, err := h.Dial(ctx, addr); err == nil || errors.Is(err, errRests) {
+		t.Errorf("first attempt at nobody: %v", err)
+	}
+	if _, err := h.Dial(ctx, addr); !errors.Is(err, errRests) {
+		t.Errorf("attempt during the rest: %v", err)
+	}
+	if l, err = net.Listen("tcp", addr); err != nil {
+		t.Skipf("the address was taken meanwhile: %v", err)
+	}
+	s := New(newStore(), Options{Subsystem: targetNQN, Namespaces: []Namespace{space()}, QueueDepth: 8, MostConn: 8, MostBytes: 1 << 20, Log: quiet})
+	go s.Serve(l)
+	defer l.Close()
+	for end := time.Now().Add(patient); ; time.Sleep(5 * time.Millisecond) {
+		w, err := h.Dial(ctx, addr)
+		if err == nil {
+			w.Close()
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the target is back and still not reached: %v", err)
+		}
+	}
+}
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -119,6 +119,7 @@
 type pending struct {
 	cmd  command
 	io   *IO
+	ns   *Namespace // as it was when the command came
 	got  int
 	tag  uint16
 	wait *time.Timer // for the host's data
@@ -476,7 +477,7 @@
 	default:
 		x.Bytes = length
 		q.mu.Lock()
-		p.io = x
+		p.io, p.ns = x, ns
 		s.bytes.Add(int64(length))
 		q.mu.Unlock()
 		switch {
@@ -489,7 +490,7 @@
 			x.Data = data
 			q.submit(p)
 		default:
-			q.ask(p, ns)
+			q.ask(p)
 		}
 	}
 	return nil
@@ -497,12 +498,12 @@
 
 // ask has the host send a write's data. One R2T is out for a command at a time, which any host bears. The
 // host has as long for it as the command may take.
-func (q *queue) ask(p *pending, ns *Namespace) {
+func (q *queue) ask(p *pending) {
 	p.io.Data = make([]byte, p.io.Bytes)
 	q.mu.Lock()
 	q.serial++
 	p.tag = q.serial
-	p.wait = time.AfterFunc(q.server.opt.Patience[ns.Write], func() { q.end("HOST_DATA_LATE") })
+	p.wait = time.AfterFunc(q.server.opt.Patience[p.ns.Write], func() { q.end("HOST_DATA_LATE") })
 	q.put(typeR2T, 0, dataHead(p.cmd.cid(), p.tag, 0, uint32(p.io.Bytes)), nil)
 	q.mu.Unlock()
 }
@@ -544,16 +545,11 @@
 
 // submit hands the command to the core, in parts where it lies on several shards; the core owns its end from here on.
 func (q *queue) submit(p *pending) {
-	ns := q.server.space(p.io.NSID)
-	if ns == nil { // taken away while the host's data came
-		q.complete(p, stInvalidNS|dnr, 0, nil)
-		return
-	}
-	parts := ns.split(p.io)
+	parts := p.ns.split(p.io)
 	jobs := make([]*core.Job, len(parts))
 	now := time.Now()
 	for i, x := range parts {
-		j := &core.Job{Request: ns.request(x), Arrived: now, Payload: x}
+		j := &core.Job{Request: p.ns.request(x), Arrived: now, Payload: x}
 		j.Patience = core.Cut(q.server.opt.Patience[j.Class], now, q.server.left.Load())
 		j.Done = func(a core.Answer) { q.part(p, i, a) }
 		jobs[i] = j
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -48,9 +49,17 @@
 	admin   *wire // nil: none
 	cntlid  uint16
 	inUse   map[uint16]bool
-	inside  int // bytes of data that a capsule may hold
+	bears   bears
 	usedAt  time.Time
 	aborted int // Aborts whose completions nobody has read yet
+	failed  int // attempts in a row that came to no association
+	restAt  time.Time
+}
+
+// bears is what a target's controller tells of itself.
+type bears struct {
+	inside int  // bytes of data that a capsule may hold
+	cache  bool // it has a volatile write cache: a write is asked to be on its medium before it is completed
 }
 
 // wire is one connection, of either kind.
@@ -71,7 +80,7 @@
 		h.all[addr] = a
 	}
 	h.mu.Unlock()
-	admin, cntlid, qid, inside, err := a.enter(ctx)
+	admin, cntlid, qid, can, err := a.enter(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +100,7 @@
 		return nil, err
 	}
 	w.SetDeadline(time.Time{})
-	return &session{wire: w, from: a, qid: qid, inside: inside}, nil
+	return &session{wire: w, from: a, qid: qid, bears: can}, nil
 }
 
 // lose ends the association of an admin queue, if it is still this one's.
@@ -223,7 +232,7 @@
 
 // enter makes sure of the association and takes a queue id in it. Neither a target that stands still nor
 // whoever waits for it holds this up for longer than ctx allows.
-func (a *association) enter(ctx context.Context) (admin *wire, cntlid, qid uint16, inside int, err error) {
+func (a *association) enter(ctx context.Context) (admin *wire, cntlid, qid uint16, can bears, err error) {
 	for {
 		a.mu.Lock()
 		if a.admin != nil {
@@ -232,21 +241,21 @@
 				if !a.inUse[id] {
 					a.inUse[id] = true
 					a.usedAt = time.Now()
-					return a.admin, a.cntlid, id, a.inside, nil
+					return a.admin, a.cntlid, id, a.bears, nil
 				}
 			}
-			return nil, 0, 0, 0, errors.New("all I/O queues are in use")
+			return nil, 0, 0, can, errors.New("all I/O queues are in use")
 		}
 		a.mu.Unlock()
 		select {
 		case a.talk <- struct{}{}:
 		case <-ctx.Done():
-			return nil, 0, 0, 0, ctx.Err()
+			return nil, 0, 0, can, ctx.Err()
 		}
 		err := a.establish(ctx)
 		<-a.talk
 		if err != nil {
-			return nil, 0, 0, 0, err
+			return nil, 0, 0, can, err
 		}
 	}
 }
@@ -260,29 +269,51 @@
 // establish connects the admin queue, enables the controller and reads what it bears. Its caller holds talk.
 func (a *association) establish(ctx context.Context) error {
 	a.mu.Lock()
-	there := a.admin != nil
+	there, rests := a.admin != nil, time.Now().Before(a.restAt)
 	a.mu.Unlock()
-	if there {
+	switch {
+	case there:
 		return nil
+	case rests:
+		return errRests
 	}
 	w, err := a.host.open(ctx, a.addr)
-	if err != nil {
-		return err
+	var cntlid uint16
+	var can bears
+	if err == nil {
+		if cntlid, can, err = a.host.enable(ctx, w); err != nil {
+			w.Close()
+		}
 	}
-	cntlid, inside, err := a.host.enable(ctx, w)
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if err != nil {
-		w.Close()
+		a.restAt = time.Now().Add(restAfter(a.failed, rand.Float64()))
+		a.failed++
 		return err
 	}
 	w.SetDeadline(time.Time{})
-	a.mu.Lock()
-	a.admin, a.cntlid, a.inside, a.aborted, a.usedAt = w, cntlid, inside, 0, time.Now()
-	a.mu.Unlock()
+	a.admin, a.cntlid, a.bears, a.aborted, a.usedAt, a.failed = w, cntlid, can, 0, time.Now(), 0
 	go a.keep(w)
 	return nil
 }
 
-func (h *Host) enable(ctx context.Context, w *wire) (cntlid uint16, inside int, err error) {
+var errRests = errors.New("an association failed just now")
+
+const (
+	restLeast = 20 * time.Millisecond
+	restMost  = time.Second
+)
+
+// restAfter is how long a target is let be after so many attempts at an association that failed, spread by half either
+// way: many hosts that lost it together must not come back in step. What is asked of it meanwhile fails at once, and
+// the module decides what becomes of it.
+func restAfter(failed int, spread float64) time.Duration {
+	d := min(restLeast<<min(failed, 16), restMost)
+	return time.Duration((0.5 + spread) * float64(d))
+}
+
+func (h *Host) enable(ctx context.Context, w *wire) (cntlid uint16, can bears, err error) {
 	if cntlid, err = w.connect(h.opt, 0, staticID); err != nil {
 		return
 	}
@@ -300,7 +331,7 @@
 		if ready = v&cstsReady != 0; !ready {
 			select {
 			case <-ctx.Done():
-				return 0, 0, ctx.Err()
+				return 0, can, ctx.Err()
 			case <-time.After(5 * time.Millisecond):
 			}
 		}
@@ -314,7 +345,7 @@
 	if err != nil {
 		return
 	}
-	return cntlid, max(0, int(binary.LittleEndian.Uint32(page[1792:]))*16-64), nil
+	return cntlid, bears{inside: max(0, int(binary.LittleEndian.Uint32(page[1792:]))*16-64), cache: page[525]&1 != 0}, nil
 }
 
 // unusedFor is how long an association without I/O queues is kept, so that none outlives its target's place
@@ -379,10 +410,10 @@
 // session is one I/O queue.
 type session struct {
 	*wire
-	from   *association
-	qid    uint16
-	inside int
-	once   sync.Once
+	bears
+	from *association
+	qid  uint16
+	once sync.Once
 }
 
 // Close ends the queue.
@@ -408,6 +439,9 @@
 	c.set32(4, x.NSID)
 	c.set64(40, x.SLBA)
 	c.set16(48, uint16(x.Blocks-1))
+	if x.Write && s.cache {
+		c.set32(48, c.dw(12)|fua)
+	}
 	var data []byte
 	if inside {
 		data = x.Data
@@ -423,9 +457,13 @@
 		return r, false, "WRITE_" + upstream.Cause(err)
 	}
 	written := !x.Write || inside
-	st, body, err := s.finish(c, x, &written)
+	st, body, err := s.finish(c, x, a.Until, &written)
 	if err != nil {
 		switch {
+		case written && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(a.Until):
+			s.from.abort(s.qid, c.cid())
+			r.Code = spindlehitch.Reset
+			return r, false, "READ_STALLED"
 		case !written:
 			r.Code = spindlehitch.NoConnection
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -442,10 +480,23 @@
 	return r, s.SetDeadline(time.Time{}) == nil, "CLOSED"
 }
 
-// finish plays the controller's side of the command until its completion.
-func (s *session) finish(c *command, x *IO, written *bool) (status, []byte, error) {
+// stallAfter is how long an answer that has begun may bring nothing, as on HTTP: one that stops midway is not waited for
+// until the attempt's time is over.
+const stallAfter = 250 * time.Millisecond
+
+// finish takes part in the command's transfers until its completion.
+func (s *session) finish(c *command, x *IO, until time.Time, written *bool) (status, []byte, error) {
 	var body []byte
 	for {
+		s.SetReadDeadline(until)
+		if len(body) == 0 {
+			if _, err := s.in.Peek(1); err != nil {
+				return 0, nil, err
+			}
+		}
+		if at := time.Now().Add(stallAfter); at.Before(until) {
+			s.SetReadDeadline(at)
+		}
 		p, err := s.receive()
 		if err != nil {
 			return 0, nil, err
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -298,7 +298,7 @@
 			t.Fatalf("read: %+v, %q", done, body)
 		}
 		large := bytes.Repeat([]byte("0123456789abcdef"), 200*blockSize/16)
-		queue := &session{wire: c.io, from: &association{talk: make(chan struct{}, 1)}, inside: inCapsule}
+		queue := &session{wire: c.io, from: &association{talk: make(chan struct{}, 1)}, bears: bears{inside: inCapsule}}
 		always := func() bool { return true }
 		until := time.Now().Add(patient)
 		got, _, reason := queue.Do(core.Attempt{Until: until, Payload: &IO{Write: true, NSID: 1, SLBA: 100, Blocks: 200, Bytes: len(large), Data: large}}, always)
