NVMe: a conformance suite as sub-command and test; ended connections leave nothing behind

Need: nothing named which clauses of the specifications the front keeps, and hard cases had no test: data that never comes, an Abort that races the completion, a full queue, hosts that go amid commands. Seen by the new tests: a connection that ended while its write or its Connect was taken left 512 bytes counted as held, and raced with the reader on its controller. At fault: io, ask and connect changed the command or queue after close had let go of it, without a look whether it still was the queue's.

--- /dev/null
+++ b/cmd/spindlehitch/conform.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/nvme"
+)
+
+func conformCommand() *cobra.Command {
+	var opt nvme.ConformOptions
+	cmd := &cobra.Command{
+		Use:   "conform",
+		Short: "Hold an NVMe over TCP controller on this machine against the conformance suite",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			results, err := nvme.Conform(opt)
+			if err != nil {
+				return err
+			}
+			table := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			seen := map[nvme.Verdict]int{}
+			for _, r := range results {
+				seen[r.Verdict]++
+				fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", r.Verdict, r.Section, r.Clause, r.Detail)
+			}
+			if err := table.Flush(); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d passed, %d failed, %d outside the subset and refused, %d skipped\n",
+				seen[nvme.Pass], seen[nvme.Miss], seen[nvme.Outside], seen[nvme.Skipped])
+			if seen[nvme.Miss] > 0 {
+				return fmt.Errorf("conform: %d clauses failed", seen[nvme.Miss])
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&opt.Addr, "addr", "127.0.0.1:4420", "the controller, at a loopback address")
+	cmd.Flags().StringVar(&opt.Subsystem, "subsystem", "", "the name it is connected to by")
+	cmd.Flags().Uint32Var(&opt.NSID, "namespace", 1, "the namespace that commands go to")
+	cmd.Flags().BoolVar(&opt.Write, "write", false, "run the clauses that overwrite the namespace's first 256 blocks")
+	cmd.Flags().DurationVar(&opt.Within, "within", 5*time.Second, "how long a connection is waited for in all")
+	cmd.MarkFlagRequired("subsystem")
+	return cmd
+}
--- a/cmd/spindlehitch/main.go
+++ b/cmd/spindlehitch/main.go
@@ -22,6 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), agentCommand(), configCommand())
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), agentCommand(), configCommand(),
+		conformCommand())
 	return root
 }
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -283,8 +284,8 @@
 		t.Fatal(err)
 	}
 	stop, leave := context.WithCancel(context.Background())
-	up, ended := make(chan struct{}), make(chan error, 1)
-	go func() { ended <- serve(stop, cfg, op, quiet, func() { close(up) }, nil) }()
+	up, ended, changes := make(chan struct{}), make(chan error, 1), make(chan change)
+	go func() { ended <- serve(stop, cfg, op, quiet, func() { close(up) }, changes) }()
 	<-up
 	if status, _ := w.ask(); status != 404 {
 		t.Errorf("a request by HTTP: status %d", status)
@@ -308,6 +309,28 @@
 	if _, err := io.ReadFull(c, answer); err != nil || answer[0] != 1 {
 		t.Errorf("ICReq was answered with %x, %v", answer[:8], err)
 	}
+	// The conformance suite at the command line, before and after other namespaces came by a reload.
+	conform := func(namespace string) (string, error) {
+		var out strings.Builder
+		root := rootCommand()
+		root.SetOut(&out)
+		root.SetArgs([]string{"conform", "--addr", at, "--subsystem", op.NVMe.Subsystem, "--namespace", namespace})
+		err := root.Execute()
+		return out.String(), err
+	}
+	if out, err := conform("1"); err != nil || !strings.Contains(out, " 0 failed") {
+		t.Errorf("conform: %v\n%s", err, out)
+	}
+	spaces := slices.Clone(op.NVMe.Namespaces)
+	spaces[0].ID = 5
+	changes <- change{spaces: spaces}
+	changes <- change{} // the first has been taken over by now
+	if out, err := conform("5"); err != nil {
+		t.Errorf("conform after the reload: %v\n%s", err, out)
+	}
+	if out, err := conform("1"); err == nil || !strings.Contains(out, "fail") {
+		t.Errorf("conform of a namespace that is gone: %v\n%s", err, out)
+	}
 	leave()
 	if err := <-ended; err != nil {
 		t.Error(err)
--- a/internal/nvme/admin.go
+++ b/internal/nvme/admin.go
@@ -44,23 +44,22 @@
 		return
 	}
 	st := stOK
+	var ctrl *controller
 	if qid == 0 {
 		if cntlid != staticID {
 			st = stBadConnect | dnr
-		} else if q.ctrl = s.associate(q, host, time.Duration(c.dw(12))*time.Millisecond, finder); q.ctrl == nil {
+		} else if ctrl = s.associate(q, host, time.Duration(c.dw(12))*time.Millisecond, finder); ctrl == nil {
 			st = stControllerBusy
 		}
 	} else {
 		s.mu.Lock()
-		ctrl := s.controllers[cntlid]
+		ctrl = s.controllers[cntlid]
 		s.mu.Unlock()
 		switch {
 		case ctrl == nil || ctrl.host != host || ctrl.finder || qid > mostQueues:
 			st = stBadConnect | dnr
 		case !ctrl.join(q, qid):
 			st = stSequence | dnr // not enabled, or the queue is there already
-		default:
-			q.ctrl = ctrl
 		}
 	}
 	if st != stOK {
@@ -68,10 +67,15 @@
 		return
 	}
 	q.mu.Lock()
-	q.qid, q.size, q.sqhd = qid, uint16(size), 1
-	q.joined.Store(true)
+	q.ctrl, q.qid, q.size, q.sqhd = ctrl, qid, uint16(size), 1
+	gone := q.cmds == nil
 	q.mu.Unlock()
-	q.complete(p, stOK, uint64(q.ctrl.id), nil)
+	if gone {
+		ctrl.leave(q) // the connection has ended meanwhile, without a controller to leave
+		return
+	}
+	q.joined.Store(true)
+	q.complete(p, stOK, uint64(ctrl.id), nil)
 }
 
 func nqn(b []byte) string {
--- /dev/null
+++ b/internal/nvme/bench_test.go
@@ -0,0 +1,41 @@
+package nvme
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// BenchmarkReads has a host keep four reads out through the front, the core and a target, all on this machine.
+func BenchmarkReads(b *testing.B) {
+	b.ReportAllocs()
+	back := newStore()
+	go func() {
+		for range back.came {
+		}
+	}()
+	_, target := newServer(b, back, targetNQN)
+	r := newRig(b, false, time.Second, target)
+	c := newClient(b, r.addr, false)
+	sent := map[uint16]time.Time{}
+	took := make([]time.Duration, 0, b.N)
+	ask := func() { sent[c.read(1, 8)] = time.Now() }
+	b.ResetTimer()
+	for range min(4, b.N) {
+		ask()
+	}
+	for i := range b.N {
+		done, _ := c.next()
+		if done.status != stOK {
+			b.Fatalf("%+v", done)
+		}
+		took = append(took, time.Since(sent[done.cid]))
+		if i+4 < b.N {
+			ask()
+		}
+	}
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+}
--- a/internal/nvme/commands_test.go
+++ b/internal/nvme/commands_test.go
@@ -6,7 +6,10 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -520,3 +523,168 @@
 		}
 	}
 }
+
+// TestConformance runs the whole suite against the front, through the core and two targets, and against targets alone;
+// and holds the suite itself against a controller that breaks clauses.
+func TestConformance(t *testing.T) {
+	_, target := newServer(t, newStore(), targetNQN)
+	r := newRig(t, true, time.Second, target)
+	for name, opt := range map[string]ConformOptions{
+		"through the core": {Addr: r.addr, Subsystem: poolNQN, NSID: 1, Write: true},
+		"a target alone":   {Addr: target, Subsystem: targetNQN, NSID: 1, Write: true},
+	} {
+		results, err := Conform(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := map[Verdict]int{}
+		for _, x := range results {
+			seen[x.Verdict]++
+			if x.Verdict == Miss {
+				t.Errorf("%s: %s %s: %s", name, x.Section, x.Clause, x.Detail)
+			}
+		}
+		if seen[Pass] < 40 || seen[Outside] < 5 || seen[Skipped] > 0 {
+			t.Errorf("%s: %v", name, seen)
+		}
+	}
+	if _, err := Conform(ConformOptions{Addr: "192.0.2.1:4420"}); err == nil {
+		t.Error("the suite would leave this machine")
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for { // one that reads what comes and says nothing
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(io.Discard, c)
+		}
+	}()
+	results, err := Conform(ConformOptions{Addr: l.Addr().String(), Subsystem: poolNQN, NSID: 1, Within: 20 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range results {
+		if x.Verdict != Miss && x.Verdict != Skipped {
+			t.Errorf("a silent controller: %s %s: %s", x.Section, x.Clause, x.Verdict)
+		}
+	}
+}
+
+// TestDataNeverComes has a host ask to write and send none of the data that it was asked for: its connection ends when the
+// command's time is over, nothing is kept, and nothing was written.
+func TestDataNeverComes(t *testing.T) {
+	back := newStore()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := New(back, Options{Subsystem: poolNQN, Namespaces: []Namespace{space()}, QueueDepth: 8, MostConn: 8, MostBytes: 1 << 20,
+		Patience: map[string]time.Duration{"event-write": 100 * time.Millisecond}, Log: quiet})
+	go s.Serve(l)
+	c := newClient(t, l.Addr().String(), false)
+	c.send(c.io, c.rw(opWrite, 0, nil, 32, false), nil)
+	if p, err := c.io.receive(); err != nil || p.kind != typeR2T {
+		t.Fatalf("no R2T: %v", err)
+	}
+	if held := s.bytes.Load(); held != 32*blockSize {
+		t.Errorf("%d bytes held", held)
+	}
+	c.io.SetReadDeadline(time.Now().Add(patient))
+	if _, err := c.io.receive(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection lives on: %v", err)
+	}
+	for end := time.Now().Add(patient); s.bytes.Load() != 0 || s.open.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes and %d commands are kept", s.bytes.Load(), s.open.Load())
+		}
+	}
+	if len(back.came) > 0 {
+		t.Error("a write without its data was run")
+	}
+}
+
+// TestAbortRacesCompletion aborts commands while their answers come: each has one completion, aborted or not, and no
+// write runs twice.
+func TestAbortRacesCompletion(t *testing.T) {
+	back := newStore()
+	_, addr := newServer(t, back, poolNQN)
+	c := newClient(t, addr, false)
+	aborted := 0
+	for i := range 300 {
+		drain(back)
+		cid := c.write(uint64(i), fmt.Sprint("w", i))
+		abort := newCommand(opAbort, c.admin.nextCID(), 0, false)
+		abort.set32(40, 1|uint32(cid)<<16)
+		done, _, err := c.admin.ask(abort, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		end, _ := c.next()
+		switch {
+		case end.cid != cid:
+			t.Fatalf("completion of %d where %d was out", end.cid, cid)
+		case (end.status == stAborted|dnr) != (done.result == 0):
+			t.Errorf("ended with %#x, the abort says %d", uint16(end.status), done.result)
+		case end.status == stAborted|dnr:
+			aborted++
+		}
+	}
+	for i := range 300 {
+		if n := back.wrote(fmt.Sprint("w", i)); n > 1 {
+			t.Errorf("write %d ran %d times", i, n)
+		}
+	}
+	t.Logf("%d of 300 were aborted", aborted)
+}
+
+// drain makes room in the store's record of what came.
+func drain(s *store) {
+	for len(s.came) > 0 {
+		<-s.came
+	}
+}
+
+// TestQueueFull sends more commands than the queue holds while the node stands still: the connection ends for that, with
+// a termination request, and another queue goes on.
+func TestQueueFull(t *testing.T) {
+	back := newStore()
+	back.still = make(chan struct{})
+	defer close(back.still)
+	_, addr := newServer(t, back, poolNQN)
+	c := newClient(t, addr, false)
+	for range 9 {
+		c.read(0, 1)
+	}
+	if err := terminated(c.io, c.io.in, fesSequence, -1); err != nil {
+		t.Error(err)
+	}
+	if _, _, err := c.admin.ask(newCommand(opKeepAlive, c.admin.nextCID(), 0, false), nil); err != nil {
+		t.Errorf("the admin queue: %v", err)
+	}
+}
+
+// TestHostGoesAmidCommands has hosts end their connections with commands out, over and over: the core hears of each, and
+// nothing is kept.
+func TestHostGoesAmidCommands(t *testing.T) {
+	_, target := newServer(t, newStore(), targetNQN)
+	r := newRig(t, false, time.Second, target)
+	for i := range 20 {
+		c := newClient(t, r.addr, false)
+		c.write(uint64(i), "half")
+		c.send(c.io, c.rw(opWrite, 0, nil, 32, false), nil)
+		c.io.Close()
+		c.admin.Close()
+	}
+	for end := time.Now().Add(patient); r.core.Open() != 0 || r.server.bytes.Load() != 0 || r.server.open.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests, %d bytes, %d commands are kept", r.core.Open(), r.server.bytes.Load(), r.server.open.Load())
+		}
+	}
+}
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -179,6 +179,8 @@
 }
 
 func (s *Server) log(q *queue, reason string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	s.opt.Log.Info("connection ended", slog.String("side", "host"), slog.String("peer", q.net.RemoteAddr().String()),
 		slog.String("reason", reason), slog.Int("requests", q.asked), slog.Int("queue", int(q.qid)))
 }
@@ -248,7 +250,7 @@
 func (q *queue) close() {
 	q.net.Close()
 	q.mu.Lock()
-	left := q.cmds
+	left, ctrl := q.cmds, q.ctrl
 	q.cmds = nil
 	q.mu.Unlock()
 	for _, p := range left {
@@ -257,8 +259,8 @@
 	q.server.mu.Lock()
 	delete(q.server.queues, q)
 	q.server.mu.Unlock()
-	if c := q.ctrl; c != nil {
-		c.leave(q)
+	if ctrl != nil {
+		ctrl.leave(q)
 	}
 	q.server.log(q, q.reason)
 	close(q.ended)
@@ -476,11 +478,16 @@
 		q.complete(p, statusOf(core.TooMany, q.ctrl.wantsDelays()), 0, nil)
 	default:
 		x.Bytes = length
+		// A connection that ended meanwhile has let go of the command: what it would hold now, nobody gave back.
 		q.mu.Lock()
-		p.io, p.ns = x, ns
-		s.bytes.Add(int64(length))
+		gone := q.cmds[c.cid()] != p
+		if !gone {
+			p.io, p.ns = x, ns
+			s.bytes.Add(int64(length))
+		}
 		q.mu.Unlock()
 		switch {
+		case gone:
 		case c.op() == opWriteZeroes:
 			x.Data = make([]byte, length)
 			q.submit(p)
@@ -499,13 +506,16 @@
 // ask has the host send a write's data. One R2T is out for a command at a time, which any host bears. The
 // host has as long for it as the command may take.
 func (q *queue) ask(p *pending) {
-	p.io.Data = make([]byte, p.io.Bytes)
 	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.cmds[p.cmd.cid()] != p {
+		return
+	}
+	p.io.Data = make([]byte, p.io.Bytes)
 	q.serial++
 	p.tag = q.serial
 	p.wait = time.AfterFunc(q.server.opt.Patience[p.ns.Write], func() { q.end("HOST_DATA_LATE") })
 	q.put(typeR2T, 0, dataHead(p.cmd.cid(), p.tag, 0, uint32(p.io.Bytes)), nil)
-	q.mu.Unlock()
 }
 
 // data takes a part of a write's data, which must come in order and within what was asked for.
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -39,7 +39,7 @@
 		StripeBlocks: 2048, Shards: []int{0}, UnitBlocks: 16, Read: "position-read", Write: "event-write"}
 }
 
-func newServer(t *testing.T, c Core, subsystem string) (*Server, string) {
+func newServer(t testing.TB, c Core, subsystem string) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -118,7 +118,7 @@
 	server *Server
 }
 
-func newRig(t *testing.T, digests bool, aim time.Duration, targets ...string) *rig {
+func newRig(t testing.TB, digests bool, aim time.Duration, targets ...string) *rig {
 	t.Helper()
 	module, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 8,
 		MaxAttempts: 3, Plans: []spindlehitch.Plan{{Name: "std", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}},
@@ -153,12 +153,12 @@
 
 // client is the stand-in host: an admin queue and one I/O queue of some depth, spoken to by hand.
 type client struct {
-	t     *testing.T
+	t     testing.TB
 	admin *wire
 	io    *wire
 }
 
-func newClient(t *testing.T, addr string, digests bool) *client {
+func newClient(t testing.TB, addr string, digests bool) *client {
 	t.Helper()
 	h := NewHost(HostOptions{Subsystem: poolNQN, HostNQN: "nqn.2026-12.example.test:client", KeepAlive: time.Minute, Digests: digests})
 	ctx, stop := context.WithTimeout(context.Background(), patient)
