--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -21,6 +21,7 @@
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/discovery"
 	"spindlehitch/internal/front"
+	"spindlehitch/internal/keys"
 	"spindlehitch/internal/nvme"
 	"spindlehitch/internal/upstream"
 )
@@ -131,8 +132,16 @@
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	var wire upstream.Wire = upstream.NewHTTP(int64(cfg.Limits.MemoryMB) << 20 / 4)
+	var certs *keys.Keys
 	if op.NVMe != nil {
-		wire = nvme.NewHost(op.NVMe.Host())
+		if op.NVMe.TLS != nil {
+			if certs, err = keys.Load(*op.NVMe.TLS); err != nil {
+				return fmt.Errorf("operator's file: nvme.tls.%w", err)
+			}
+		}
+		h := op.NVMe.Host()
+		h.Keys = certs
+		wire = nvme.NewHost(h)
 	}
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
@@ -158,7 +167,7 @@
 		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
-		o.Log = log
+		o.Log, o.Keys = log, certs
 		controller := nvme.New(c, o)
 		doors[op.NVMe.Listen], update = controller, controller.Update
 	}
@@ -174,6 +183,12 @@
 				if next.spaces != nil {
 					update(next.spaces)
 				}
+				if certs == nil {
+					continue
+				}
+				if err := certs.Reload(); err != nil {
+					log.Error("configuration not taken", slog.String("reason", "BAD_CONFIG"), slog.Any("error", fmt.Errorf("nvme.tls.%w", err)))
+				}
 			}
 		}
 	}()
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"github.com/BurntSushi/toml"
 
 	"spindlehitch/internal/agent"
+	"spindlehitch/internal/keys"
 	"spindlehitch/internal/nvme"
 )
 
@@ -36,6 +37,7 @@
 	QueueDepth      int              `toml:"queue_depth"`
 	KeepAliveMs     int              `toml:"keep_alive_ms"`
 	Digests         bool             `toml:"digests"` // asked of targets; hosts choose for themselves
+	TLS             *keys.Files      `toml:"tls"`
 	Namespaces      []nvme.Namespace `toml:"namespace"`
 }
 
@@ -141,6 +143,11 @@
 	case len(n.Namespaces) == 0:
 		return errors.New("namespace: at least one")
 	}
+	if n.TLS != nil {
+		if err := n.TLS.Check(); err != nil {
+			return fmt.Errorf("tls.%w", err)
+		}
+	}
 	classes, plans := c.Classes(), c.Plans()
 	seen := map[uint32]bool{}
 	for i := range n.Namespaces {
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"time"
 
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/keys"
 	"spindlehitch/internal/mailbox"
 )
 
@@ -24,6 +26,7 @@
 	QueueDepth int
 	MostConn   int                      // hosts' connections at a time
 	MostBytes  int64                    // data of commands held at a time
+	Keys       *keys.Keys               // TLS, where there are any
 	Patience   map[string]time.Duration // of each class: NVMe commands carry no deadline of their own
 	Log        *slog.Logger
 }
@@ -101,6 +104,7 @@
 	once   sync.Once
 	reason string
 
+	retired atomic.Bool // its host's key is good no more: new commands are turned away
 	since   time.Time
 	joined  atomic.Bool // ctrl is set: the host has connected as NVMe knows it
 	framing framing
@@ -133,6 +137,11 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	if s.opt.Keys != nil {
+		over := make(chan struct{})
+		defer close(over)
+		go s.watchKeys(over)
+	}
 	for {
 		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -142,6 +151,9 @@
 			time.Sleep(10 * time.Millisecond) // out of descriptors, say: what is open goes on
 			continue
 		}
+		if s.opt.Keys != nil {
+			c = tls.Server(c, s.opt.Keys.Server())
+		}
 		q := &queue{server: s, net: c, box: mailbox.New[[]byte](), ended: make(chan struct{}),
 			cmds: map[uint16]*pending{}, since: time.Now()}
 		s.mu.Lock()
@@ -161,6 +173,52 @@
 	}
 }
 
+// keysEvery is how often connections are held against the keys that are good.
+const keysEvery = 100 * time.Millisecond
+
+// watchKeys retires the connections of hosts whose keys are good no more, until the server stops accepting: their commands
+// are finished, new ones are turned away as retryable, and then they end.
+func (s *Server) watchKeys(over <-chan struct{}) {
+	tick := time.NewTicker(keysEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		for q := range s.queues {
+			if c := q.net.(*tls.Conn); !q.retired.Load() && q.joined.Load() && s.opt.Keys.Good(c.ConnectionState()) != nil {
+				q.retired.Store(true)
+			}
+			if q.retired.Load() && q.unused() {
+				q.end("KEY_RETIRED")
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// unused tells whether nothing with data is open on the queue and, for an admin queue, none of its I/O queues is left.
+func (q *queue) unused() bool {
+	q.mu.Lock()
+	for _, p := range q.cmds {
+		if p.io != nil {
+			q.mu.Unlock()
+			return false
+		}
+	}
+	ctrl, admin := q.ctrl, q.qid == 0
+	q.mu.Unlock()
+	if !admin {
+		return true
+	}
+	ctrl.mu.Lock()
+	defer ctrl.mu.Unlock()
+	return len(ctrl.queues) <= 1
+}
+
 // makeRoom ends the connection that has been longest without a Connect, so that silent ones do not shut out hosts; the
 // server is locked. One that has joined is never ended for another.
 func (s *Server) makeRoom() bool {
@@ -297,6 +355,7 @@
 	err := q.serve()
 	var f *fatal
 	var timeout net.Error
+	var noTLS tls.RecordHeaderError
 	reason := "HOST_CLOSED"
 	switch {
 	case errors.As(err, &f):
@@ -307,6 +366,8 @@
 		reason = "HOST_TERMINATED"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		reason = "HANDSHAKE_SLOW"
+	case errors.Is(err, keys.ErrRefused), errors.As(err, &noTLS):
+		reason = "TLS_REFUSED"
 	case err != nil && err.Error() != "EOF":
 		reason = "HOST_RESET"
 	}
@@ -317,7 +378,7 @@
 
 func (q *queue) serve() error {
 	in := bufio.NewReaderSize(q.net, 16<<10)
-	q.net.SetReadDeadline(time.Now().Add(handshakeWithin))
+	q.net.SetDeadline(time.Now().Add(handshakeWithin)) // TLS writes too, in its handshake
 	p, err := readPDU(in, framing{})
 	if err != nil {
 		return err
@@ -473,7 +534,7 @@
 	case length > maxTransfer, !moved, c.op() != opWriteZeroes && c.sglType() != sglOffset && c.sglType() != sglTransport,
 		inside && (!takes || len(data) != length || length > inCapsule), !inside && len(data) > 0:
 		q.complete(p, stInvalidField|dnr, 0, nil)
-	case s.leaving.Load(), s.bytes.Load()+int64(length) > s.opt.MostBytes:
+	case s.leaving.Load(), q.retired.Load(), s.bytes.Load()+int64(length) > s.opt.MostBytes:
 		// Nothing of it was begun; the host may come back, or go elsewhere.
 		q.complete(p, statusOf(core.TooMany, q.ctrl.wantsDelays()), 0, nil)
 	default:
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/keys"
 	"spindlehitch/internal/upstream"
 )
 
@@ -24,7 +26,23 @@
 	HostNQN   string
 	HostID    [16]byte
 	KeepAlive time.Duration
-	Digests   bool // ask for header and data digests
+	Digests   bool       // ask for header and data digests
+	Keys      *keys.Keys // TLS, where there are any
+}
+
+// serial tells which keys connections are made with now.
+func (o *HostOptions) serial() int {
+	if o.Keys == nil {
+		return 0
+	}
+	return o.Keys.Serial()
+}
+
+// peer is a target's address with the keys it is met with: after a change of keys a new association is made beside the
+// old one, whose commands end on it.
+type peer struct {
+	addr   string
+	serial int
 }
 
 // Host is the upstream wire: an association with each target, and under it one I/O queue for each command
@@ -33,16 +51,16 @@
 type Host struct {
 	opt HostOptions
 	mu  sync.Mutex
-	all map[string]*association
+	all map[peer]*association
 }
 
 // NewHost returns a host.
-func NewHost(opt HostOptions) *Host { return &Host{opt: opt, all: map[string]*association{}} }
+func NewHost(opt HostOptions) *Host { return &Host{opt: opt, all: map[peer]*association{}} }
 
 // association is the admin queue with one target, made when first needed.
 type association struct {
 	host *Host
-	addr string
+	peer
 	talk chan struct{} // held by whoever speaks on the admin queue; waiting for it can be given up
 
 	mu      sync.Mutex
@@ -74,10 +92,11 @@
 // Dial opens an I/O queue at the target, and the association before it if there is none.
 func (h *Host) Dial(ctx context.Context, addr string) (upstream.Session, error) {
 	h.mu.Lock()
-	a := h.all[addr]
+	who := peer{addr, h.opt.serial()}
+	a := h.all[who]
 	if a == nil {
-		a = &association{host: h, addr: addr, inUse: map[uint16]bool{}, talk: make(chan struct{}, 1)}
-		h.all[addr] = a
+		a = &association{host: h, peer: who, inUse: map[uint16]bool{}, talk: make(chan struct{}, 1)}
+		h.all[who] = a
 	}
 	h.mu.Unlock()
 	admin, cntlid, qid, can, err := a.enter(ctx)
@@ -119,6 +138,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if h.opt.Keys != nil {
+		host, _, _ := net.SplitHostPort(addr)
+		secure := tls.Client(c, h.opt.Keys.Client(host))
+		if err := secure.HandshakeContext(ctx); err != nil {
+			c.Close()
+			return nil, err
+		}
+		c = secure
+	}
 	w := &wire{Conn: c, in: bufio.NewReaderSize(c, 16<<10)}
 	if until, ok := ctx.Deadline(); ok {
 		c.SetDeadline(until)
@@ -358,10 +386,16 @@
 	for {
 		time.Sleep(every)
 		a.mu.Lock()
-		over := a.admin != w || len(a.inUse) == 0 && time.Since(a.usedAt) > unusedFor
+		old := a.serial != a.host.opt.serial()
+		over := a.admin != w || len(a.inUse) == 0 && (old || time.Since(a.usedAt) > unusedFor)
 		a.mu.Unlock()
 		if over {
 			a.lose(w)
+			if old { // nothing new comes to it
+				a.host.mu.Lock()
+				delete(a.host.all, a.peer)
+				a.host.mu.Unlock()
+			}
 			return
 		}
 		a.talk <- struct{}{}
@@ -424,7 +458,16 @@
 }
 
 // Alive implements upstream.Session.
-func (s *session) Alive() bool { return s.in.Buffered() == 0 && upstream.Quiet(s.Conn) }
+//
+// One made with keys that have been changed is not used again: the target will end it once they are good no more, and a
+// command written at that moment would be in doubt.
+func (s *session) Alive() bool {
+	c := s.Conn
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	return s.in.Buffered() == 0 && s.from.serial == s.from.host.opt.serial() && upstream.Quiet(c)
+}
 
 // Do carries one read or write. A write's data goes in the capsule where it fits, otherwise when the
 // controller asks; until the last byte of it is written, it cannot have begun.
