Latency accounts: a book of where each volume's time went and behind what it waited

Need: nobody could say whose requests waited behind whose, and a still node looked like a greedy neighbour. Change: internal/accounts, a module without I/O or clock, told of arrival, release, first byte, answer and end. Six parts of a request's time that add up to it; waiting shared out among those that held the node meanwhile, or the node's stall; percentiles by DDSketch (2 in 100), pairs as heavy hitters by SpaceSaving with their errors, all bounded and what was dropped counted. docs/accounts.md has the definitions and the ways weighed. Not fed by the core yet. Measured on a stand-in node: a surge is named, two stalls of 240 ms are both found and named with no volume blamed for them, costly requests are no stall, random histories add up to the nanosecond.

--- /dev/null
+++ b/internal/accounts/accounts_test.go
@@ -0,0 +1,309 @@
+package accounts
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+const ms = time.Millisecond
+
+// TestPartsAddUp drives a book through histories of any kind, in order of time: the parts of each volume's requests add up to
+// their whole time, what is blamed is no more than what was waited, and nothing is kept past its bounds.
+func TestPartsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		opt := Options{Volumes: 3, Pairs: 4, Open: 6}
+		b := New(opt)
+		whole, requests := map[string]time.Duration{}, uint64(0)
+		arrived, volume := map[string]time.Duration{}, map[string]string{}
+		now := time.Duration(0)
+		few := rapid.Bool().Draw(t, "few volumes")
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * ms
+			id := fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "id"))
+			node := fmt.Sprint("n", rapid.IntRange(0, 1).Draw(t, "node"))
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				if b.open[id] != nil {
+					continue
+				}
+				v := fmt.Sprint("v", rapid.IntRange(0, 2+4*map[bool]int{false: 1}[few]).Draw(t, "volume"))
+				b.Arrive(now, id, v)
+				if b.open[id] != nil {
+					arrived[id], volume[id] = now, v
+				}
+			case 1:
+				b.Release(now, id, node, time.Duration(rapid.IntRange(-50, 500).Draw(t, "ahead"))*ms, rapid.Bool().Draw(t, "sent"))
+			case 2:
+				b.Begin(now, id)
+			case 3:
+				b.Answer(now, id, rapid.Bool().Draw(t, "alive"))
+			case 4:
+				if b.open[id] != nil {
+					whole[volume[id]] += now - arrived[id]
+					requests++
+				}
+				b.End(now, id)
+			case 5:
+				b.Forget(func(n string) bool { return n == "n0" })
+			}
+			if len(b.volumes) > opt.Volumes || len(b.Blames()) > opt.Pairs || len(b.open) > opt.Open {
+				t.Fatalf("%d volumes, %d pairs, %d open", len(b.volumes), len(b.Blames()), len(b.open))
+			}
+		}
+		for id := range b.open {
+			whole[volume[id]] += now - arrived[id]
+			requests++
+			b.End(now, id)
+		}
+		b.Forget(func(string) bool { return false })
+		var told uint64
+		var bound time.Duration
+		for v, a := range b.volumes {
+			told += a.Requests
+			bound += a.Times[Bound]
+			for p, d := range a.Times {
+				if d < 0 {
+					t.Fatalf("%s: %v of %v", v, d, Part(p))
+				}
+			}
+			if few && a.Times.Whole() != whole[v] {
+				t.Fatalf("%s: parts of %v add up to %v, its requests took %v", v, a.Times, a.Times.Whole(), whole[v])
+			}
+		}
+		if few && (told != requests || b.Dropped.Volumes != 0) {
+			t.Fatalf("%d of %d requests, %+v", told, requests, b.Dropped)
+		}
+		if few && b.blames.whole > bound+time.Duration(requests) {
+			t.Fatalf("%v blamed of %v waited", b.blames.whole, bound)
+		}
+	})
+}
+
+// job is a request of the stand-in world below.
+type job struct {
+	at     time.Duration
+	volume string
+	work   time.Duration
+}
+
+// play serves jobs at a stand-in node that works on two at a time, of which the initiator has at most four out, and stands
+// still in the given stretches; the book is told all of it.
+func play(t *testing.T, jobs []job, still ...span) *Book {
+	t.Helper()
+	slices.SortStableFunc(jobs, func(a, b job) int { return cmp.Compare(a.at, b.at) })
+	b := New(Options{Volumes: 100, Pairs: 100, Open: 10000})
+	type work struct {
+		id   string
+		left time.Duration
+	}
+	var held, out []work
+	const step = 500 * time.Microsecond
+	next := 0
+	for now := time.Duration(0); next < len(jobs) || len(held)+len(out) > 0; now += step {
+		if now > time.Minute {
+			t.Fatal("the stand-in world does not end")
+		}
+		for ; next < len(jobs) && jobs[next].at <= now; next++ {
+			id := fmt.Sprint(next)
+			b.Arrive(now, id, jobs[next].volume)
+			held = append(held, work{id, jobs[next].work})
+		}
+		stands := slices.ContainsFunc(still, func(s span) bool { return s.from <= now && now < s.to })
+		if !stands {
+			for i := range min(2, len(out)) {
+				out[i].left -= step
+			}
+			for i := 0; i < len(out); {
+				if out[i].left > 0 {
+					i++
+					continue
+				}
+				b.Answer(now, out[i].id, true)
+				b.End(now, out[i].id)
+				out = slices.Delete(out, i, i+1)
+			}
+		}
+		for len(out) < 4 && len(held) > 0 {
+			b.Release(now, held[0].id, "node", 0, true)
+			b.Begin(now, held[0].id)
+			out, held = append(out, held[0]), held[1:]
+		}
+	}
+	return b
+}
+
+// steady is the usual load: three volumes, 60 requests a second together, of 20 ms each.
+func steady() (jobs []job) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for at := time.Duration(0); at < 6*time.Second; at += time.Duration(rng.ExpFloat64() * 16 * float64(ms)) {
+		jobs = append(jobs, job{at, fmt.Sprint("v", rng.IntN(3)), time.Duration(15+rng.IntN(10)) * ms})
+	}
+	return jobs
+}
+
+// waited sums what the volumes other than the named one waited behind a cause.
+func waited(b *Book, except string) map[Pair]time.Duration {
+	sum := map[Pair]time.Duration{}
+	for _, x := range b.Blames() {
+		if x.Volume != except {
+			sum[Pair{Cause: x.Cause, Stall: x.Stall}] += x.Waited
+		}
+	}
+	return sum
+}
+
+func heaviest(sum map[Pair]time.Duration) (worst Pair) {
+	for p, d := range sum {
+		if d > sum[worst] {
+			worst = p
+		}
+	}
+	return worst
+}
+
+// TestSurgeIsNamed has one volume surge at a known time: it is what the others waited behind.
+func TestSurgeIsNamed(t *testing.T) {
+	jobs := steady()
+	for i := range 120 {
+		jobs = append(jobs, job{2*time.Second + time.Duration(i)*5*ms, "greedy", 20 * ms})
+	}
+	b := play(t, jobs)
+	sum := waited(b, "greedy")
+	if worst := heaviest(sum); worst != (Pair{Cause: "greedy"}) {
+		t.Errorf("named %+v: %v", worst, sum)
+	}
+	if b.nodes["node"].Stalls > 0 {
+		t.Errorf("%d stalls of a node that worked all the time", b.nodes["node"].Stalls)
+	}
+}
+
+// TestStallIsNamed has the node stand still for 240 ms: it is named itself, most of that time is found, and no volume's
+// waiting during it is blamed on another.
+func TestStallIsNamed(t *testing.T) {
+	b := play(t, steady(), span{2 * time.Second, 2240 * ms}, span{4 * time.Second, 4240 * ms})
+	n := b.nodes["node"]
+	if n.Stalls != 2 || n.StoodFor < 300*ms || n.StoodFor > 560*ms {
+		t.Errorf("%d stalls, %v of 480 ms", n.Stalls, n.StoodFor)
+	}
+	sum := waited(b, "")
+	if worst := heaviest(sum); worst != (Pair{Cause: "node", Stall: true}) {
+		t.Errorf("named %+v: %v", worst, sum)
+	}
+	for v, a := range b.volumes {
+		if a.Times[Still] == 0 {
+			t.Errorf("%s: no time at a still node", v)
+		}
+	}
+}
+
+// TestCostlyIsNoStall has costly requests come at once while others go on: their volume is named, the node is not. The
+// others are few enough not to wait behind one another for long after.
+func TestCostlyIsNoStall(t *testing.T) {
+	var jobs []job
+	for i, j := range steady() {
+		if i%2 == 0 {
+			jobs = append(jobs, j)
+		}
+	}
+	for i := range 10 {
+		jobs = append(jobs, job{2*time.Second + time.Duration(i)*ms, "costly", time.Duration(150+40*i) * ms})
+	}
+	b := play(t, jobs)
+	if n := b.nodes["node"]; n.Stalls > 0 {
+		t.Errorf("%d stalls, %v: the node only worked", n.Stalls, n.StoodFor)
+	}
+	if worst := heaviest(waited(b, "costly")); worst != (Pair{Cause: "costly"}) {
+		t.Errorf("named %+v", worst)
+	}
+}
+
+// TestBothAreNamed has a surge and a stall at different times: each is named for its part.
+func TestBothAreNamed(t *testing.T) {
+	jobs := steady()
+	for i := range 80 {
+		jobs = append(jobs, job{1*time.Second + time.Duration(i)*6*ms, "greedy", 20 * ms})
+	}
+	b := play(t, jobs, span{4 * time.Second, 4240 * ms})
+	sum := waited(b, "greedy")
+	greedy, still := sum[Pair{Cause: "greedy"}], sum[Pair{Cause: "node", Stall: true}]
+	if greedy < 500*ms || still < 100*ms || b.nodes["node"].Stalls != 1 {
+		t.Errorf("%v behind the surge, %v behind the stall, %d stalls", greedy, still, b.nodes["node"].Stalls)
+	}
+}
+
+// TestClientLeaves closes the account of a request whose client goes while it is held, and while it is out.
+func TestClientLeaves(t *testing.T) {
+	b := New(Options{Volumes: 10, Pairs: 10, Open: 10})
+	b.Arrive(0, "held", "v")
+	b.End(30*ms, "held")
+	b.Arrive(30*ms, "out", "v")
+	b.Release(40*ms, "out", "n", 4*ms, true)
+	b.Begin(42*ms, "out")
+	b.End(60*ms, "out")
+	want := Times{Bucket: 4 * ms, Bound: 6 * ms, Connect: 2 * ms, Node: 18 * ms, Reply: 30 * ms}
+	if a := b.Volume("v"); a == nil || a.Times != want || a.Requests != 2 {
+		t.Errorf("%+v, want %v", a, want)
+	}
+	if len(b.nodes["n"].out) > 0 || len(b.open) > 0 {
+		t.Error("something is kept of requests that are over")
+	}
+}
+
+// TestHeavy holds the bound of the heavy hitters: no pair of more than the whole by their number is missing, and none is
+// over by more than its error.
+func TestHeavy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, truth := newHeavy(5), map[Pair]time.Duration{}
+		for range rapid.IntRange(0, 200).Draw(t, "adds") {
+			p := Pair{Volume: fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "pair"))}
+			d := time.Duration(rapid.IntRange(1, 1000).Draw(t, "time"))
+			truth[p] += d
+			h.add(p, d)
+		}
+		listed := map[Pair]bool{}
+		for _, x := range h.list() {
+			listed[x.Pair] = true
+			if x.Waited < truth[x.Pair] || x.Waited-x.Error > truth[x.Pair] {
+				t.Fatalf("%+v, in truth %v", x, truth[x.Pair])
+			}
+		}
+		for p, d := range truth {
+			if d > h.whole/5 && !listed[p] {
+				t.Fatalf("%v of %v is missing", d, h.whole)
+			}
+		}
+	})
+}
+
+// TestPercentiles holds a volume's percentiles against the exact ones, within the stated error.
+func TestPercentiles(t *testing.T) {
+	b := New(Options{Volumes: 1, Pairs: 1, Open: 1})
+	var all []float64
+	now, rng := time.Duration(0), rand.New(rand.NewPCG(3, 3))
+	for range 5000 {
+		d := time.Duration(math.Exp(rng.NormFloat64()*1.5) * float64(20*ms))
+		b.Arrive(now, "x", "v")
+		now += d
+		b.End(now, "x")
+		all = append(all, d.Seconds())
+	}
+	slices.Sort(all)
+	for _, q := range []float64{0.5, 0.9, 0.99, 0.999} {
+		got, err := b.Volume("v").Latency.GetValueAtQuantile(q)
+		exact := all[int(q*float64(len(all)-1))]
+		if err != nil || math.Abs(got-exact) > Accuracy*exact*1.01 {
+			t.Errorf("p%v: %v, exactly %v, %v", 100*q, got, exact, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/accounts/book.go
@@ -0,0 +1,249 @@
+// Package accounts keeps, for each volume, where the time of its requests went and what they waited behind. It does no I/O,
+// reads no clock and decides nothing: it is told what the core sees, in order of time. docs/accounts.md defines its words.
+package accounts
+
+import (
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+)
+
+// Part is a stretch of a request's time.
+type Part int
+
+// The parts of a request's time, in the order of docs/accounts.md.
+const (
+	Bucket Part = iota
+	Bound
+	Connect
+	Node
+	Still
+	Reply
+	parts
+)
+
+func (p Part) String() string {
+	return [...]string{"bucket", "bound", "connect", "node", "still", "reply"}[p]
+}
+
+// Times is a time for each part.
+type Times [parts]time.Duration
+
+// Whole is their sum.
+func (t Times) Whole() (d time.Duration) {
+	for _, x := range t {
+		d += x
+	}
+	return d
+}
+
+const (
+	// Accuracy is the relative error of percentiles.
+	Accuracy = 0.02
+	bins     = 512 // past which a sketch gives up the accuracy of its least values
+)
+
+// Options are the book's bounds.
+type Options struct {
+	Volumes int // kept, by last use
+	Pairs   int // of volume and cause
+	Open    int // requests at a time; more are not accounted for
+}
+
+// Account is one volume's.
+type Account struct {
+	Requests uint64
+	Times    Times
+	Latency  *ddsketch.DDSketch // of whole requests, in seconds
+	used     time.Duration
+}
+
+// Dropped counts what the bounds cost.
+type Dropped struct {
+	Volumes  uint64 // accounts given up for others
+	Requests uint64 // not accounted for, as too many were open
+}
+
+// Book is the accounts of one initiator. It is not safe for concurrent use.
+type Book struct {
+	opt     Options
+	open    map[string]*entry
+	volumes map[string]*Account
+	nodes   map[string]*node
+	blames  *heavy
+	Dropped Dropped
+}
+
+// entry is one open request.
+type entry struct {
+	volume  string
+	arrived time.Duration
+	at      time.Duration // accounted for up to then
+	times   Times
+	node    string // where its attempt is out
+	begun   bool   // its first byte was written
+	visits  []visit
+}
+
+// visit is time at a node, of which some may prove to have been a stall.
+type visit struct {
+	node string
+	span
+}
+
+// New returns an empty book.
+func New(opt Options) *Book {
+	return &Book{opt: opt, open: map[string]*entry{}, volumes: map[string]*Account{}, nodes: map[string]*node{},
+		blames: newHeavy(max(1, opt.Pairs))}
+}
+
+// Arrive takes a request.
+func (b *Book) Arrive(at time.Duration, id, volume string) {
+	if len(b.open) >= b.opt.Open {
+		b.Dropped.Requests++
+		return
+	}
+	b.open[id] = &entry{volume: volume, arrived: at, at: at}
+}
+
+// Release ends a time of being held: the request goes to the node, or, with sent false, is given up. Ahead is how much of
+// that time its start tag lay ahead.
+func (b *Book) Release(at time.Duration, id, name string, ahead time.Duration, sent bool) {
+	e := b.open[id]
+	if e == nil || e.node != "" {
+		return
+	}
+	held := at - e.at
+	ahead = min(max(ahead, 0), held)
+	e.times[Bucket] += ahead
+	e.times[Bound] += held - ahead
+	n := b.node(name)
+	if w := (stay{e.volume, span{at - (held - ahead), at}}); n != nil && w.length() > 0 {
+		n.settle(at)
+		n.known(func() { n.share(name, w, b.blames.add) })
+	}
+	e.at = at
+	if sent && n != nil {
+		e.node, e.begun = name, false
+		n.enter(at, id, e.volume)
+	}
+}
+
+// node returns what is known of a node; nil without a name.
+func (b *Book) node(name string) *node {
+	if name == "" {
+		return nil
+	}
+	n := b.nodes[name]
+	if n == nil {
+		n = newNode()
+		b.nodes[name] = n
+	}
+	return n
+}
+
+// Begin tells that the attempt's first byte was written.
+func (b *Book) Begin(at time.Duration, id string) {
+	if e := b.open[id]; e != nil && e.node != "" && !e.begun {
+		e.times[Connect] += at - e.at
+		e.at, e.begun = at, true
+	}
+}
+
+// Answer ends an attempt; alive says that it was the node that ended it.
+func (b *Book) Answer(at time.Duration, id string, alive bool) {
+	e := b.open[id]
+	if e == nil || e.node == "" {
+		return
+	}
+	if e.begun {
+		e.times[Node] += at - e.at
+		e.visits = append(e.visits, visit{e.node, span{e.at, at}})
+	} else {
+		e.times[Connect] += at - e.at
+	}
+	b.nodes[e.node].leave(at, id, alive)
+	e.at, e.node = at, ""
+}
+
+// End closes the request's account: its last byte is with the client, or nobody waits for it any more.
+func (b *Book) End(at time.Duration, id string) {
+	e := b.open[id]
+	if e == nil {
+		return
+	}
+	if e.node != "" {
+		b.Answer(at, id, false)
+	}
+	delete(b.open, id)
+	e.times[Reply] += at - e.at
+	e.at = at
+	b.close(e, 0)
+}
+
+// close books the request once it is known of each of its visits whether the node stood still.
+func (b *Book) close(e *entry, visited int) {
+	if visited < len(e.visits) {
+		v := e.visits[visited]
+		n := b.nodes[v.node]
+		if n == nil { // forgotten
+			b.close(e, visited+1)
+			return
+		}
+		n.settle(e.at)
+		n.known(func() {
+			still := min(n.still(v.span), v.length())
+			e.times[Node] -= still
+			e.times[Still] += still
+			b.close(e, visited+1)
+		})
+		return
+	}
+	a := b.account(e.volume, e.at)
+	a.Requests++
+	for i, d := range e.times {
+		a.Times[i] += d
+	}
+	a.Latency.Add(e.times.Whole().Seconds())
+}
+
+// account returns a volume's, in place of the one longest without use where there are too many.
+func (b *Book) account(volume string, at time.Duration) *Account {
+	a := b.volumes[volume]
+	if a == nil {
+		if len(b.volumes) >= max(1, b.opt.Volumes) {
+			oldest := ""
+			for v, x := range b.volumes {
+				if oldest == "" || x.used < b.volumes[oldest].used || x.used == b.volumes[oldest].used && v < oldest {
+					oldest = v
+				}
+			}
+			delete(b.volumes, oldest)
+			b.Dropped.Volumes++
+		}
+		sketch, err := ddsketch.LogCollapsingLowestDenseDDSketch(Accuracy, bins)
+		if err != nil {
+			panic(err) // the accuracy is a constant
+		}
+		a = &Account{Latency: sketch}
+		b.volumes[volume] = a
+	}
+	a.used = max(a.used, at)
+	return a
+}
+
+// Forget drops what is known of nodes that the list no longer has; those with attempts out stay.
+func (b *Book) Forget(listed func(string) bool) {
+	for name, n := range b.nodes {
+		if len(n.out) == 0 && !listed(name) {
+			n.decide()
+			delete(b.nodes, name)
+		}
+	}
+}
+
+// Volume returns a volume's account; nil: none.
+func (b *Book) Volume(name string) *Account { return b.volumes[name] }
+
+// Blames are the causes of waiting, the heaviest first.
+func (b *Book) Blames() []Blame { return b.blames.list() }
