The core tells an observer what becomes of requests, and the module how long a tag lay ahead

Need: the latency accounts had nobody to feed them. Change: core.Options.Observer, nil unless accounts are kept; Action.Ahead tells how much of a request's hold its start tag lay ahead, Result.Began when its first byte was written, Answer.Written is called by both fronts once the answer is out. No decision depends on any of them. Measured: a test drives core and book together, parts exact for a served request, one whose client goes and one refused.

--- a/api.go
+++ b/api.go
@@ -211,5 +211,6 @@
 	Request string
 	Node    string
 	Wait    time.Duration
+	Ahead   time.Duration // of a request's end of being held: how much of it its start tag lay ahead
 	Text    string
 }
--- a/internal/accounts/book.go
+++ b/internal/accounts/book.go
@@ -142,9 +142,10 @@
 	return n
 }
 
-// Begin tells that the attempt's first byte was written.
+// Begin tells when the attempt's first byte was written; it may be told late.
 func (b *Book) Begin(at time.Duration, id string) {
 	if e := b.open[id]; e != nil && e.node != "" && !e.begun {
+		at = max(at, e.at)
 		e.times[Connect] += at - e.at
 		e.at, e.begun = at, true
 	}
@@ -156,6 +157,7 @@
 	if e == nil || e.node == "" {
 		return
 	}
+	at = max(at, e.at)
 	if e.begun {
 		e.times[Node] += at - e.at
 		e.visits = append(e.visits, visit{e.node, span{e.at, at}})
@@ -242,6 +244,9 @@
 	}
 }
 
+// Open is how many requests are open.
+func (b *Book) Open() int { return len(b.open) }
+
 // Volume returns a volume's account; nil: none.
 func (b *Book) Volume(name string) *Account { return b.volumes[name] }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	Payload    any               // of a served request: what the upstream brought
 	RetryAfter time.Duration     // of a refusal: when the client should come back; 0: no advice
 	Last       spindlehitch.Code // how the last attempt ended, if there was one
+	Written    func()            // to be called once it is with the client; nil: nobody asks
 }
 
 // TooMany refuses what a front cannot take in for want of room: nothing of it has reached the module.
@@ -98,9 +99,20 @@
 	Code    spindlehitch.Code
 	Load    *spindlehitch.Load
 	Used    int
+	Began   time.Time // when the attempt's first byte was written; zero: never
 	Payload any
 }
 
+// Observer is told what becomes of requests, from the core's goroutine and in order of time but for Begin, which is told
+// with the answer. It decides nothing.
+type Observer interface {
+	Arrive(at time.Duration, id, volume string)
+	Release(at time.Duration, id, node string, ahead time.Duration, sent bool)
+	Begin(at time.Duration, id string)
+	Answer(at time.Duration, id string, alive bool)
+	End(at time.Duration, id string)
+}
+
 // Upstream carries attempts out. Neither call may wait. Exactly one Result follows each Send, also after a
 // Cancel, which may come too late to change it.
 type Upstream interface {
@@ -124,6 +136,7 @@
 type Options struct {
 	MostHeld int           // requests open at a time
 	Margin   time.Duration // an answer must be written this long before the client leaves
+	Observer Observer      // nil: none
 }
 
 // Core is the module's actor.
@@ -143,6 +156,7 @@
 	events   []spindlehitch.Event
 	lists    []spindlehitch.Event
 	lastStep time.Duration
+	lastSeen time.Duration
 }
 
 // entry is one request's record; it goes when it is answered and nothing of it is out.
@@ -162,6 +176,12 @@
 
 type submitted struct{ job *Job }
 
+// written tells that a request's answer is with its client.
+type written struct {
+	id string
+	at time.Time
+}
+
 // New returns a core; Run starts it.
 func New(m *spindlehitch.Scheduler, up Upstream, clock Clock, opt Options) *Core {
 	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{},
@@ -187,6 +207,9 @@
 // List hands over news of the targets.
 func (c *Core) List(l spindlehitch.NodeList) { c.box.Put(l) }
 
+// Inspect has f called from the core's goroutine, between two steps.
+func (c *Core) Inspect(f func(at time.Duration)) { c.box.Put(f) }
+
 // Open tells how many requests are not finished with.
 func (c *Core) Open() int { return int(c.held.Load()) }
 
@@ -232,9 +255,13 @@
 		case submitted:
 			c.take(now, m.job)
 		case *Job:
-			c.depart(m)
+			c.depart(now, m)
 		case Result:
 			c.result(now, m)
+		case written:
+			c.opt.Observer.End(c.observed(m.at), m.id)
+		case func(time.Duration):
+			m(c.observed(now))
 		case spindlehitch.NodeList:
 			// Ahead of all else in the batch: no send is decided on a list older than the one at hand.
 			c.lists = append(c.lists, m)
@@ -263,10 +290,13 @@
 	// The client's time runs from the arrival, and the answer has to be out before it ends.
 	j.Budget = j.Patience - now.Sub(j.Arrived) - c.opt.Margin
 	c.open[j.ID] = &entry{job: j}
+	if o := c.opt.Observer; o != nil {
+		o.Arrive(c.observed(now), j.ID, j.Volume)
+	}
 	c.events = append(c.events, j.Request)
 }
 
-func (c *Core) depart(j *Job) {
+func (c *Core) depart(now time.Time, j *Job) {
 	if e := c.open[j.ID]; e != nil && e.job == j && !e.answered {
 		e.answered = true
 		if e.out {
@@ -275,6 +305,15 @@
 		c.events = append(c.events, spindlehitch.Departed{ID: j.ID})
 		c.tidy(j.ID, e)
 	}
+	if o := c.opt.Observer; o != nil {
+		o.End(c.observed(now), j.ID) // also where an answer was given that nobody took
+	}
+}
+
+// observed is the time told to the observer: in the order in which it is told, whatever the threads' clocks say.
+func (c *Core) observed(t time.Time) time.Duration {
+	c.lastSeen = max(c.lastSeen, c.clock.At(t))
+	return c.lastSeen
 }
 
 func (c *Core) result(now time.Time, r Result) {
@@ -282,6 +321,12 @@
 	if e == nil || !e.out || r.Number != e.attempts-1 {
 		return
 	}
+	if o := c.opt.Observer; o != nil {
+		if !r.Began.IsZero() {
+			o.Begin(c.clock.At(r.Began), r.Request) // it lies back, among what others were told of since
+		}
+		o.Answer(c.observed(now), r.Request, r.Code == spindlehitch.Delivered || r.Code == spindlehitch.Errored || r.Code == spindlehitch.Full)
+	}
 	e.out, e.last = false, r.Code
 	e.mayRun = e.mayRun || r.Code.MayRun()
 	if r.Code == spindlehitch.Delivered {
@@ -309,6 +354,9 @@
 	if e == nil || e.answered || e.out {
 		return
 	}
+	if o := c.opt.Observer; o != nil {
+		o.Release(c.observed(now), a.Request, a.Node, a.Ahead, a.Kind == spindlehitch.Send)
+	}
 	switch a.Kind {
 	case spindlehitch.Send:
 		e.out, e.node, e.sentAt = true, a.Node, now
@@ -331,6 +379,10 @@
 	}
 	e.answered = true
 	a.Last = e.last
+	if c.opt.Observer != nil {
+		id := e.job.ID
+		a.Written = func() { c.box.Put(written{id, time.Now()}) }
+	}
 	e.job.Done(a)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"spindlehitch"
+	"spindlehitch/internal/accounts"
 )
 
 // fake is an upstream that notes what it is told.
@@ -260,3 +261,44 @@
 		}
 	}
 }
+
+// TestObserver feeds the accounts: a request that is served, one whose client goes, and one that is refused have their time
+// accounted for in full, each in the part where it went, and none stays open.
+func TestObserver(t *testing.T) {
+	h := &hand{up: &fake{}, now: time.Now()}
+	book := accounts.New(accounts.Options{Volumes: 10, Pairs: 10, Open: 10})
+	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Observer: book})
+	h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
+	var answers []Answer
+	h.step(h.now, []any{submitted{job("get", h.now, &answers)}})
+	began := h.now.Add(3 * time.Millisecond)
+	h.now = h.now.Add(40 * time.Millisecond)
+	h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Delivered, Began: began}})
+	h.step(h.now, []any{written{h.up.sent[0].Request, h.now.Add(2 * time.Millisecond)}})
+	if answers[0].Written == nil {
+		t.Fatal("nobody would hear that the answer was written")
+	}
+	a := book.Volume("v")
+	want := accounts.Times{accounts.Connect: 3 * time.Millisecond, accounts.Node: 37 * time.Millisecond, accounts.Reply: 2 * time.Millisecond}
+	if a == nil || a.Requests != 1 || a.Times != want {
+		t.Fatalf("%+v, want %v", a, want)
+	}
+	goes := job("get", h.now, &answers)
+	h.step(h.now, []any{submitted{goes}})
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.step(h.now, []any{goes})
+	h.step(h.now, []any{spindlehitch.NodeList{Whole: true}})
+	h.step(h.now, []any{submitted{job("get", h.now, &answers)}}) // no node any more: held, and refused
+	h.later(2 * time.Second)
+	if n := len(answers); n != 2 || answers[1].Ending != Refused {
+		t.Fatalf("answers %+v", answers)
+	}
+	answers[1].Written()
+	h.step(h.now, h.box.Take(nil))
+	if a.Requests != 3 || a.Times[accounts.Bound] < 100*time.Millisecond {
+		t.Errorf("%+v: the third was held", a)
+	}
+	if n := book.Open(); n != 0 {
+		t.Errorf("%d requests stay open", n)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -152,6 +152,10 @@
 	select {
 	case a := <-final:
 		write(w, a)
+		if a.Written != nil {
+			http.NewResponseController(w).Flush()
+			a.Written()
+		}
 	case <-r.Context().Done():
 		s.core.Depart(j)
 		// A plain return would be answered with an empty 200, which no target made.
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -667,6 +667,11 @@
 		q.server.health.served(p.io)
 	}
 	q.complete(p, st, 0, body)
+	for _, a := range p.ends {
+		if a.Written != nil {
+			a.Written()
+		}
+	}
 }
 
 // abort ends a command from the admin queue; false where there is no such command.
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -260,7 +260,12 @@
 	c.used++
 	var reuse bool
 	var reason string
-	*r, reuse, reason = c.Do(y.Attempt, func() bool { return open(&t.state) })
+	var began time.Time
+	*r, reuse, reason = c.Do(y.Attempt, func() bool {
+		began = time.Now()
+		return open(&t.state)
+	})
+	r.Began = began
 	if y.calledOff() {
 		switch r.Code {
 		case spindlehitch.Delivered, spindlehitch.Moot, spindlehitch.NoConnection:
--- a/scheduler.go
+++ b/scheduler.go
@@ -456,7 +456,8 @@
 	n.out = append(n.out, r)
 	n.wide = max(n.wide, len(n.out))
 	wait := s.patience(n, r)
-	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: min(wait, max(r.due-s.now, s.set.Tick))})
+	wait = min(wait, max(r.due-s.now, s.set.Tick))
+	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now)})
 }
 
 // ---- Node health ----
@@ -643,7 +644,7 @@
 	}
 	v.hosts = float64(max(1, e.Initiators))
 	e.Units = max(e.Units, 0)
-	r := &request{Request: e, class: c, vol: v, born: s.now, due: s.now + e.Budget}
+	r := &request{Request: e, class: c, vol: v, born: s.now, heldAt: s.now, due: s.now + e.Budget}
 	r.by = s.now + max(e.Budget/2-4*s.set.Tick, s.set.Tick)
 	r.fullAim = s.now + c.Aim
 	if waited := c.Deadline - e.Budget; s.stalled > 0 && waited < s.stalled+s.leastAim/beatParts {
@@ -687,7 +688,7 @@
 	s.learn(n, r, e)
 	s.onLoad(n, e.Load)
 	n.out = without(n.out, r)
-	r.out = nil
+	r.out, r.heldAt = nil, s.now
 	if e.Code == Delivered {
 		s.meter(r.vol, r.Units, e.Used)
 	}
@@ -741,7 +742,11 @@
 	if r.mayRun && r.class.Effect != Pure && !(r.class.Effect == Keyed && r.class.Group == GroupAll) {
 		kind, wait = Fail, 0
 	}
-	s.act(Action{Kind: kind, Request: r.ID, Wait: wait})
+	end := Action{Kind: kind, Request: r.ID, Wait: wait, Ahead: r.ahead(s.now)}
+	if r.lane.node != nil {
+		end.Node = r.lane.node.ID
+	}
+	s.act(end)
 	s.turned[r.sameAs()] = r
 	s.turnedAt = append(s.turnedAt, r)
 	for old := s.turnedAt[0]; s.now > old.born+old.class.Deadline; old = s.turnedAt[0] {
--- a/state.go
+++ b/state.go
@@ -35,6 +35,7 @@
 	start    time.Duration // start tag
 	finish   time.Duration // finish tag
 	retryAt  time.Duration // no attempt before
+	heldAt   time.Duration // since when it is held, now or last
 	sent     int
 	out      *node // where its attempt is, if any
 	outAt    time.Duration
@@ -160,6 +161,9 @@
 	l.flow(r.vol).held++
 }
 
+// ahead is how much of the time that it has been held for its start tag lay ahead.
+func (r *request) ahead(now time.Duration) time.Duration { return max(0, min(r.start, now)-r.heldAt) }
+
 // unhold takes the request out of its lane's queue, if it is there.
 func (r *request) unhold() {
 	l := r.lane
