spindlehitch report: accounts by volume as text, JSON and Parquet, kept on disk in windows

Need: the accounts could not be read. Change: [accounts] in an operator's file has an instance keep them, tell them at an address, and write one file each window: versioned, checksummed, under its name only once whole. The sub-command names and skips files that are cut, damaged or of another version, and says in one line what cannot be told. Parquet by parquet-go, compressed by zstd.

--- /dev/null
+++ b/cmd/spindlehitch/report.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/accounts"
+	"spindlehitch/internal/accounts/disk"
+)
+
+func reportCommand() *cobra.Command {
+	var files, instances []string
+	var since, until, volume, form, out string
+	cmd := &cobra.Command{
+		Use:   "report",
+		Short: "Tell where the time of each volume's requests went, and what they waited behind",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			from, to, err := window(since, until)
+			if err != nil {
+				return err
+			}
+			var all []accounts.Snapshot
+			for _, path := range files {
+				some, skipped, err := disk.ReadAll(path, from, to)
+				if err != nil {
+					return fmt.Errorf("report: %w", err)
+				}
+				for _, err := range skipped {
+					fmt.Fprintln(cmd.ErrOrStderr(), "skipped:", err)
+				}
+				all = append(all, some...)
+			}
+			for _, addr := range instances {
+				s, err := ask(addr)
+				if err != nil {
+					return fmt.Errorf("report: instance %s: %w", addr, err)
+				}
+				all = append(all, s)
+			}
+			if len(all) == 0 {
+				return errors.New("report: no accounts in that window; name files or a folder by --from, instances by --instances")
+			}
+			merged, err := accounts.Merge(all...)
+			if err != nil {
+				return fmt.Errorf("report: %w", err)
+			}
+			r, err := accounts.Tell(merged, volume)
+			if err != nil {
+				return fmt.Errorf("report: %w", err)
+			}
+			return write(cmd.OutOrStdout(), r, form, out)
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&files, "from", nil, "files of accounts, or folders of them")
+	f.StringSliceVar(&instances, "instances", nil, "addresses at which running instances tell theirs")
+	f.StringVar(&since, "since", "", "only files that go past this time (RFC 3339)")
+	f.StringVar(&until, "until", "", "only files that begin before this time")
+	f.StringVar(&volume, "volume", "", "only this volume")
+	f.StringVar(&form, "format", "text", "text, json or parquet")
+	f.StringVarP(&out, "output", "o", "", "a file to write to; parquet needs one")
+	return cmd
+}
+
+func window(since, until string) (from, to time.Time, err error) {
+	for _, x := range []struct {
+		flag, text string
+		into       *time.Time
+	}{{"since", since, &from}, {"until", until, &to}} {
+		if x.text == "" {
+			continue
+		}
+		if *x.into, err = time.Parse(time.RFC3339, x.text); err != nil {
+			return from, to, fmt.Errorf("report: --%s: %q is not a time such as 2026-12-01T18:00:00Z", x.flag, x.text)
+		}
+	}
+	if !from.IsZero() && !to.IsZero() && !from.Before(to) {
+		return from, to, errors.New("report: --since is not before --until")
+	}
+	return from, to, nil
+}
+
+const askWithin, mostAccounts = 5 * time.Second, 64 << 20
+
+// ask has a running instance tell its accounts.
+func ask(addr string) (s accounts.Snapshot, err error) {
+	client := http.Client{Timeout: askWithin}
+	resp, err := client.Get("http://" + addr + "/accounts")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return s, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(io.LimitReader(resp.Body, mostAccounts)).Decode(&s); err != nil {
+		return s, err
+	}
+	return s, s.Check()
+}
+
+func write(w io.Writer, r accounts.Report, form, out string) (err error) {
+	if form != "text" && form != "json" && form != "parquet" {
+		return fmt.Errorf("report: --format: %q is none of text, json and parquet", form)
+	}
+	if form == "parquet" && out == "" {
+		return errors.New("report: --format parquet needs --output")
+	}
+	if out != "" {
+		f, err := os.Create(out)
+		if err != nil {
+			return fmt.Errorf("report: %w", err)
+		}
+		defer func() { err = errors.Join(err, f.Close()) }()
+		w = f
+	}
+	switch form {
+	case "json":
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(r)
+	case "parquet":
+		return r.Parquet(w)
+	}
+	return r.Text(w)
+}
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -146,13 +146,29 @@
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
 		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
-	c = core.New(module, up, core.NewClock(), core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin})
+	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin}
+	var book *ledger
+	if op.Accounts != nil {
+		book = newLedger(*op.Accounts, cfg.Name, log)
+		bounds.Observer = book.book
+	}
+	c = core.New(module, up, core.NewClock(), bounds)
+	if book != nil {
+		book.core = c
+		if err := book.serve(work); err != nil {
+			return fmt.Errorf("operator's file: accounts.listen: %w", err)
+		}
+		go book.run(work)
+	}
 	var listed atomic.Bool
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
 	tell := func(l *discovery.List) {
 		up.Apply(targets(l), l.Full)
 		c.List(nodes(l))
 		listed.Store(true)
+		if book != nil {
+			book.forget(l)
+		}
 	}
 	go c.Run(work)
 	about := discovery.Options{Addr: cfg.Discovery, Known: cfg.Known, Seed: cfg.Seed, Log: log}
@@ -230,6 +246,9 @@
 	for range doors {
 		err = errors.Join(err, <-ended)
 	}
+	if book != nil {
+		book.save(bound)
+	}
 	log.Info("left", slog.Int("open", c.Open()))
 	return err
 }
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +20,9 @@
 	"testing"
 	"time"
 
+	"github.com/parquet-go/parquet-go"
+
+	"spindlehitch/internal/accounts"
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/config"
 )
@@ -368,3 +372,82 @@
 		t.Error("another instance's configuration was put")
 	}
 }
+
+// TestAccounts has an instance keep accounts, asks it for them while it runs, and reads what it left on its disk, in each
+// form; what cannot be told gets one clear message.
+func TestAccounts(t *testing.T) {
+	w := newWorld(t)
+	dir, at := t.TempDir(), freeAddr(t)
+	kept := filepath.Join(dir, "accounts.data")
+	for name, text := range map[string]string{"config.json": w.config(),
+		"accounts.toml": fmt.Sprintf("[accounts]\nlisten = %q\ndir = %q\nwindow_s = 3600\n", at, kept)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cfg, op, err := load(func(name string) string {
+		return map[string]string{"PROXY_CONFIG": filepath.Join(dir, "config.json")}[name]
+	}, filepath.Join(dir, "accounts.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, op, quiet, nil, nil) }()
+	w.until(t)
+	report := func(args ...string) (string, error) {
+		var out strings.Builder
+		root := rootCommand()
+		root.SetOut(&out)
+		root.SetErr(&out)
+		root.SetArgs(append([]string{"report"}, args...))
+		err := root.Execute()
+		return out.String(), err
+	}
+	var r accounts.Report
+	for end := time.Now().Add(time.Minute); len(r.Volumes) == 0 || r.Volumes[0].Requests == 0; time.Sleep(10 * time.Millisecond) {
+		out, err := report("--instances", at, "--format", "json")
+		if err == nil {
+			err = json.Unmarshal([]byte(out), &r)
+		}
+		if err != nil || time.Now().After(end) {
+			t.Fatalf("%v\n%s", err, out)
+		}
+	}
+	v := r.Volumes[0]
+	if v.Node <= 0 || v.P50 <= 0 || len(r.Nodes) != 1 || r.Nodes[0].Answers == 0 {
+		t.Errorf("%+v", r)
+	}
+	leave()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if out, err := report("--from", kept, "--volume", v.Volume); err != nil || !strings.Contains(out, v.Volume) || !strings.Contains(out, "n1, ") {
+		t.Errorf("%v\n%s", err, out)
+	}
+	columns := filepath.Join(dir, "out.parquet")
+	if out, err := report("--from", kept, "--format", "parquet", "-o", columns); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	rows, err := parquet.ReadFile[accounts.Row](columns)
+	if err != nil || len(rows) != 1 || rows[0].Volume != v.Volume || rows[0].Requests < v.Requests {
+		t.Errorf("%+v, %v", rows, err)
+	}
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"--from", kept, "--volume", "nobody"}, `volume "nobody" has no account`},
+		{[]string{"--from", kept, "--since", "yesterday"}, "--since"},
+		{[]string{"--from", kept, "--since", "2026-12-02T00:00:00Z", "--until", "2026-12-01T00:00:00Z"}, "not before"},
+		{[]string{"--from", kept, "--until", "2001-01-01T00:00:00Z"}, "no accounts in that window"},
+		{[]string{"--from", kept, "--format", "xml"}, "--format"},
+		{[]string{"--from", kept, "--format", "parquet"}, "--output"},
+		{[]string{"--from", filepath.Join(dir, "nowhere")}, "nowhere"},
+		{[]string{"--instances", at}, "instance " + at},
+	} {
+		if out, err := report(c.args...); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v: %v\n%s", c.args, err, out)
+		}
+	}
+}
--- a/internal/accounts/accounts_test.go
+++ b/internal/accounts/accounts_test.go
@@ -307,3 +307,52 @@
 		}
 	}
 }
+
+// TestMerge puts two instances' accounts together: sums are exact, percentiles as good as of one book that saw all, pairs
+// within their errors.
+func TestMerge(t *testing.T) {
+	both, each := New(Options{Volumes: 9, Pairs: 9, Open: 9}), [2]*Book{}
+	rng, now := rand.New(rand.NewPCG(5, 5)), time.Duration(0)
+	for i := range each {
+		each[i] = New(Options{Volumes: 9, Pairs: 9, Open: 9})
+	}
+	for i := range 4000 {
+		took := time.Duration(rng.ExpFloat64() * float64(30*ms))
+		for _, b := range []*Book{both, each[i%2]} {
+			b.Arrive(now, "x", fmt.Sprint("v", i%3))
+			b.End(now+took, "x")
+		}
+		now += took
+	}
+	for i, b := range each {
+		b.blames.add(Pair{Volume: "v1", Cause: "v2"}, time.Duration(i+1)*time.Second)
+	}
+	at := time.Unix(1000, 0)
+	m, err := Merge(each[0].Cut("a", at, at.Add(time.Minute)), each[1].Cut("b", at.Add(time.Minute), at.Add(2*time.Minute)))
+	if err != nil || m.Check() != nil {
+		t.Fatal(err, m.Check())
+	}
+	want := both.Look("all", at, at.Add(2*time.Minute))
+	for i := range want.Volumes {
+		got, exp := &m.Volumes[i], &want.Volumes[i]
+		p, err1 := got.Percentiles(0.5, 0.99)
+		q, err2 := exp.Percentiles(0.5, 0.99)
+		if err1 != nil || err2 != nil || got.Requests != exp.Requests || got.Times != exp.Times || !slices.Equal(p, q) {
+			t.Errorf("%s: %d %v %v, want %d %v %v", got.Volume, got.Requests, got.Times, p, exp.Requests, exp.Times, q)
+		}
+	}
+	if len(m.Blames) != 1 || m.Blames[0].Waited != 3*time.Second || !m.To.Equal(at.Add(2*time.Minute)) {
+		t.Errorf("%+v", m.Blames)
+	}
+	if each[0].Look("a", at, at); len(each[0].volumes) != 0 {
+		t.Error("a cut book has its old accounts")
+	}
+	full := Snapshot{Blames: []Blame{{Pair: Pair{Volume: "x"}, Waited: 9 * ms}, {Pair: Pair{Volume: "y"}, Waited: 4 * ms, Error: ms}}}
+	other := Snapshot{Blames: []Blame{{Pair: Pair{Volume: "z"}, Waited: 20 * ms}}}
+	for _, m := range [][]Snapshot{{full, other}, {other, full}} {
+		s, err := Merge(m...)
+		if err != nil || s.Blames[0].Volume != "z" || s.Blames[0].Waited != 24*ms || s.Blames[0].Error != 4*ms {
+			t.Errorf("a pair that a full snapshot may have dropped: %+v, %v", s.Blames, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/accounts/render.go
@@ -0,0 +1,119 @@
+package accounts
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/parquet-go/parquet-go"
+	"github.com/parquet-go/parquet-go/compress/zstd"
+)
+
+// Row is a volume's line in a report, as JSON and as a column each of a Parquet file. Times are in seconds.
+type Row struct {
+	Volume   string  `json:"volume" parquet:"volume,dict"`
+	Requests uint64  `json:"requests" parquet:"requests"`
+	P50      float64 `json:"p50_s" parquet:"p50_s"`
+	P90      float64 `json:"p90_s" parquet:"p90_s"`
+	P99      float64 `json:"p99_s" parquet:"p99_s"`
+	Bucket   float64 `json:"bucket_s" parquet:"bucket_s"`
+	Bound    float64 `json:"bound_s" parquet:"bound_s"`
+	Connect  float64 `json:"connect_s" parquet:"connect_s"`
+	Node     float64 `json:"node_s" parquet:"node_s"`
+	Still    float64 `json:"still_s" parquet:"still_s"`
+	Reply    float64 `json:"reply_s" parquet:"reply_s"`
+	Causes   []Cause `json:"causes" parquet:"causes,list"`
+}
+
+// Cause is what a volume waited behind.
+type Cause struct {
+	Cause  string  `json:"cause" parquet:"cause,dict"`
+	Stall  bool    `json:"stall" parquet:"stall"`
+	Waited float64 `json:"waited_s" parquet:"waited_s"`
+	Over   float64 `json:"at_most_over_by_s" parquet:"at_most_over_by_s"`
+}
+
+// Report is what is told of a stretch of time.
+type Report struct {
+	Instances []string    `json:"instances"`
+	From      time.Time   `json:"from"`
+	To        time.Time   `json:"to"`
+	Volumes   []Row       `json:"volumes"`
+	Nodes     []NodeTimes `json:"nodes"`
+	Dropped   Dropped     `json:"dropped"`
+}
+
+const mostCauses = 5 // of a volume, told
+
+// Tell makes a report, of one volume where it is named.
+func Tell(s Snapshot, volume string) (Report, error) {
+	r := Report{Instances: s.Instances, From: s.From, To: s.To, Nodes: s.Nodes, Dropped: s.Dropped, Volumes: []Row{}}
+	causes := map[string][]Cause{}
+	for _, b := range s.Blames { // the heaviest first
+		if len(causes[b.Volume]) < mostCauses {
+			causes[b.Volume] = append(causes[b.Volume], Cause{b.Cause, b.Stall, b.Waited.Seconds(), b.Error.Seconds()})
+		}
+	}
+	for i := range s.Volumes {
+		v := &s.Volumes[i]
+		if volume != "" && v.Volume != volume {
+			continue
+		}
+		p, err := v.Percentiles(0.5, 0.9, 0.99)
+		if err != nil {
+			return r, err
+		}
+		t := v.Times
+		r.Volumes = append(r.Volumes, Row{v.Volume, v.Requests, p[0].Seconds(), p[1].Seconds(), p[2].Seconds(), t[Bucket].Seconds(),
+			t[Bound].Seconds(), t[Connect].Seconds(), t[Node].Seconds(), t[Still].Seconds(), t[Reply].Seconds(), causes[v.Volume]})
+	}
+	if volume != "" && len(r.Volumes) == 0 {
+		return r, fmt.Errorf("volume %q has no account from %s to %s", volume, s.From.Format(time.RFC3339), s.To.Format(time.RFC3339))
+	}
+	return r, nil
+}
+
+// Text writes the report for a person: a line for each volume, times as a mean for a request in milliseconds.
+func (r Report) Text(w io.Writer) error {
+	fmt.Fprintf(w, "%s, %s to %s\n\n", strings.Join(r.Instances, ", "), r.From.Format(time.RFC3339), r.To.Format(time.RFC3339))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "volume\trequests\tp50\tp90\tp99\tbucket\tbound\tconnect\tnode\tstill\treply\t  waited behind\n")
+	for _, v := range r.Volumes {
+		var behind []string
+		for _, c := range v.Causes {
+			name := c.Cause
+			switch {
+			case c.Stall:
+				name = "node " + c.Cause + " standing still"
+			case c.Cause == v.Volume:
+				name = "itself"
+			}
+			behind = append(behind, fmt.Sprintf("%s %.2f s", name, c.Waited))
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.0f\t%.0f\t%.0f\t", v.Volume, v.Requests, v.P50*1000, v.P90*1000, v.P99*1000)
+		for _, x := range []float64{v.Bucket, v.Bound, v.Connect, v.Node, v.Still, v.Reply} {
+			fmt.Fprintf(t, "%.1f\t", 1000*x/float64(max(v.Requests, 1)))
+		}
+		fmt.Fprintf(t, "  %s\n", strings.Join(behind, ", "))
+	}
+	fmt.Fprint(t, "\t\t\t\t\t\t\t\t\t\t\t\nnode\tanswers\tstalls\tstood still\t\t\t\t\t\t\t\t\n")
+	for _, n := range r.Nodes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.2f s\t\t\t\t\t\t\t\t\n", n.Node, n.Answers, n.Stalls, n.StoodFor.Seconds())
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "\nnot kept for want of room: %d volumes, %d requests\n", r.Dropped.Volumes, r.Dropped.Requests)
+	return err
+}
+
+// Parquet writes the volumes as a columnar file.
+func (r Report) Parquet(w io.Writer) error {
+	p := parquet.NewGenericWriter[Row](w, parquet.Compression(&zstd.Codec{}))
+	if _, err := p.Write(r.Volumes); err != nil {
+		return err
+	}
+	return p.Close()
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -16,8 +16,41 @@
 // Operator is what an operator's file may set up beside the platform's configuration. All of it is off
 // where there is no such file.
 type Operator struct {
-	NVMe  *NVMe  `toml:"nvme"`
-	Agent *Agent `toml:"agent"`
+	NVMe     *NVMe     `toml:"nvme"`
+	Agent    *Agent    `toml:"agent"`
+	Accounts *Accounts `toml:"accounts"`
+}
+
+// Accounts has latency accounts kept by volume.
+type Accounts struct {
+	Listen  string `toml:"listen"`   // where they are told; empty: nowhere
+	Dir     string `toml:"dir"`      // where each window's are kept; empty: not
+	WindowS int    `toml:"window_s"` // 60 where it is not told
+	Keep    int    `toml:"keep"`     // files, 1,440 where it is not told
+	Volumes int    `toml:"volumes"`  // accounts at a time, 4,096 where it is not told
+	Pairs   int    `toml:"pairs"`    // of volume and cause, 4,096 where it is not told
+	Open    int    `toml:"open"`     // requests at a time, 8,192 where it is not told
+}
+
+func (a *Accounts) check() error {
+	if a.Listen != "" {
+		if err := checkAddr(a.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+	}
+	for _, f := range []struct {
+		field string
+		value *int
+		usual int
+	}{{"window_s", &a.WindowS, 60}, {"keep", &a.Keep, 1440}, {"volumes", &a.Volumes, 4096}, {"pairs", &a.Pairs, 4096}, {"open", &a.Open, 8192}} {
+		if *f.value < 0 {
+			return fmt.Errorf("%s: %d is negative", f.field, *f.value)
+		}
+		if *f.value == 0 {
+			*f.value = f.usual
+		}
+	}
+	return nil
 }
 
 // Agent sets up one of the few agents that keep the instances' configurations.
@@ -79,6 +112,11 @@
 			return nil, fmt.Errorf("operator's file: agent.%w", err)
 		}
 	}
+	if o.Accounts != nil {
+		if err := o.Accounts.check(); err != nil {
+			return nil, fmt.Errorf("operator's file: accounts.%w", err)
+		}
+	}
 	return &o, nil
 }
 
