spindlehitch top, the accounts' page for operators; a move of discovery passes its address on

Need: the accounts could not be seen live, and their cost was not known; the race detector found TestMove's goroutine reading the address that a move at once changes (watch in discovery.go, since before this work).

--- a/cmd/spindlehitch/main.go
+++ b/cmd/spindlehitch/main.go
@@ -23,6 +23,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), agentCommand(), configCommand(),
-		conformCommand(), reportCommand())
+		conformCommand(), reportCommand(), topCommand())
 	return root
 }
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	tea "charm.land/bubbletea/v2"
 	"github.com/parquet-go/parquet-go"
 
 	"spindlehitch/internal/accounts"
@@ -418,6 +419,7 @@
 	if v.Node <= 0 || v.P50 <= 0 || len(r.Nodes) != 1 || r.Nodes[0].Answers == 0 {
 		t.Errorf("%+v", r)
 	}
+	testTop(t, at, v.Volume)
 	leave()
 	if err := <-ended; err != nil {
 		t.Fatal(err)
@@ -451,3 +453,35 @@
 		}
 	}
 }
+
+// testTop looks at the live screen of a running instance and one that does not answer, in each order, and leaves it.
+func testTop(t *testing.T, at, volume string) {
+	t.Helper()
+	var m tea.Model = top{instances: []string{at, "127.0.0.1:1"}, every: time.Second, height: 24}
+	m, again := m.Update(m.Init()())
+	if again == nil {
+		t.Error("the instances are asked once only")
+	}
+	for _, x := range orders {
+		screen := m.(top).screen()
+		if !strings.Contains(screen, "by "+x.name) || !strings.Contains(screen, volume) || !strings.Contains(screen, "no answer: 127.0.0.1:1") {
+			t.Errorf("by %s:\n%s", x.name, screen)
+		}
+		m, _ = m.Update(tea.KeyPressMsg{Code: 'o', Text: "o"})
+	}
+	crowded := m.(top)
+	for i := range 100 {
+		crowded.report.Volumes = append(crowded.report.Volumes, accounts.Row{Volume: fmt.Sprint("w", i)})
+	}
+	if lines := strings.Count(crowded.screen(), "\n"); lines > crowded.height {
+		t.Errorf("%d lines on a screen of %d", lines, crowded.height)
+	}
+	if _, quit := m.Update(tea.KeyPressMsg{Code: 'q', Text: "q"}); quit == nil {
+		t.Error("q does not leave")
+	}
+	root := rootCommand()
+	root.SetArgs([]string{"top"})
+	if err := root.Execute(); err == nil || !strings.Contains(err.Error(), "--instances") {
+		t.Errorf("top of nobody: %v", err)
+	}
+}
--- a/internal/accounts/render.go
+++ b/internal/accounts/render.go
@@ -98,7 +98,9 @@
 		}
 		fmt.Fprintf(t, "  %s\n", strings.Join(behind, ", "))
 	}
-	fmt.Fprint(t, "\t\t\t\t\t\t\t\t\t\t\t\nnode\tanswers\tstalls\tstood still\t\t\t\t\t\t\t\t\n")
+	if len(r.Nodes) > 0 {
+		fmt.Fprint(t, "\t\t\t\t\t\t\t\t\t\t\t\nnode\tanswers\tstalls\tstood still\t\t\t\t\t\t\t\t\n")
+	}
 	for _, n := range r.Nodes {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%.2f s\t\t\t\t\t\t\t\t\n", n.Node, n.Answers, n.Stalls, n.StoodFor.Seconds())
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -20,7 +20,7 @@
 func (f *fake) Send(a Attempt)              { f.sent = append(f.sent, a) }
 func (f *fake) Cancel(node, request string) { f.cancelled = append(f.cancelled, node+"/"+request) }
 
-func module(t *testing.T) *spindlehitch.Scheduler {
+func module(t testing.TB) *spindlehitch.Scheduler {
 	t.Helper()
 	m, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 1,
 		Classes: []spindlehitch.Class{{Name: "get", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1},
@@ -302,3 +302,31 @@
 		t.Errorf("%d requests stay open", n)
 	}
 }
+
+// BenchmarkRequests steps the core by hand through requests of 100 volumes, each served, without accounts and with them.
+func BenchmarkRequests(b *testing.B) {
+	for name, observer := range map[string]Observer{"accounts=off": nil,
+		"accounts=on": accounts.New(accounts.Options{Volumes: 4096, Pairs: 4096, Open: 8192})} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			h := &hand{up: &fake{}, now: time.Now()}
+			h.Core = New(module(b), h.up, NewClock(), Options{MostHeld: 100, Observer: observer})
+			h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
+			for i := range b.N {
+				j := &Job{Request: spindlehitch.Request{Class: "get", Plan: "std", Volume: fmt.Sprint("v", i%100), Units: 1, Initiators: 1},
+					Arrived: h.now, Patience: 2 * time.Second, Done: func(a Answer) {
+						if a.Written != nil {
+							a.Written()
+						}
+					}}
+				h.step(h.now, []any{submitted{j}})
+				h.now = h.now.Add(20 * time.Millisecond)
+				for _, a := range h.up.sent {
+					h.step(h.now, []any{Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: spindlehitch.Delivered, Began: h.now}})
+				}
+				h.up.sent = h.up.sent[:0]
+				h.step(h.now, h.box.Take(nil))
+			}
+		})
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -165,10 +165,10 @@
 	for addr := w.opt.Addr; ctx.Err() == nil; sure = false {
 		at, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
-		go func() {
+		go func(addr string) { // as it is now: a move that comes at once changes it
 			defer close(left)
 			w.watchAt(at, addr, sure)
-		}()
+		}(addr)
 		select {
 		case <-ctx.Done():
 		case <-w.moves.Wake():
