--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"spindlehitch"
+	"spindlehitch/internal/backoff"
 	"spindlehitch/internal/mailbox"
 )
 
@@ -237,8 +238,7 @@
 
 // pause is how long to wait after so many calls that failed.
 func (w *Watcher) pause(failed int) time.Duration {
-	p := min(retryAfter<<min(failed-1, 8), retryMost)
-	return time.Duration((0.5+w.rng.Float64())*float64(p)) + w.turn()<<min(failed, 3)
+	return backoff.After(failed-1, retryAfter, retryMost, w.rng.Float64()) + w.turn()<<min(failed, 3)
 }
 
 // rest waits, unless the context ends.
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"spindlehitch"
+	"spindlehitch/internal/backoff"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/upstream"
@@ -333,12 +334,10 @@
 	restMost  = time.Second
 )
 
-// restAfter is how long a target is let be after so many attempts at an association that failed, spread by half either
-// way: many hosts that lost it together must not come back in step. What is asked of it meanwhile fails at once, and
-// the module decides what becomes of it.
+// restAfter is how long a target is let be after so many attempts at an association that failed. What is asked of it
+// meanwhile fails at once, and the module decides what becomes of it.
 func restAfter(failed int, spread float64) time.Duration {
-	d := min(restLeast<<min(failed, 16), restMost)
-	return time.Duration((0.5 + spread) * float64(d))
+	return backoff.After(failed, restLeast, restMost, spread)
 }
 
 func (h *Host) enable(ctx context.Context, w *wire) (cntlid uint16, can bears, err error) {
