Read over: one order of blames, no dead field; the accounts' address is shared as all others

The order of blames stood in heavy.go and in Merge; entry.arrived was set and never read; Inspect told a time that no caller took. The accounts' address was listened at by a plain Listen: a successor that takes over in the same process would have found it in use. It now goes through the same ListenConfig as the other addresses; by reading, not caught by a test.

--- a/cmd/spindlehitch/accounts.go
+++ b/cmd/spindlehitch/accounts.go
@@ -33,7 +33,7 @@
 // take has the core's goroutine make a snapshot, and start the next stretch where cut is true.
 func (l *ledger) take(ctx context.Context, cut bool) (s accounts.Snapshot, ok bool) {
 	done := make(chan accounts.Snapshot, 1)
-	l.core.Inspect(func(time.Duration) {
+	l.core.Inspect(func() {
 		now := time.Now()
 		if !cut {
 			done <- l.book.Look(l.name, l.from, now)
@@ -50,7 +50,7 @@
 	}
 }
 
-// run writes each window's accounts, the last one's too, until the context ends.
+// run writes each window's accounts until the context ends; serve saves the last.
 func (l *ledger) run(ctx context.Context) {
 	if l.opt.Dir == "" {
 		return
@@ -78,11 +78,11 @@
 }
 
 // serve tells the accounts of the window that is under way.
-func (l *ledger) serve(ctx context.Context) error {
+func (l *ledger) serve(ctx context.Context, lc *net.ListenConfig) error {
 	if l.opt.Listen == "" {
 		return nil
 	}
-	at, err := net.Listen("tcp", l.opt.Listen)
+	at, err := lc.Listen(ctx, "tcp", l.opt.Listen)
 	if err != nil {
 		return err
 	}
@@ -111,5 +111,5 @@
 	for _, e := range list.Servers {
 		listed[e.ID] = true
 	}
-	l.core.Inspect(func(time.Duration) { l.book.Forget(func(id string) bool { return listed[id] }) })
+	l.core.Inspect(func() { l.book.Forget(func(id string) bool { return listed[id] }) })
 }
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -153,9 +153,13 @@
 		bounds.Observer = book.book
 	}
 	c = core.New(module, up, core.NewClock(), bounds)
+	var lc net.ListenConfig // for all addresses: a predecessor may still listen at each
+	if listening != nil {
+		lc.Control = shareAddress
+	}
 	if book != nil {
 		book.core = c
-		if err := book.serve(work); err != nil {
+		if err := book.serve(work, &lc); err != nil {
 			return fmt.Errorf("operator's file: accounts.listen: %w", err)
 		}
 		go book.run(work)
@@ -209,10 +213,6 @@
 		}
 	}()
 	failed := make(chan error, len(doors))
-	var lc net.ListenConfig
-	if listening != nil {
-		lc.Control = shareAddress
-	}
 	ls := map[string]net.Listener{}
 	for addr := range doors {
 		l, err := lc.Listen(stop, "tcp", addr)
--- a/internal/accounts/book.go
+++ b/internal/accounts/book.go
@@ -78,13 +78,12 @@
 
 // entry is one open request.
 type entry struct {
-	volume  string
-	arrived time.Duration
-	at      time.Duration // accounted for up to then
-	times   Times
-	node    string // where its attempt is out
-	begun   bool   // its first byte was written
-	visits  []visit
+	volume string
+	at     time.Duration // accounted for up to then
+	times  Times
+	node   string // where its attempt is out
+	begun  bool   // its first byte was written
+	visits []visit
 }
 
 // visit is time at a node, of which some may prove to have been a stall.
@@ -105,7 +104,7 @@
 		b.Dropped.Requests++
 		return
 	}
-	b.open[id] = &entry{volume: volume, arrived: at, at: at}
+	b.open[id] = &entry{volume: volume, at: at}
 }
 
 // Release ends a time of being held: the request goes to the node, or, with sent false, is given up. Ahead is how much of
--- a/internal/accounts/heavy.go
+++ b/internal/accounts/heavy.go
@@ -54,15 +54,18 @@
 	heap.Fix(&h.least, b.at)
 }
 
+// heaviestFirst orders blames, those of the same weight by name.
+func heaviestFirst(a, b Blame) int {
+	return cmp.Or(cmp.Compare(b.Waited, a.Waited), cmp.Compare(a.Volume, b.Volume), cmp.Compare(a.Cause, b.Cause))
+}
+
 // list has the heaviest first.
 func (h *heavy) list() []Blame {
 	all := make([]Blame, 0, len(h.pairs))
 	for _, b := range h.pairs {
 		all = append(all, *b)
 	}
-	slices.SortFunc(all, func(a, b Blame) int {
-		return cmp.Or(cmp.Compare(b.Waited, a.Waited), cmp.Compare(a.Volume, b.Volume), cmp.Compare(a.Cause, b.Cause))
-	})
+	slices.SortFunc(all, heaviestFirst)
 	return all
 }
 
--- a/internal/accounts/snapshot.go
+++ b/internal/accounts/snapshot.go
@@ -1,7 +1,6 @@
 package accounts
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -197,8 +196,6 @@
 	for _, b := range pairs {
 		m.Blames = append(m.Blames, *b)
 	}
-	slices.SortFunc(m.Blames, func(a, b Blame) int {
-		return cmp.Or(cmp.Compare(b.Waited, a.Waited), cmp.Compare(a.Volume, b.Volume), cmp.Compare(a.Cause, b.Cause))
-	})
+	slices.SortFunc(m.Blames, heaviestFirst)
 	return m, nil
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -208,7 +208,7 @@
 func (c *Core) List(l spindlehitch.NodeList) { c.box.Put(l) }
 
 // Inspect has f called from the core's goroutine, between two steps.
-func (c *Core) Inspect(f func(at time.Duration)) { c.box.Put(f) }
+func (c *Core) Inspect(f func()) { c.box.Put(f) }
 
 // Open tells how many requests are not finished with.
 func (c *Core) Open() int { return int(c.held.Load()) }
@@ -260,8 +260,8 @@
 			c.result(now, m)
 		case written:
 			c.opt.Observer.End(c.observed(m.at), m.id)
-		case func(time.Duration):
-			m(c.observed(now))
+		case func():
+			m()
 		case spindlehitch.NodeList:
 			// Ahead of all else in the batch: no send is decided on a list older than the one at hand.
 			c.lists = append(c.lists, m)
