A second address with ready page and numbers; the clients' socket may be inherited

internal/listen takes the socket at $PROXY_SOCKET_FD, internal/control answers at `control`, internal/figures holds the numbers. The module tells what it avoids (scheduler.go, Avoided), the wires tell when an attempt is written whole.

Ruled out: port sharing beside the held socket, which the kernel refuses unless the holder set it too. Tests fail without the parts that they are about.

--- a/cmd/spindlehitch/accounts.go
+++ b/cmd/spindlehitch/accounts.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/discovery"
+	"spindlehitch/internal/listen"
 )
 
 // ledger is a running instance's accounts: the book, which the core's goroutine alone touches, and what is done with it.
@@ -78,11 +78,11 @@
 }
 
 // serve tells the accounts of the window that is under way.
-func (l *ledger) serve(ctx context.Context, lc *net.ListenConfig) error {
+func (l *ledger) serve(ctx context.Context, shared bool) error {
 	if l.opt.Listen == "" {
 		return nil
 	}
-	at, err := lc.Listen(ctx, "tcp", l.opt.Listen)
+	at, err := listen.Bound(ctx, l.opt.Listen, shared)
 	if err != nil {
 		return err
 	}
--- a/cmd/spindlehitch/follow.go
+++ b/cmd/spindlehitch/follow.go
@@ -5,9 +5,6 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/config"
@@ -99,14 +96,3 @@
 		return nil, err
 	}
 }
-
-// shareAddress lets a successor listen where its predecessor still does.
-func shareAddress(_, _ string, c syscall.RawConn) error {
-	var err error
-	if e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	}); e != nil {
-		return e
-	}
-	return err
-}
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,10 +20,13 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/config"
+	"spindlehitch/internal/control"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/discovery"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/front"
 	"spindlehitch/internal/keys"
+	"spindlehitch/internal/listen"
 	"spindlehitch/internal/nvme"
 	"spindlehitch/internal/upstream"
 )
@@ -143,23 +148,21 @@
 		h.Keys = certs
 		wire = nvme.NewHost(h)
 	}
+	numbers := figures.New(slices.Collect(maps.Keys(cfg.Classes())))
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
-		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Log: log}, func(r core.Result) { c.Report(r) })
-	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin}
+		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Sent: numbers.Dispatched, Log: log}, func(r core.Result) { c.Report(r) })
+	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
 	var book *ledger
 	if op.Accounts != nil {
 		book = newLedger(*op.Accounts, cfg.Name, log)
 		bounds.Observer = book.book
 	}
 	c = core.New(module, up, core.NewClock(), bounds)
-	var lc net.ListenConfig // for all addresses: a predecessor may still listen at each
-	if listening != nil {
-		lc.Control = shareAddress
-	}
+	shared := listening != nil // all addresses: a predecessor may still listen at each
 	if book != nil {
 		book.core = c
-		if err := book.serve(work, &lc); err != nil {
+		if err := book.serve(work, shared); err != nil {
 			return fmt.Errorf("operator's file: accounts.listen: %w", err)
 		}
 		go book.run(work)
@@ -167,7 +170,7 @@
 	var listed atomic.Bool
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
 	tell := func(l *discovery.List) {
-		up.Apply(targets(l), l.Full)
+		numbers.Listed(up.Apply(targets(l), l.Full))
 		c.List(nodes(l))
 		listed.Store(true)
 		if book != nil {
@@ -184,10 +187,10 @@
 	update := func([]nvme.Namespace) {} // of the front that has namespaces
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Log: log})}
+		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Figures: numbers, Log: log})}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
-		o.Log, o.Keys = log, certs
+		o.Log, o.Keys, o.Figures = log, certs, numbers
 		controller := nvme.New(c, o)
 		doors[op.NVMe.Listen], update = controller, controller.Update
 	}
@@ -215,19 +218,36 @@
 	failed := make(chan error, len(doors))
 	ls := map[string]net.Listener{}
 	for addr := range doors {
-		l, err := lc.Listen(stop, "tcp", addr)
+		var l net.Listener
+		if addr == cfg.Listen && cfg.Inherited != "" {
+			l, err = listen.Inherited(cfg.Inherited)
+		} else if l, err = listen.Bound(stop, addr, shared); err != nil {
+			err = fmt.Errorf("listen: %w", err)
+		}
 		if err != nil {
 			for _, l := range ls {
 				l.Close()
 			}
-			return fmt.Errorf("listen: %w", err)
+			return err
 		}
 		ls[addr] = l
 	}
+	var serving atomic.Bool
+	if cfg.Control != "" {
+		at, err := listen.Bound(stop, cfg.Control, shared)
+		if err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		pages := control.New(control.Options{Ready: func() bool { return serving.Load() && listed.Load() }, Figures: numbers.Render, Log: log})
+		defer pages.Close()
+		go pages.Serve(at)
+		log.Info("serving", slog.String("name", cfg.Name), slog.String("control", cfg.Control))
+	}
 	for addr, d := range doors {
 		go func() { failed <- d.Serve(ls[addr]) }()
 		log.Info("serving", slog.String("name", cfg.Name), slog.String("listen", addr))
 	}
+	serving.Store(true)
 	if listening != nil {
 		listening()
 	}
@@ -236,6 +256,7 @@
 		return err
 	case <-stop.Done():
 	}
+	serving.Store(false)
 	log.Info("leaving", slog.String("reason", "STOPPED"), slog.Int("open", c.Open()))
 	bound, done := context.WithTimeout(context.Background(), longest(cfg)+600*time.Millisecond)
 	defer done()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/discovery"
+	"spindlehitch/internal/listen"
 )
 
 // Limits are what the machine grants the process.
@@ -25,6 +26,8 @@
 type Config struct {
 	Name      string
 	Listen    string
+	Inherited string // the number of the descriptor that listens there already; empty: none
+	Control   string // the second address; empty: none
 	Discovery string
 	Seed      uint64
 	Limits    Limits
@@ -39,6 +42,7 @@
 type file struct {
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
+	Control   string          `json:"control"`
 	Discovery string          `json:"discovery"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
@@ -87,17 +91,20 @@
 	for _, v := range []struct {
 		name string
 		into *string
-	}{{"PROXY_NAME", &f.Name}, {"PROXY_LISTEN", &f.Listen}, {"PROXY_DISCOVERY", &f.Discovery}} {
+	}{{"PROXY_NAME", &f.Name}, {"PROXY_LISTEN", &f.Listen}, {"PROXY_CONTROL", &f.Control}, {"PROXY_DISCOVERY", &f.Discovery}} {
 		if s := getenv(v.name); s != "" {
 			*v.into = s
 		}
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	c := &Config{Name: f.Name, Listen: f.Listen, Control: f.Control, Inherited: getenv(listen.Variable), Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
 	if c.Name == "" {
 		return nil, Missing("name")
 	}
-	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"control", c.Control}, {"discovery", c.Discovery}} {
 		if a.addr == "" {
+			if a.field == "control" {
+				continue
+			}
 			return nil, Missing(a.field)
 		}
 		if err := checkAddr(a.addr); err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,12 +9,13 @@
 
 	"pgregory.net/rapid"
 
+	"spindlehitch/internal/control"
 	"spindlehitch/internal/seeded"
 )
 
 func TestMain(m *testing.M) { seeded.Main(m) }
 
-const good = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+const good = `{"name":"n3","listen":"127.0.0.1:8080","control":"127.0.0.1:9090","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"surprise":1,
  "known":{"version":41,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","cell":0,"state":"SERVING"}]},
  "settings":{"peersTotal":3,"tickUs":2000,"prices":{"handshake":0.08},"classes":[{"name":"position-read","promiseUs":150000,"deadlineUs":750000,
@@ -27,17 +28,17 @@
 
 func TestGood(t *testing.T) {
 	c, err := Parse([]byte(good), func(name string) string {
-		return map[string]string{"PROXY_LISTEN": "127.0.0.2:8081"}[name]
+		return map[string]string{"PROXY_LISTEN": "127.0.0.2:8081", "PROXY_CONTROL": "127.0.0.2:9091"}[name]
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Listen != "127.0.0.2:8081" || c.Seed != 0x8c1f30d27a5be964 || c.Dial != 250*time.Millisecond ||
+	if c.Listen != "127.0.0.2:8081" || c.Control != "127.0.0.2:9091" || c.Seed != 0x8c1f30d27a5be964 || c.Dial != 250*time.Millisecond ||
 		c.MostHeld != mostHeld || len(c.Module.Classes) != 3 || c.Module.Handshake != 0.08 || *c.Known.Version != 41 {
 		t.Errorf("read as %+v", c)
 	}
 	// What the parts may hold together must fit, a few connections that are just being turned away included.
-	if total := c.ClientConns() + c.AllTargetConns() + spareFiles; total > c.Limits.Sockets {
+	if total := c.ClientConns() + c.AllTargetConns() + spareFiles + control.MostFiles; total > c.Limits.Sockets {
 		t.Errorf("%d descriptors for all parts of %d", total, c.Limits.Sockets)
 	}
 }
@@ -50,6 +51,7 @@
 		{`"listen":"127.0.0.1:8080",`, "", "listen: required"},
 		{"127.0.0.1:8080", "127.0.0.1", "listen:"},
 		{"127.0.0.1:8080", "127.0.0.1:0", "listen: port"},
+		{"127.0.0.1:9090", "9090", "control: "},
 		{"127.0.0.1:8500", "127.0.0.1:99999", "discovery: port"},
 		{"8c1f30d27a5be964", "tomorrow", "seed:"},
 		{`"cores":1.0`, `"cores":-1`, "limits.cores"},
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"github.com/BurntSushi/toml"
 
 	"spindlehitch/internal/agent"
+	"spindlehitch/internal/control"
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/nvme"
 )
@@ -249,7 +250,7 @@
 // ClientConns is how many connections clients may hold, beside the targets' and the spare descriptors, and in a third of
 // the memory.
 func (c *Config) ClientConns() int {
-	n := min(c.Limits.Sockets-c.AllTargetConns()-spareFiles, c.Limits.MemoryMB<<20/3/clientBytes)
+	n := min(c.Limits.Sockets-c.AllTargetConns()-spareFiles-control.MostFiles, c.Limits.MemoryMB<<20/3/clientBytes)
 	return max(n, 8)
 }
 
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,94 @@
+package control
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func start(t *testing.T, ready func() bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(Options{Ready: ready, Figures: func() []byte { return []byte("edge_proxy.concurrent:0|g\n") }, Log: slog.New(slog.DiscardHandler)})
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func call(t *testing.T, addr, raw string) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, raw)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%q: %v", raw, err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !resp.Close {
+		t.Errorf("%q: closes %v, %v; want one call a connection", raw, resp.Close, err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// TestCalls asks what there is, what there is not, and what cannot be read.
+func TestCalls(t *testing.T) {
+	var ready atomic.Bool
+	addr := start(t, ready.Load)
+	for _, c := range []struct {
+		raw    string
+		status int
+	}{
+		{"GET /v1/metrics HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+		{"GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n", 503},
+		{"GET /v1/other HTTP/1.1\r\nHost: a\r\n\r\n", 404},
+		{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", 404},
+		{"POST /v1/metrics HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405},
+		{"nonsense\r\n\r\n", 400},
+	} {
+		if got, _ := call(t, addr, c.raw); got != c.status {
+			t.Errorf("%q: %d, want %d", c.raw, got, c.status)
+		}
+	}
+	ready.Store(true)
+	if got, _ := call(t, addr, "GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n"); got != 200 {
+		t.Errorf("ready: %d", got)
+	}
+}
+
+// TestSilentCallers holds far more connections than there is room for, half of them with half a call: one that asks is
+// answered well within the second that it has, all the while.
+func TestSilentCallers(t *testing.T) {
+	addr := start(t, func() bool { return true })
+	for i := range 4 * Most {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /v1/metr")
+		}
+		if i%Most != 0 {
+			continue
+		}
+		begun := time.Now()
+		status, body := call(t, addr, "GET /v1/metrics HTTP/1.1\r\nHost: a\r\n\r\n")
+		if took := time.Since(begun); status != 200 || !strings.Contains(body, "|g") || took > time.Second {
+			t.Errorf("with %d silent callers: %d, %q after %v", i+1, status, body, took)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,6 +89,14 @@
 	Node    string
 	Until   time.Time // given up then
 	Payload any
+	OnSent  func() // nil: nobody asks
+}
+
+// Sent is to be called by whoever carries the attempt out, once its last byte is written: from then on it may run.
+func (a *Attempt) Sent() {
+	if a.OnSent != nil {
+		a.OnSent()
+	}
 }
 
 // Result ends an attempt. By the time it is handed over, nothing of the attempt may be on its way any more.
@@ -137,6 +145,7 @@
 	MostHeld int           // requests open at a time
 	Margin   time.Duration // an answer must be written this long before the client leaves
 	Observer Observer      // nil: none
+	Avoided  func(int)     // told now and then how many listed targets the module avoids; nil: nobody asks
 }
 
 // Core is the module's actor.
@@ -157,6 +166,7 @@
 	lists    []spindlehitch.Event
 	lastStep time.Duration
 	lastSeen time.Duration
+	toldAt   time.Time // when Avoided was last called
 }
 
 // entry is one request's record; it goes when it is answered and nothing of it is out.
@@ -171,6 +181,9 @@
 	mayRun   bool
 }
 
+// tellEvery is how often, at most, the module is asked which targets it avoids.
+const tellEvery = 100 * time.Millisecond
+
 // namesFor is how long, at least, the name of a request that may have run stays taken.
 const namesFor = 5 * time.Second
 
@@ -245,6 +258,10 @@
 	for _, a := range c.module.Step(c.lastStep, events) {
 		c.act(now, a)
 	}
+	if c.opt.Avoided != nil && now.Sub(c.toldAt) >= tellEvery {
+		c.toldAt = now
+		c.opt.Avoided(c.module.Avoided())
+	}
 }
 
 // gather turns what has come in into one batch of events, news of the list ahead of all else.
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,106 @@
+// Package figures holds the numbers that staff read of a running initiator, and renders them. It does no I/O, and whoever
+// reads them waits for nobody. Each number is counted once, where the event happens.
+package figures
+
+import (
+	"slices"
+	"strconv"
+	"sync/atomic"
+)
+
+// Ending says how a request ended for its client.
+type Ending int
+
+const (
+	// Success was served whole.
+	Success Ending = iota
+	// Overload was refused: trying again is harmless.
+	Overload
+	// Failure is any other end.
+	Failure
+	endings
+)
+
+func (e Ending) String() string { return [...]string{"success", "overload", "error"}[e] }
+
+// prefix stands before each name.
+const prefix = "edge_proxy."
+
+// Book is the numbers of one process. All of it is safe for concurrent use.
+type Book struct {
+	classes    []string
+	ends       map[string]*[endings]atomic.Int64
+	dispatches atomic.Int64
+	concurrent atomic.Int64
+	targets    atomic.Int64
+	disabled   atomic.Int64
+}
+
+// New returns the numbers for these classes, all at 0.
+func New(classes []string) *Book {
+	b := &Book{classes: slices.Sorted(slices.Values(classes)), ends: map[string]*[endings]atomic.Int64{}}
+	for _, c := range classes {
+		b.ends[c] = &[endings]atomic.Int64{}
+	}
+	return b
+}
+
+// Dispatched notes an attempt that was written whole to a target.
+func (b *Book) Dispatched() { b.dispatches.Add(1) }
+
+// Listed notes how many targets the list has.
+func (b *Book) Listed(n int) { b.targets.Store(int64(n)) }
+
+// Avoided notes how many of them the module avoids.
+func (b *Book) Avoided(n int) { b.disabled.Store(int64(n)) }
+
+// Request is one request that was taken, until it ends.
+type Request struct {
+	book  *Book
+	class string
+	ended atomic.Bool
+}
+
+// Take notes that a request is there, whole.
+func (b *Book) Take(class string) *Request {
+	b.concurrent.Add(1)
+	return &Request{book: b, class: class}
+}
+
+// End notes how it ended; only the first word counts. A nil one is not kept.
+func (r *Request) End(e Ending) {
+	if r == nil || r.ended.Swap(true) {
+		return
+	}
+	r.book.concurrent.Add(-1)
+	r.book.Ended(r.class, e)
+}
+
+// Ended counts the end of a request that was never taken. A class that is not known is not counted.
+func (b *Book) Ended(class string, e Ending) {
+	if n := b.ends[class]; n != nil {
+		n[e].Add(1)
+	}
+}
+
+// Render writes the numbers, one a line: counters (c) from 0 at the start of the process, gauges (g) as they are now.
+func (b *Book) Render() []byte {
+	var out []byte
+	line := func(name string, n int64, kind byte) {
+		out = append(out, prefix...)
+		out = append(out, name...)
+		out = append(out, ':')
+		out = strconv.AppendInt(out, n, 10)
+		out = append(out, '|', kind, '\n')
+	}
+	for _, c := range b.classes {
+		for e := range endings {
+			line("replies."+c+"."+e.String(), b.ends[c][e].Load(), 'c')
+		}
+	}
+	line("dispatches", b.dispatches.Load(), 'c')
+	line("concurrent", b.concurrent.Load(), 'g')
+	line("targets", b.targets.Load(), 'g')
+	line("targets_disabled", b.disabled.Load(), 'g')
+	return out
+}
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,37 @@
+package figures
+
+import (
+	"strings"
+	"sync"
+	"testing"
+)
+
+// TestEachOnce ends requests from many goroutines, each more than once: every one counts once, and none stays open.
+func TestEachOnce(t *testing.T) {
+	b := New([]string{"put", "get"})
+	var wait sync.WaitGroup
+	for i := range 300 {
+		wait.Go(func() {
+			r := b.Take("get")
+			for e := range endings {
+				r.End((e + Ending(i)) % endings)
+			}
+			b.Dispatched()
+			b.Ended("no class", Failure)
+		})
+	}
+	wait.Wait()
+	open := b.Take("put")
+	b.Listed(7)
+	b.Avoided(2)
+	want := "edge_proxy.replies.get.success:100|c\nedge_proxy.replies.get.overload:100|c\nedge_proxy.replies.get.error:100|c\n" +
+		"edge_proxy.replies.put.success:0|c\nedge_proxy.replies.put.overload:0|c\nedge_proxy.replies.put.error:0|c\n" +
+		"edge_proxy.dispatches:300|c\nedge_proxy.concurrent:1|g\nedge_proxy.targets:7|g\nedge_proxy.targets_disabled:2|g\n"
+	if got := string(b.Render()); got != want {
+		t.Errorf("rendered\n%s, want\n%s", got, want)
+	}
+	open.End(Overload)
+	if got := string(b.Render()); !strings.Contains(got, "concurrent:0|") || !strings.Contains(got, "put.overload:1|") {
+		t.Errorf("after the last end:\n%s", got)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/upstream"
 )
 
@@ -42,6 +43,7 @@
 	EasyConn  int         // of these, how many may be without a request
 	Ready     func() bool // whether requests can be sent on; nil: from the start
 	ReadyOnly bool        // requests come in by another front
+	Figures   *figures.Book
 	Log       *slog.Logger
 }
 
@@ -121,6 +123,7 @@
 		default:
 			w.Header().Set("Connection", "close")
 			write(w, core.TooMany)
+			s.opt.Figures.Ended(classOf(r), figures.Overload)
 		}
 		return
 	}
@@ -129,6 +132,7 @@
 		m.Body, f = readBody(r)
 	}
 	if f != nil {
+		s.opt.Figures.Ended(classOf(r), figures.Failure)
 		refuseBad(w, r, conn, f)
 		return
 	}
@@ -136,6 +140,8 @@
 	if len(m.Body) > 0 {
 		arrived = conn.arrival()
 	}
+	seen := s.opt.Figures.Take(j.Class)
+	defer seen.End(figures.Failure) // where nothing else is known by then
 	// The time for the request to come must not run out on it while it is open.
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		panic(http.ErrAbortHandler)
@@ -147,11 +153,13 @@
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
 		write(w, core.TooMany)
+		seen.End(figures.Overload)
 		return
 	}
 	select {
 	case a := <-final:
 		write(w, a)
+		seen.End(endingOf(a))
 		if a.Written != nil {
 			http.NewResponseController(w).Flush()
 			a.Written()
@@ -189,6 +197,17 @@
 	}
 }
 
+// endingOf is the number that an answer counts under.
+func endingOf(a core.Answer) figures.Ending {
+	switch a.Ending {
+	case core.Served:
+		return figures.Success
+	case core.Refused:
+		return figures.Overload
+	}
+	return figures.Failure
+}
+
 // write gives the one final answer. Its length is told ahead, so that a cut one shows.
 func write(w http.ResponseWriter, a core.Answer) {
 	switch a.Ending {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/seeded"
 	"spindlehitch/internal/upstream"
 )
@@ -44,7 +45,8 @@
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
 	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
-		Log: slog.New(slog.DiscardHandler)})
+		Figures: figures.New([]string{"get", "put"}),
+		Log:     slog.New(slog.DiscardHandler)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -50,8 +50,7 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, nil, bad(http.StatusBadRequest, "the request's target must be a path")
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	class, rest, found := strings.Cut(path[1:], "/")
+	class, rest, found := cutClass(r)
 	key := rest[strings.LastIndexByte(rest, '/')+1:]
 	if !found || class == "" || !isHex16(key) {
 		return nil, nil, bad(http.StatusBadRequest, "path: wanted /class/…/key with a key of 16 hex digits")
@@ -81,6 +80,18 @@
 	return j, &upstream.Message{Method: r.Method, URI: r.RequestURI, ID: id}, nil
 }
 
+// cutClass cuts the class off the path, which starts with a slash.
+func cutClass(r *http.Request) (class, rest string, found bool) {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return strings.Cut(strings.TrimPrefix(path, "/"), "/")
+}
+
+// classOf is the class that a request names, known or not.
+func classOf(r *http.Request) string {
+	class, _, _ := cutClass(r)
+	return class
+}
+
 // parseInfo reads IO-Info: volume, units, shard and hosts, in any order; other fields are skipped.
 func parseInfo(s string) (spindlehitch.Request, *fault) {
 	var q spindlehitch.Request
--- a/internal/nvme/command.go
+++ b/internal/nvme/command.go
@@ -6,6 +6,7 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/figures"
 )
 
 // Opcodes of the subset.
@@ -117,6 +118,17 @@
 	return stInternal | dnr
 }
 
+// endingOf is the number that a command's status counts under.
+func endingOf(st status) figures.Ending {
+	switch {
+	case st == stOK, st.code() == stCompareFailure:
+		return figures.Success
+	case st.code() == stNSNotReady && st&dnr == 0:
+		return figures.Overload
+	}
+	return figures.Failure
+}
+
 // outcomeOf maps a target's status. Only what says that the command was not begun proves it.
 func outcomeOf(s status) spindlehitch.Code {
 	switch {
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/mailbox"
 )
@@ -28,6 +29,7 @@
 	MostBytes  int64                    // data of commands held at a time
 	Keys       *keys.Keys               // TLS, where there are any
 	Patience   map[string]time.Duration // of each class: NVMe commands carry no deadline of their own
+	Figures    *figures.Book            // nil: none are kept
 	Log        *slog.Logger
 }
 
@@ -130,6 +132,7 @@
 	jobs []*core.Job // the parts of it in the core
 	left int         // of them without an answer
 	ends []core.Answer
+	seen *figures.Request
 }
 
 // Serve accepts until Stop.
@@ -448,6 +451,7 @@
 		q.put(typeC2HData, flags, dataHead(cid, 0, uint32(at), uint32(len(part))), part)
 	}
 	q.put(typeResp, 0, completion{result: result, sqhd: q.sqhd, sqid: q.qid, cid: cid, status: st}.head(), nil)
+	p.seen.End(endingOf(st))
 	q.release(p) // after the answer is in the writer's mailbox: Stop ends connections once nothing is open
 	q.mu.Unlock()
 	return true
@@ -632,6 +636,9 @@
 		q.mu.Unlock()
 		return
 	}
+	if f := q.server.opt.Figures; f != nil {
+		p.seen = f.Take(jobs[0].Class)
+	}
 	p.jobs, p.left, p.ends = jobs, len(jobs), make([]core.Answer, len(jobs))
 	q.server.open.Add(1)
 	var turned []int
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -499,7 +499,10 @@
 		return r, false, "WRITE_" + upstream.Cause(err)
 	}
 	written := !x.Write || inside
-	st, body, err := s.finish(c, x, a.Until, &written)
+	if written {
+		a.Sent()
+	}
+	st, body, err := s.finish(c, x, a, &written)
 	if err != nil {
 		switch {
 		case written && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(a.Until):
@@ -527,8 +530,9 @@
 const stallAfter = 250 * time.Millisecond
 
 // finish takes part in the command's transfers until its completion.
-func (s *session) finish(c *command, x *IO, until time.Time, written *bool) (status, []byte, error) {
+func (s *session) finish(c *command, x *IO, a core.Attempt, written *bool) (status, []byte, error) {
 	var body []byte
+	until := a.Until
 	for {
 		s.SetReadDeadline(until)
 		if len(body) == 0 {
@@ -555,7 +559,9 @@
 			if err := s.sendData(c.cid(), p.u16(10), x.Data, int(offset), int(offset+length)); err != nil {
 				return 0, nil, err
 			}
-			*written = offset+length == int64(len(x.Data))
+			if *written = offset+length == int64(len(x.Data)); *written {
+				a.Sent()
+			}
 		case typeC2HData:
 			if x.Write || p.u16(8) != c.cid() || int64(p.u32(12)) != int64(len(body)) ||
 				len(body)+len(p.data) > x.Bytes || p.dataError {
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -104,6 +104,7 @@
 		r.Code = spindlehitch.NoConnection
 		return r, false, "WRITE_" + Cause(err)
 	}
+	a.Sent()
 	parts := &stallReader{Conn: c.Conn, until: a.Until}
 	limit := &io.LimitedReader{R: parts}
 	in := bufio.NewReaderSize(limit, 4096)
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -25,6 +25,7 @@
 	Idle     time.Duration // an unused connection is closed after that
 	MostConn int           // connections to one target
 	MostAll  int           // connections to all targets together
+	Sent     func()        // called for each attempt that is written whole; nil: nobody asks
 	Log      *slog.Logger
 }
 
@@ -43,8 +44,8 @@
 	return &Registry{opt: opt, report: report, targets: map[string]*target{}}
 }
 
-// Apply takes over entries of the list; with whole, a target that is absent is gone.
-func (g *Registry) Apply(list []Target, whole bool) {
+// Apply takes over entries of the list; with whole, a target that is absent is gone. It tells how many are listed now.
+func (g *Registry) Apply(list []Target, whole bool) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	named := make(map[string]bool, len(list))
@@ -71,6 +72,7 @@
 			t.box.Put(retire{})
 		}
 	}
+	return len(g.targets)
 }
 
 // Send starts an attempt; one result follows.
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -147,6 +147,7 @@
 		}
 	}
 	ctx, stop := context.WithDeadline(context.Background(), a.Until)
+	a.OnSent = t.opt.Sent
 	y := &try{Attempt: a, ctx: ctx, stop: stop}
 	t.busy[a.Request] = y
 	go t.attempt(y, c)
--- a/scheduler.go
+++ b/scheduler.go
@@ -555,6 +555,16 @@
 	return false
 }
 
+// Avoided tells how many of the listed nodes get no request, or one trial at a time.
+func (s *Scheduler) Avoided() (n int) {
+	for _, x := range s.nodes {
+		if x.State == Draining || x.State == Up && (x.openAt > s.now || s.troubled(x)) {
+			n++
+		}
+	}
+	return n
+}
+
 // patience is the time-out of an attempt. It is long: the data is nowhere else, so a premature second attempt
 // only adds load, even where answers get lost. It frees the slot of an attempt that was lost.
 func (s *Scheduler) patience(n *node, r *request) time.Duration {
