--- a/api.go
+++ b/api.go
@@ -125,6 +125,7 @@
 	Shard      int           // where the data is; -1: a new object, for any node
 	Units      float64       // its size
 	Initiators int           // how many carry this volume
+	At         string        // the node that has its body but for the last of it; empty: its body is here
 	Budget     time.Duration // the client gives this try up after that
 }
 
--- /dev/null
+++ b/cmd/spindlehitch/large_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"spindlehitch/internal/config"
+)
+
+// start runs an initiator of this configuration until the test ends.
+func start(t *testing.T, text string) {
+	t.Helper()
+	cfg, err := config.Parse([]byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, &config.Operator{}, quiet, nil, nil) }()
+	t.Cleanup(func() {
+		leave()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// largeWorld is a world whose target answers with what serve writes.
+func largeWorld(t *testing.T, serve http.HandlerFunc) *world {
+	t.Helper()
+	target := httptest.NewServer(serve)
+	t.Cleanup(target.Close)
+	found := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("after") {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(rw, `{"version":1,"full":true,"servers":[{"id":"t","addr":%q,"cell":0,"state":"SERVING"}]}`,
+			strings.TrimPrefix(target.URL, "http://"))
+	}))
+	t.Cleanup(found.Close)
+	w := &world{listen: freeAddr(t), discovery: strings.TrimPrefix(found.URL, "http://")}
+	return w
+}
+
+const largeHead = "Host: a\r\nTier: base\r\nRequest-Timeout-Ms: 20000\r\nIO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n"
+
+// TestLargeBothWays sends 32 MB and gets them back, by several clients at once, some in chunks, with an eighth of that for
+// memory. Each has its own bytes back, and what the process holds stays far under what passes.
+func TestLargeBothWays(t *testing.T) {
+	const size = 32 << 20
+	w := largeWorld(t, func(rw http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			sum := sha256.New()
+			n, err := io.Copy(sum, r.Body)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(rw, "%d %x", n, sum.Sum(nil))
+			return
+		}
+		for range size >> 14 {
+			rw.Write(make([]byte, 1<<14))
+		}
+	})
+	start(t, strings.Replace(w.config(), `"settings":`, `"limits":{"memory_mb":16},"settings":`, 1))
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if resp, err := http.Get("http://" + w.listen + "/-/ready"); err == nil && resp.StatusCode == 200 {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("never ready")
+		}
+	}
+	most, over := uint64(0), make(chan bool)
+	go func() {
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapInuse)
+			select {
+			case over <- true:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	var wait sync.WaitGroup
+	for i := range 6 {
+		wait.Go(func() {
+			c, err := net.Dial("tcp", w.listen)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(time.Minute))
+			in := bufio.NewReader(c)
+			if i%3 == 0 {
+				fmt.Fprintf(c, "GET /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nRequest-Id: l%d\r\n%s\r\n", i, largeHead)
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+					t.Errorf("read %d bytes, %v", n, err)
+				}
+				return
+			}
+			framing := fmt.Sprintf("Content-Length: %d\r\n", size)
+			if i%3 == 1 {
+				framing = "Transfer-Encoding: chunked\r\n"
+			}
+			fmt.Fprintf(c, "PUT /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nRequest-Id: l%d\r\n%s%s\r\n", i, largeHead, framing)
+			sum, rng := sha256.New(), rand.NewChaCha8([32]byte{byte(i)})
+			for left := size; left > 0; {
+				part := make([]byte, min(left, 1+int(rng.Uint64()%70000)))
+				rng.Read(part)
+				sum.Write(part)
+				left -= len(part)
+				if i%3 == 1 {
+					fmt.Fprintf(c, "%x\r\n%s\r\n", len(part), part)
+				} else {
+					c.Write(part)
+				}
+			}
+			if i%3 == 1 {
+				io.WriteString(c, "0\r\n\r\n")
+			}
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			got, _ := io.ReadAll(resp.Body)
+			if want := fmt.Sprintf("%d %x", size, sum.Sum(nil)); resp.StatusCode != 200 || string(got) != want {
+				t.Errorf("written: %d %q, want %q", resp.StatusCode, got, want)
+			}
+		})
+	}
+	wait.Wait()
+	<-over
+	// The clients and the target of the test live here too; one whole body alone would be more.
+	if most > size {
+		t.Errorf("%d MB were held", most>>20)
+	}
+}
+
+// TestLargeBroken is about bodies and answers that break midway: a request whose body lost its target is refused and was
+// never sent again, and an answer cut short is no whole one for its client.
+func TestLargeBroken(t *testing.T) {
+	tries := make(chan string, 64)
+	w := largeWorld(t, func(rw http.ResponseWriter, r *http.Request) {
+		tries <- r.Method
+		if r.Method == http.MethodPut {
+			io.CopyN(io.Discard, r.Body, 100<<10)
+		} else {
+			rw.Header().Set("Content-Length", "1000000")
+			rw.Write(make([]byte, 500000))
+		}
+		panic(http.ErrAbortHandler)
+	})
+	start(t, w.config())
+	say := func(raw string, body int) (*http.Response, error) {
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			c, err := net.Dial("tcp", w.listen)
+			if err != nil && time.Now().Before(end) {
+				continue
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			io.WriteString(c, raw)
+			for ; body > 0; body -= 10000 {
+				if _, err := c.Write(make([]byte, 10000)); err != nil {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			return http.ReadResponse(bufio.NewReader(c), nil)
+		}
+	}
+	resp, err := say("PUT /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nRequest-Id: b1\r\n"+largeHead+"Content-Length: 1000000\r\n\r\n", 1000000)
+	if err != nil || resp.StatusCode != 503 {
+		t.Errorf("a body without its target: %+v, %v; want a refusal", resp, err)
+	}
+	resp, err = say("GET /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nRequest-Id: b2\r\n"+largeHead+"\r\n", 0)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("an answer: %+v, %v", resp, err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Errorf("%d bytes of a million passed for whole", n)
+	}
+	if len(tries) != 2 || <-tries != "PUT" {
+		t.Errorf("%d tries reached the target, want one each", len(tries)+1)
+	}
+}
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -19,6 +19,7 @@
 	"github.com/spf13/cobra"
 
 	"spindlehitch"
+	"spindlehitch/internal/budget"
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/control"
 	"spindlehitch/internal/core"
@@ -136,7 +137,8 @@
 	}
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	var wire upstream.Wire = upstream.NewHTTP(int64(cfg.Limits.MemoryMB) << 20 / 4)
+	room := budget.New(int64(cfg.Limits.MemoryMB) << 20 / 4)
+	var wire upstream.Wire = upstream.NewHTTP(room)
 	var certs *keys.Keys
 	if op.NVMe != nil {
 		if op.NVMe.TLS != nil {
@@ -187,7 +189,7 @@
 	update := func([]nvme.Namespace) {} // of the front that has namespaces
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Figures: numbers, Log: log})}
+		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Figures: numbers, Room: room, Ahead: up.Ahead, Log: log})}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
 		o.Log, o.Keys, o.Figures = log, certs, numbers
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -259,8 +259,8 @@
 func (c *Config) EasyConns() int { return c.Limits.Sockets / 6 }
 
 // TargetConns is how many connections one target's pool may hold: more than the module ever has out there,
-// overdue attempts included, where the descriptors allow it.
-func (c *Config) TargetConns() int { return min(40, c.AllTargetConns()) }
+// overdue attempts and answers that pass through slowly included, where the descriptors allow it.
+func (c *Config) TargetConns() int { return min(160, c.AllTargetConns()) }
 
 // AllTargetConns is how many connections all targets' pools may hold together.
 func (c *Config) AllTargetConns() int { return c.Limits.Sockets * 4 / 10 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,16 @@
 	Conflict
 )
 
+// Discarder is a payload of a served request that holds something until it is read or discarded.
+type Discarder interface{ Discard() }
+
+// Discard lets go of an answer that nobody takes.
+func (a Answer) Discard() {
+	if d, ok := a.Payload.(Discarder); ok {
+		d.Discard()
+	}
+}
+
 // Answer is the one final answer of a request.
 type Answer struct {
 	Ending     Ending
@@ -158,6 +168,7 @@
 	open     map[string]*entry
 	held     atomic.Int64
 	seq      uint64
+	routes   []routed
 	timerAt  time.Time          // zero: none
 	named    map[string]bool    // of open requests
 	ran      [2]map[string]bool // of finished ones that may have run, lately and before
@@ -189,6 +200,12 @@
 
 type submitted struct{ job *Job }
 
+// routed asks where a body may go ahead of its request.
+type routed struct {
+	shard int
+	reply func(node string)
+}
+
 // written tells that a request's answer is with its client.
 type written struct {
 	id string
@@ -214,6 +231,10 @@
 // Depart tells that the job's client is gone. Its Done may still be called, if the answer came first.
 func (c *Core) Depart(j *Job) { c.box.Put(j) }
 
+// Route asks the module which node a request for the shard would go to now, so that a body that cannot be held here may
+// go there ahead of it. The reply, empty where there is none, comes from the core's goroutine and must not wait.
+func (c *Core) Route(shard int, reply func(node string)) { c.box.Put(routed{shard, reply}) }
+
 // Report hands over the end of an attempt.
 func (c *Core) Report(r Result) { c.box.Put(r) }
 
@@ -250,9 +271,17 @@
 // step gives the module what has come in and carries out what it decides.
 func (c *Core) step(now time.Time, msgs []any) {
 	events := c.gather(now, msgs)
-	if len(events) == 0 {
-		return
+	if len(events) > 0 {
+		c.decide(now, events)
+	}
+	for _, r := range c.routes { // once news of the list has been heard
+		r.reply(c.module.Where(r.shard))
 	}
+	clear(c.routes)
+	c.routes = c.routes[:0]
+}
+
+func (c *Core) decide(now time.Time, events []spindlehitch.Event) {
 	// The module's clock never goes back, whatever the platform's does.
 	c.lastStep = max(c.lastStep, c.clock.At(now))
 	for _, a := range c.module.Step(c.lastStep, events) {
@@ -277,6 +306,8 @@
 			c.result(now, m)
 		case written:
 			c.opt.Observer.End(c.observed(m.at), m.id)
+		case routed:
+			c.routes = append(c.routes, m)
 		case func():
 			m()
 		case spindlehitch.NodeList:
@@ -336,6 +367,7 @@
 func (c *Core) result(now time.Time, r Result) {
 	e := c.open[r.Request]
 	if e == nil || !e.out || r.Number != e.attempts-1 {
+		Answer{Payload: r.Payload}.Discard()
 		return
 	}
 	if o := c.opt.Observer; o != nil {
@@ -392,6 +424,7 @@
 // answer gives the final answer, once.
 func (c *Core) answer(e *entry, a Answer) {
 	if e.answered {
+		a.Discard()
 		return
 	}
 	e.answered = true
--- /dev/null
+++ b/internal/front/body_test.go
@@ -0,0 +1,127 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/upstream"
+)
+
+const codedHead = goodHead + "Transfer-Encoding: chunked\r\n"
+
+// TestChunkedBodies takes a body in chunks, with a trailer, cut anywhere, and several on one connection; it refuses what is
+// no body, what has a length as well, and what was read ahead of its turn so that nobody can tell.
+func TestChunkedBodies(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	go func() {
+		for j := range b.jobs {
+			j.Done(core.Answer{Payload: j.Payload.(*upstream.Message).Body})
+		}
+	}()
+	defer close(b.jobs)
+	coded := codedHead + "\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nA: b\r\n\r\n"
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for cut := range len(coded) {
+		if cut%7 == 0 {
+			io.WriteString(c, coded[:cut])
+			time.Sleep(2 * time.Millisecond)
+			if resp, body, _ := say(t, c, coded[cut:]); resp.StatusCode != 200 || body != "abcde" {
+				t.Fatalf("cut at %d: %d, %q", cut, resp.StatusCode, body)
+			}
+		}
+	}
+	for name, raw := range map[string]string{
+		"a length in front":  strings.Replace(coded, "Tier:", "Content-Length: 4\r\nTier:", 1),
+		"a length behind":    strings.Replace(coded, "chunked\r\n", "chunked\r\nCONTENT-length: 0\r\n", 1),
+		"no number":          codedHead + "\r\nzz\r\nabc\r\n0\r\n\r\n",
+		"a number below 0":   codedHead + "\r\n-3\r\nabc\r\n0\r\n\r\n",
+		"a number past all":  codedHead + "\r\nfffffffffffffffff\r\nabc\r\n0\r\n\r\n",
+		"more than it tells": codedHead + "\r\n2\r\nabc\r\n0\r\n\r\n",
+		"an endless trailer": codedHead + "\r\n0\r\n" + strings.Repeat("A: b\r\n", 10<<10),
+	} {
+		if resp, _, _ := ask(t, addr, raw); resp.StatusCode != 400 || !resp.Close {
+			t.Errorf("%s: status %d, closes %v", name, resp.StatusCode, resp.Close)
+		}
+	}
+	// A second request in the first one's packet: its head cannot be vouched for.
+	resp, _, both := ask(t, addr, good+strings.Replace(coded, "id1", "id2", 1))
+	if resp.StatusCode != 200 {
+		t.Errorf("the first of two: %d", resp.StatusCode)
+	}
+	if resp, _, _ := say(t, both, ""); resp.StatusCode != 400 {
+		t.Errorf("the second of two: %d", resp.StatusCode)
+	}
+}
+
+// TestContinue has a client wait for the word to go on before it sends its body.
+func TestContinue(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	go func() { (<-b.jobs).Done(core.Answer{Payload: []byte("x")}) }()
+	resp, _, c := ask(t, addr, goodHead+"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	if resp.StatusCode != 100 {
+		t.Fatalf("before the body: %d", resp.StatusCode)
+	}
+	if resp, _, _ := say(t, c, "body"); resp.StatusCode != 200 {
+		t.Errorf("after the body: %d", resp.StatusCode)
+	}
+}
+
+// TestSlowBody guards against a limit on a body's whole time: it may take as long as its bytes keep coming, and no longer.
+func TestSlowBody(t *testing.T) {
+	_, b, addr := newFront(t, 64)
+	go func() { (<-b.jobs).Done(core.Answer{Payload: []byte("x")}) }()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", goodHead, 60<<10)
+	for range 15 {
+		c.Write(make([]byte, 4<<10))
+		time.Sleep(bodyWithin / 12)
+	}
+	if resp, _, _ := say(t, c, ""); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// TestHeadScan cuts heads anywhere: what is asked of them is seen all the same, and nothing is seen in garbage.
+func TestHeadScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.Bool().Draw(t, "length")
+		head := "PUT /put/x HTTP/1.1\r\nHost: a\r\nX-Content-Length: 1\r\n"
+		if length {
+			head += rapid.SampledFrom([]string{"Content-Length", "content-length", "CONTENT-LENGTH"}).Draw(t, "as") + ": 4\r\n"
+		}
+		raw := []byte(head + "Transfer-Encoding: chunked\r\n\r\nContent-Length: 9\r\n\r\n")
+		var h headScan
+		h.feed([]byte("GET / HTTP/1.1\r\n"))
+		h.fresh()
+		for len(raw) > 0 {
+			n := rapid.IntRange(1, len(raw)).Draw(t, "cut")
+			h.feed(raw[:n])
+			raw = raw[n:]
+		}
+		r := &http.Request{Method: "PUT", RequestURI: "/put/x", Proto: "HTTP/1.1"}
+		if h.codedAlone(r) == length {
+			t.Fatalf("a length %v, seen alone %v", length, !length)
+		}
+		h.fresh()
+		h.feed(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
+		if h.codedAlone(r) {
+			t.Fatal("garbage passed")
+		}
+	})
+}
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -35,7 +35,9 @@
 	reason atomic.Pointer[string]
 	phase  atomic.Int32
 	since  time.Time // when it became quiet; under the table's lock
-	extra  bool      // past the cap, with none to make room
+	scanMu sync.Mutex
+	scan   headScan
+	extra  bool // past the cap, with none to make room
 }
 
 func (c *clientConn) Read(b []byte) (int, error) {
@@ -43,6 +45,9 @@
 	if n > 0 {
 		now := time.Now()
 		c.at.Store(&now)
+		c.scanMu.Lock()
+		c.scan.feed(b[:n])
+		c.scanMu.Unlock()
 		c.phase.CompareAndSwap(quiet, reading)
 	}
 	if c.phase.Load() == evicted {
@@ -78,6 +83,20 @@
 	}
 }
 
+// codedAlone tells whether the request at hand has a transfer coding and, seen for certain, no length beside it.
+func (c *clientConn) codedAlone(r *http.Request) bool {
+	c.scanMu.Lock()
+	defer c.scanMu.Unlock()
+	return c.scan.codedAlone(r)
+}
+
+// next has the next head looked at. It is called before the answer goes out: no client that waits for it has sent more.
+func (c *clientConn) next() {
+	c.scanMu.Lock()
+	c.scan.fresh()
+	c.scanMu.Unlock()
+}
+
 // end notes the first reason that is one.
 func (c *clientConn) end(reason string) {
 	if reason != "" {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"spindlehitch/internal/budget"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/figures"
 	"spindlehitch/internal/upstream"
@@ -21,9 +23,9 @@
 const (
 	maxTimeoutMs = 10 * 60 * 1000
 	maxHead      = 16 << 10
-	// requestWithin is how long a request, head and body, may take to come: from its first byte, or from the
-	// connection's start. A client that is slower, or says nothing, is owed an end within 3 s.
-	requestWithin = 2 * time.Second
+	// headWithin is how long a head may take to come: from its first byte, or from the connection's start. True clients
+	// take up to 2 s. One that is slower, or says nothing, is owed an end within 3 s.
+	headWithin = 2500 * time.Millisecond
 	// idleFor is how long a connection is kept for a next request, but while the program leaves. Clients count it among
 	// the few they may hold.
 	idleFor = 2 * time.Second
@@ -31,8 +33,8 @@
 	// read its answer before a reset takes it.
 	drainFor  = 3 * time.Second
 	drainMost = 64 << 20
-	// writeWithin is how long a client may take to read its answer.
-	writeWithin = 5 * time.Second
+	// writeWithin is how long a client may take to read a piece of its answer.
+	writeWithin = 10 * time.Second
 )
 
 // Options set up the front.
@@ -44,13 +46,17 @@
 	Ready     func() bool // whether requests can be sent on; nil: from the start
 	ReadyOnly bool        // requests come in by another front
 	Figures   *figures.Book
-	Log       *slog.Logger
+	Room      *budget.Bytes // for bodies and pieces of them
+	// Ahead opens a large body's way to a target.
+	Ahead func(ctx context.Context, node string, m *upstream.Message, length int64, wait time.Duration) (*upstream.Upload, error)
+	Log   *slog.Logger
 }
 
 // Core is what the front needs of the core.
 type Core interface {
 	Submit(*core.Job) bool
 	Depart(*core.Job)
+	Route(shard int, reply func(node string))
 }
 
 // Server is the front.
@@ -66,7 +72,7 @@
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log)}
-	s.http = http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: 2 * core.AnswerBy, MaxHeaderBytes: maxHead,
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: 2 * core.AnswerBy, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
@@ -115,6 +121,7 @@
 	arrived := conn.arrival()
 	if ready := r.URL.Path == "/-/ready"; ready || s.opt.ReadyOnly || conn.extra {
 		conn.claim()
+		conn.next()
 		switch {
 		case ready:
 			s.ready(w)
@@ -128,28 +135,41 @@
 		return
 	}
 	j, m, f := s.parse(r)
+	var early *core.Answer
+	free := func() {}
 	if f == nil {
-		m.Body, f = readBody(r)
+		f, early, free = s.receive(w, r, conn, j, m)
 	}
-	if f != nil {
+	defer func() { free() }()
+	switch {
+	case f != nil:
 		s.opt.Figures.Ended(classOf(r), figures.Failure)
 		refuseBad(w, r, conn, f)
 		return
+	case early != nil:
+		s.opt.Figures.Ended(j.Class, figures.Overload)
+		refuseBad(w, r, conn, &fault{after: early.RetryAfter, status: http.StatusServiceUnavailable, text: refusedText})
+		return
+	}
+	if m.Upload != nil {
+		defer m.Upload.Close() // where no attempt has taken it over
+	} else {
+		conn.claim()
 	}
-	conn.claim()
-	if len(m.Body) > 0 {
+	if r.ContentLength != 0 {
 		arrived = conn.arrival()
 	}
 	seen := s.opt.Figures.Take(j.Class)
 	defer seen.End(figures.Failure) // where nothing else is known by then
 	// The time for the request to come must not run out on it while it is open.
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if r.ContentLength != 0 && http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	j.Patience = core.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
-	final := make(chan core.Answer, 1)
-	j.Arrived, j.Payload, j.Done = arrived, m, func(a core.Answer) { final <- a }
+	final := &handOver{answer: make(chan core.Answer, 1)}
+	j.Arrived, j.Payload, j.Done = arrived, m, final.put
+	conn.next()
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
 		write(w, core.TooMany)
@@ -157,8 +177,10 @@
 		return
 	}
 	select {
-	case a := <-final:
-		write(w, a)
+	case a := <-final.answer:
+		if !write(w, a) {
+			panic(http.ErrAbortHandler) // the client must see that it is not whole
+		}
 		seen.End(endingOf(a))
 		if a.Written != nil {
 			http.NewResponseController(w).Flush()
@@ -166,6 +188,7 @@
 		}
 	case <-r.Context().Done():
 		s.core.Depart(j)
+		final.leave()
 		// A plain return would be answered with an empty 200, which no target made.
 		panic(http.ErrAbortHandler)
 	}
@@ -182,16 +205,52 @@
 	}
 }
 
-// refuseBad answers what could not be taken, before what is left of its body, and then reads that away for a while. None
-// of these is a 429 or 503: a repeat would fare no better.
+// handOver is how a final answer gets from the core's goroutine, which must not wait, to a handler, which may have left.
+type handOver struct {
+	mu     sync.Mutex
+	left   bool
+	answer chan core.Answer
+}
+
+func (h *handOver) put(a core.Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.left {
+		a.Discard()
+		return
+	}
+	h.answer <- a
+}
+
+// leave tells that nobody takes an answer any more.
+func (h *handOver) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.left = true
+	select {
+	case a := <-h.answer:
+		a.Discard()
+	default:
+	}
+}
+
+// refusedText goes with each refusal.
+const refusedText = "refused: trying again is harmless"
+
+// refuseBad answers what could not be taken, before what is left of its body, and then reads that away for a while. A 503
+// is for want of room; with all others a repeat would fare no better.
 func refuseBad(w http.ResponseWriter, r *http.Request, conn *clientConn, f *fault) {
 	rc := http.NewResponseController(w)
 	// Without it net/http would first wait for the body, which may never come.
 	rc.EnableFullDuplex()
+	rc.SetWriteDeadline(time.Now().Add(writeWithin))
 	w.Header().Set("Connection", "close")
+	retryAfter(w, f.after)
 	http.Error(w, f.text, f.status)
 	flushed := rc.Flush() == nil
-	conn.phase.CompareAndSwap(reading, spent)
+	if !conn.phase.CompareAndSwap(reading, spent) {
+		conn.phase.CompareAndSwap(active, spent)
+	}
 	if flushed && f.status != http.StatusRequestTimeout && rc.SetReadDeadline(time.Now().Add(drainFor)) == nil {
 		io.CopyBuffer(struct{ io.Writer }{io.Discard}, io.LimitReader(r.Body, drainMost), make([]byte, 16<<10))
 	}
@@ -208,28 +267,62 @@
 	return figures.Failure
 }
 
-// write gives the one final answer. Its length is told ahead, so that a cut one shows.
-func write(w http.ResponseWriter, a core.Answer) {
+func retryAfter(w http.ResponseWriter, wait time.Duration) {
+	if wait > 0 {
+		w.Header().Set("Retry-After", fmt.Sprintf("%.3f", wait.Seconds()))
+	}
+}
+
+// write gives the one final answer. Its length is told ahead, or it comes in chunks, so that a cut one shows. It tells
+// whether all of it was written, as far as is known.
+func write(w http.ResponseWriter, a core.Answer) bool {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin)) // that of an answer before may be over
 	switch a.Ending {
 	case core.Served:
+		if st, ok := a.Payload.(*upstream.Stream); ok {
+			return pass(w, st)
+		}
 		body, _ := a.Payload.([]byte)
-		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
 		h := w.Header()
 		h.Set("Content-Type", "application/octet-stream")
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 		w.WriteHeader(http.StatusOK)
 		w.Write(body)
 	case core.Refused:
-		if a.RetryAfter > 0 {
-			w.Header().Set("Retry-After", fmt.Sprintf("%.3f", a.RetryAfter.Seconds()))
-		}
-		http.Error(w, "refused: trying again is harmless", http.StatusServiceUnavailable)
+		retryAfter(w, a.RetryAfter)
+		http.Error(w, refusedText, http.StatusServiceUnavailable)
 	case core.Conflict:
 		w.Header().Set("Connection", "close")
 		http.Error(w, "Request-Id: a request of that id is open or may have run", http.StatusConflict)
 	default:
 		http.Error(w, "failed: it may have run", http.StatusBadGateway)
 	}
+	return true
+}
+
+// pass writes an answer as it comes, each piece at once.
+func pass(w http.ResponseWriter, st *upstream.Stream) bool {
+	defer st.Discard() // if it has not ended by itself
+	rc := http.NewResponseController(w)
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	if st.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(st.Length, 10))
+	}
+	piece, done := upstream.Piece()
+	defer done()
+	for {
+		n, err := st.Read(piece)
+		if n > 0 {
+			rc.SetWriteDeadline(time.Now().Add(writeWithin))
+			if _, err := w.Write(piece[:n]); err != nil || rc.Flush() != nil {
+				return false
+			}
+		}
+		if err != nil {
+			return errors.Is(err, io.EOF)
+		}
+	}
 }
 
 var _ Core = (*core.Core)(nil)
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,20 +17,20 @@
 type fault struct {
 	status int
 	text   string
+	after  time.Duration // when to come back; 0: no word on it
 }
 
 func bad(status int, format string, args ...any) *fault {
-	return &fault{status, fmt.Sprintf(format, args...)}
+	return &fault{status: status, text: fmt.Sprintf(format, args...)}
 }
 
 // parse reads the head of a request into a job; the body comes later.
 func (s *Server) parse(r *http.Request) (*core.Job, *upstream.Message, *fault) {
 	// net/http takes a Content-Length beside a Transfer-Encoding for nothing and drops it, and of HTTP/1.0 takes the
-	// coding for nothing: whoever stands before or after may see another request in the body. A length is asked for
-	// instead, of everyone.
+	// coding for nothing: whoever stands before or after may see another request in the body.
 	switch {
-	case len(r.TransferEncoding) > 0:
-		return nil, nil, bad(http.StatusLengthRequired, "Transfer-Encoding: a body needs a Content-Length instead")
+	case len(r.TransferEncoding) > 0 && r.ProtoAtLeast(1, 1) && !connOf(r.Context()).codedAlone(r):
+		return nil, nil, bad(http.StatusBadRequest, "Transfer-Encoding: not beside a Content-Length, and not in a pipeline")
 	case !r.ProtoAtLeast(1, 1):
 		return nil, nil, bad(http.StatusHTTPVersionNotSupported, "%s: HTTP/1.1 is served", r.Proto)
 	case r.ContentLength > upstream.MaxBody:
@@ -143,15 +142,3 @@
 	_, err := strconv.ParseUint(s, 16, 64)
 	return err == nil
 }
-
-// readBody reads the request's body, of a length that is told and not too large, within requestWithin.
-func readBody(r *http.Request) ([]byte, *fault) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, bad(http.StatusRequestTimeout, "body: did not come whole")
-	}
-	return body, nil
-}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -11,20 +10,20 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"spindlehitch"
+	"spindlehitch/internal/budget"
 	"spindlehitch/internal/core"
 )
 
 const (
-	// MaxBody is the largest body of a request.
-	MaxBody = 64 << 10
-	// maxAnswer is the largest body of an answer. Targets send some of several hundred KB, past what a request may have.
-	maxAnswer = 1 << 20
-	maxHead   = 16 << 10
+	// MaxHeld is the largest body that is held whole, of a request or an answer.
+	MaxHeld = 64 << 10
+	// MaxBody is the largest body there may be: 32 MB, and some room.
+	MaxBody = 36 << 20
+	maxHead = 16 << 10
 	// stallAfter is how long an answer that has begun may bring nothing: one that stops midway is not waited for until
 	// the attempt's time is over. Far above what a busy process is late by.
 	stallAfter = 250 * time.Millisecond
@@ -38,19 +37,16 @@
 	URI    string
 	ID     string
 	Body   []byte
+	Upload *Upload // where the body is instead, but for its last piece; nil: here
 }
 
 // HTTP is the platform's wire.
 type HTTP struct {
-	room *atomic.Int64 // bytes that answers being read may still take together
+	room *budget.Bytes // for answers that are held
 }
 
-// NewHTTP returns a wire whose answers together take no more than so many bytes while they are read.
-func NewHTTP(room int64) HTTP {
-	h := HTTP{&atomic.Int64{}}
-	h.room.Store(max(room, 2*maxAnswer))
-	return h
-}
+// NewHTTP returns a wire that holds answers within the budget.
+func NewHTTP(room *budget.Bytes) HTTP { return HTTP{room} }
 
 // Dial opens a connection.
 func (h HTTP) Dial(ctx context.Context, addr string) (Session, error) {
@@ -64,20 +60,22 @@
 type httpSession struct {
 	net.Conn
 	host string
-	room *atomic.Int64
+	room *budget.Bytes
 }
 
-// stallReader reads an answer that has begun, as long as its parts keep coming.
+// stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
+// a moment, if there is one.
 type stallReader struct {
 	net.Conn
 	until time.Time
+	stall time.Duration
 	begun bool
 }
 
 func (s *stallReader) Read(b []byte) (int, error) {
 	if s.begun {
-		at := time.Now().Add(stallAfter)
-		if s.until.Before(at) {
+		at := time.Now().Add(s.stall)
+		if !s.until.IsZero() && s.until.Before(at) {
 			at = s.until
 		}
 		if err := s.SetReadDeadline(at); err != nil {
@@ -93,24 +91,30 @@
 func (c *httpSession) Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string) {
 	c.SetDeadline(a.Until)
 	m := a.Payload.(*Message)
-	wait := max(time.Until(a.Until).Milliseconds(), 1)
-	whole := append(appendHead(make([]byte, 0, 256+len(m.Body)), m, c.host, wait), m.Body...)
-	// The last look before the first byte: news may have come while the connection was being made.
-	if !first() {
+	var raw []byte
+	if m.Upload != nil {
+		raw = m.Upload.tail
+	} else {
+		wait := max(time.Until(a.Until).Milliseconds(), 1)
+		raw = append(appendHead(make([]byte, 0, 256+len(m.Body)), m, c.host, wait, int64(len(m.Body))), m.Body...)
+	}
+	// The last look before the first byte: news may have come while the connection was being made. The first byte of a
+	// body that went ahead is long written.
+	if !first() && m.Upload == nil {
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
 	}
-	if n, err := c.Write(whole); n < len(whole) {
+	if n, err := c.Write(raw); n < len(raw) {
 		r.Code = spindlehitch.NoConnection
 		return r, false, "WRITE_" + Cause(err)
 	}
 	a.Sent()
-	parts := &stallReader{Conn: c.Conn, until: a.Until}
+	parts := &stallReader{Conn: c.Conn, until: a.Until, stall: stallAfter}
 	limit := &io.LimitedReader{R: parts}
 	in := bufio.NewReaderSize(limit, 4096)
 	ans, err := readAnswer(in, m.Method, c.room, func(head bool) error {
 		if !head {
-			limit.N = maxAnswer + maxHead // chunks have some framing
+			limit.N = 2*MaxBody + maxHead // chunks have some framing; what is held is bounded besides
 			return nil
 		}
 		// A head without end must cost no more than a head.
@@ -121,7 +125,7 @@
 		_, err := in.Peek(1)
 		parts.begun = err == nil
 		return err
-	})
+	}, func(until time.Time) { parts.until, parts.stall = until, streamStall })
 	if err != nil {
 		r.Code = spindlehitch.Reset
 		switch late := errors.Is(err, os.ErrDeadlineExceeded); {
@@ -135,6 +139,11 @@
 		return r, false, "READ_" + Cause(err)
 	}
 	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
+	if s := ans.stream; s != nil {
+		s.conn = c
+		r.Payload = s
+		return r, false, ""
+	}
 	if ans.close || in.Buffered() > 0 {
 		return r, false, "TARGET_CLOSES"
 	}
@@ -146,8 +155,8 @@
 // Alive implements Session.
 func (c *httpSession) Alive() bool { return Quiet(c.Conn) }
 
-// appendHead writes the request's head. What is not listed in the protocol is not sent.
-func appendHead(b []byte, m *Message, host string, waitMs int64) []byte {
+// appendHead writes the request's head; a length of -1 has the body in chunks. What is not listed in the protocol is not sent.
+func appendHead(b []byte, m *Message, host string, waitMs, length int64) []byte {
 	b = append(b, m.Method...)
 	b = append(b, ' ')
 	b = append(b, m.URI...)
@@ -157,9 +166,12 @@
 	b = append(b, m.ID...)
 	b = append(b, "\r\nRequest-Timeout-Ms: "...)
 	b = strconv.AppendInt(b, waitMs, 10)
-	if len(m.Body) > 0 || m.Method != http.MethodGet {
+	switch {
+	case length < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+	case length > 0 || m.Method != http.MethodGet:
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+		b = strconv.AppendInt(b, length, 10)
 	}
 	return append(b, "\r\n\r\n"...)
 }
@@ -170,7 +182,8 @@
 	notRun bool
 	load   *spindlehitch.Load
 	used   int
-	body   []byte
+	body   []byte  // held
+	stream *Stream // passes through instead
 	close  bool
 }
 
@@ -188,14 +201,12 @@
 
 var (
 	errTooLarge = errors.New("answer's body is too large")
-	errNoRoom   = errors.New("answers take too much memory together")
-	errUnframed = errors.New("answer's length is not told")
 	errInformed = errors.New("too many answers of the kind 1xx")
 )
 
-// readAnswer reads one whole answer, its body within the room there is; await is called before each head and before the
-// body.
-func readAnswer(in *bufio.Reader, method string, room *atomic.Int64, await func(head bool) error) (*answer, error) {
+// readAnswer reads one answer: whole, if it is small and there is room, otherwise up to the first of its body. Await is
+// called before each head and before the body, and hold, for one that passes through, to bound what may be waited for.
+func readAnswer(in *bufio.Reader, method string, room *budget.Bytes, await func(head bool) error, hold func(until time.Time)) (*answer, error) {
 	for informed := 0; ; informed++ {
 		if err := await(true); err != nil {
 			return nil, err
@@ -215,33 +226,31 @@
 		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < 1e6 {
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
 		}
-		switch {
-		case resp.ContentLength > maxAnswer:
+		if resp.ContentLength > MaxBody {
 			return nil, errTooLarge
-		case resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-			return nil, errUnframed // it would last until the connection ends, and a cut one would pass for whole
 		}
 		if err := await(false); err != nil {
 			return nil, err
 		}
-		most := resp.ContentLength
-		if most < 0 {
-			most = maxAnswer
-		}
-		defer room.Add(most)
-		if room.Add(-most) < 0 {
-			return nil, errNoRoom
+		if n := resp.ContentLength; n >= 0 && n <= MaxHeld && room.Take(n) {
+			defer room.Give(n)
+			a.body = make([]byte, n)
+			if _, err := io.ReadFull(resp.Body, a.body); err != nil {
+				return nil, err
+			}
+			return a, nil
 		}
-		var body bytes.Buffer
-		if resp.ContentLength > 0 {
-			body.Grow(int(resp.ContentLength) + bytes.MinRead)
+		if resp.StatusCode != http.StatusOK {
+			a.close = true // nobody is owed its body, so it is not read
+			return a, nil
 		}
-		if n, err := body.ReadFrom(io.LimitReader(resp.Body, maxAnswer+1)); err != nil {
+		a.stream = &Stream{Length: resp.ContentLength, body: resp.Body, in: in, close: resp.Close}
+		if err := a.stream.begin(hold); err != nil {
 			return nil, err
-		} else if n > maxAnswer {
-			return nil, errTooLarge
 		}
-		a.body = body.Bytes()
+		if s := a.stream; s.eof {
+			a.body, a.stream = s.first, nil
+		}
 		return a, nil
 	}
 }
@@ -289,8 +298,6 @@
 		return "CLOSED"
 	case errors.Is(err, errTooLarge):
 		return "TOO_LARGE"
-	case errors.Is(err, errNoRoom):
-		return "NO_ROOM"
 	}
 	return "MALFORMED"
 }
--- /dev/null
+++ b/internal/upstream/stream_test.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/core"
+)
+
+// TestLargeAnswers has answers pass through that are too large to hold, in each framing: the result comes with their first
+// bytes, the rest as the target writes it, and the connection is used again only after the last of it. One cut short ends
+// with an error that no whole one has.
+func TestLargeAnswers(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 20<<10)
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for part := range slices.Chunk([]byte(body), 9999) {
+		chunked += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+	}
+	sized := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for _, c := range []struct {
+		name, says string
+		cut        int // bytes that never come
+		length     int64
+		conns      int32 // for two attempts
+	}{
+		{"length", sized, 0, int64(len(body)), 1},
+		{"chunks", chunked + "0\r\nA: b\r\n\r\n", 0, -1, 1},
+		{"until the end", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body, 0, -1, 2},
+		{"length, cut", sized, 5, int64(len(body)), 2},
+		{"chunks, cut", chunked + "0\r\n\r\n", 5, -1, 2},
+	} {
+		rest := make(chan bool)
+		s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+			half := len(c.says) / 2
+			io.WriteString(conn, c.says[:half])
+			<-rest
+			io.WriteString(conn, c.says[half:len(c.says)-c.cut])
+			return c.cut == 0 && c.name != "until the end"
+		})
+		b := newBench(s.Addr().String())
+		for range 2 {
+			b.send(20 * time.Second)
+			r := b.result(t) // while the target holds half of it back
+			st, ok := r.Payload.(*Stream)
+			if r.Code != spindlehitch.Delivered || !ok || st.Length != c.length {
+				t.Fatalf("%s: %+v, want a stream of length %d", c.name, r, c.length)
+			}
+			rest <- true
+			got, err := io.ReadAll(st)
+			if whole := c.cut == 0; (err == nil) != whole || whole && string(got) != body {
+				t.Errorf("%s: %d bytes, %v", c.name, len(got), err)
+			}
+			st.Discard()
+			time.Sleep(5 * time.Millisecond) // for the pool to have the connection
+		}
+		if got := s.accepted.Load(); got != c.conns {
+			t.Errorf("%s: %d connections for two attempts, want %d", c.name, got, c.conns)
+		}
+	}
+}
+
+// TestSmallAnswersAreHeld checks that small answers of unknown length are whole before anything of them is passed on: cut
+// short, they can be asked for again.
+func TestSmallAnswersAreHeld(t *testing.T) {
+	for says, want := range map[string]spindlehitch.Code{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n": spindlehitch.Delivered,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":           spindlehitch.Delivered,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n":         spindlehitch.Reset,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nx\r\n":        spindlehitch.Reset,
+		"HTTP/1.1 200 OK\r\n\r\nx": spindlehitch.Delivered,
+	} {
+		s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool { io.WriteString(conn, says); return false })
+		b := newBench(s.Addr().String())
+		b.send(10 * time.Second)
+		r := b.result(t)
+		if _, held := r.Payload.([]byte); r.Code != want || !held && want == spindlehitch.Delivered {
+			t.Errorf("%q: %+v, want it held, code %v", says, r, want)
+		}
+	}
+}
+
+// TestEndlessAnswer guards against an answer without a length that never ends: it costs no more than the largest there may
+// be, and does not pass for whole.
+func TestEndlessAnswer(t *testing.T) {
+	s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for part := make([]byte, 1<<20); ; {
+			if _, err := conn.Write(part); err != nil {
+				return false
+			}
+		}
+	})
+	b := newBench(s.Addr().String())
+	b.send(20 * time.Second)
+	n, err := io.Copy(io.Discard, b.result(t).Payload.(*Stream))
+	if !errors.Is(err, errTooLarge) || n > MaxBody+64<<10 {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
+// TestUpload sends a body ahead in pieces: the target has all but the last one before the attempt, begins with it, and one
+// attempt is all there is. Where it is closed instead, or the target leaves first, nothing can have run.
+func TestUpload(t *testing.T) {
+	for _, length := range []int64{5 * 1000, -1} {
+		bodies := make(chan string, 1)
+		s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool { return false })
+		s.Close()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			all, err := io.ReadAll(r.Body)
+			if err == nil {
+				bodies <- fmt.Sprint(r.ContentLength, " ", len(all), " ", r.Header.Get("Request-Id"))
+			}
+			io.WriteString(w, "done")
+		}))
+		b := newBench(l.Addr().String())
+		up := func() *Upload {
+			u, err := b.Ahead(context.Background(), "n", &Message{Method: "PUT", URI: "/w/1", ID: "id"}, length, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range 4 {
+				if _, err := u.Write(make([]byte, 1000)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			u.Last(make([]byte, 1000))
+			return u
+		}
+		u := up()
+		time.Sleep(20 * time.Millisecond)
+		if len(bodies) > 0 {
+			t.Error("the target has the request before any attempt")
+		}
+		// It drains meanwhile, and the list has another one: the first byte was before.
+		b.Apply([]Target{{ID: "n", Addr: l.Addr().String(), State: spindlehitch.Draining}}, false)
+		for i, want := range []spindlehitch.Code{spindlehitch.Delivered, spindlehitch.NoConnection} {
+			b.Send(core.Attempt{Request: "1", Number: i, Node: "n", Until: time.Now().Add(10 * time.Second), Payload: &Message{Method: "PUT", Upload: u}})
+			if r := b.result(t); r.Code != want {
+				t.Errorf("attempt %d: code %v, want %v", i, r.Code, want)
+			}
+		}
+		if got, want := <-bodies, fmt.Sprint(length, " 5000 id"); got != want {
+			t.Errorf("the target had %q, want %q", got, want)
+		}
+		if _, err := b.Ahead(context.Background(), "n", u.msg, length, time.Second); err == nil {
+			t.Error("a body goes ahead to a target that drains")
+		}
+		b.Apply([]Target{{ID: "n", Addr: l.Addr().String(), State: spindlehitch.Up}}, false)
+		u = up()
+		u.Close()
+		b.Send(core.Attempt{Request: "2", Node: "n", Until: time.Now().Add(10 * time.Second), Payload: &Message{Method: "PUT", Upload: u}})
+		if r := b.result(t); r.Code != spindlehitch.NoConnection {
+			t.Errorf("after it was closed: code %v", r.Code)
+		}
+		for end := time.Now().Add(10 * time.Second); b.conns.Load() > 1; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d connections are left", b.conns.Load())
+			}
+		}
+		if len(bodies) > 0 {
+			t.Errorf("the target took what was closed: %q", <-bodies)
+		}
+	}
+}
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -33,10 +33,11 @@
 	state  atomic.Int32
 	addr   atomic.Pointer[string]
 
-	idle  []*conn
-	busy  map[string]*try
-	conns int
-	all   *atomic.Int64 // conns of all targets
+	idle    []*conn
+	busy    map[string]*try
+	conns   int
+	uploads int           // connections on which a body goes ahead
+	all     *atomic.Int64 // conns of all targets
 }
 
 // Wire opens connections of one protocol.
@@ -91,7 +92,7 @@
 	tick := time.NewTicker(max(t.opt.Idle/8, 50*time.Millisecond))
 	defer tick.Stop()
 	retired := false
-	for !retired || len(t.busy) > 0 {
+	for !retired || len(t.busy)+t.uploads > 0 {
 		select {
 		case <-t.box.Wake():
 		case <-tick.C:
@@ -109,6 +110,16 @@
 				}
 			case done:
 				t.finish(m)
+			case ahead:
+				t.begin(m.up)
+			case unloaded:
+				t.uploads--
+				if m.conn != nil {
+					t.drop(m.conn, m.reason)
+				} else {
+					t.count(-1)
+					t.logEnd(0, m.reason)
+				}
 			case moved:
 				t.prune()
 			case retire:
@@ -123,24 +134,22 @@
 // start gives the attempt a connection, an idle one that is still whole or a new one.
 func (t *target) start(a core.Attempt) {
 	r := core.Result{Request: a.Request, Number: a.Number, Node: t.id}
-	if !open(&t.state) {
+	var c *conn
+	if u := uploadOf(a); u != nil {
+		if !u.move(attempted) {
+			r.Code = spindlehitch.NoConnection
+			t.report(r)
+			return
+		}
+		t.uploads--
+		c = u.conn
+	} else if !open(&t.state) {
 		r.Code = spindlehitch.Moot
 		t.report(r)
 		return
-	}
-	var c *conn
-	for len(t.idle) > 0 && c == nil {
-		last := len(t.idle) - 1
-		c, t.idle = t.idle[last], t.idle[:last]
-		if !c.Alive() {
-			// Closed by the target while idle: no byte of the attempt has been near it.
-			t.drop(c, "TARGET_CLOSED_IDLE")
-			c = nil
-		}
-	}
-	if c == nil {
-		// Both bounds keep the process within its descriptors, whatever the number of targets.
-		if t.conns >= t.opt.MostConn || !t.count(1) {
+	} else {
+		var ok bool
+		if c, ok = t.take(); !ok {
 			r.Code = spindlehitch.NoConnection
 			t.report(r)
 			return
@@ -153,6 +162,31 @@
 	go t.attempt(y, c)
 }
 
+// uploadOf is the connection that has an attempt's body already; nil: none has.
+func uploadOf(a core.Attempt) *Upload {
+	if m, ok := a.Payload.(*Message); ok {
+		return m.Upload
+	}
+	return nil
+}
+
+// take counts a connection and returns an idle one that is still whole; nil: one is to be made. It tells whether there
+// may be one.
+func (t *target) take() (*conn, bool) {
+	for len(t.idle) > 0 {
+		last := len(t.idle) - 1
+		c := t.idle[last]
+		t.idle = t.idle[:last]
+		if c.Alive() {
+			return c, true
+		}
+		// Closed by the target while idle: no byte of the attempt has been near it.
+		t.drop(c, "TARGET_CLOSED_IDLE")
+	}
+	// Both bounds keep the process within its descriptors, whatever the number of targets.
+	return nil, t.conns < t.opt.MostConn && t.count(1)
+}
+
 func (t *target) finish(m done) {
 	m.try.stop()
 	// A later attempt of the same request may have begun here since; its entry is not this one's.
@@ -225,25 +259,39 @@
 	var again *conn
 	reason, used := "CONNECT_FAILED", 0
 	if c == nil {
-		c = t.dial(y)
+		c = t.dial(y.ctx)
 	}
 	if c != nil {
 		used = c.used + 1
-		if again, reason = t.exchange(y, c, &r); again == nil {
-			c.Close()
+		again, reason = t.exchange(y, c, &r)
+	}
+	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
+	ended := func(again *conn, reason string) {
+		if again == nil {
+			if c != nil {
+				c.Close()
+			}
+			t.logEnd(used, reason)
 		}
+		// The pool hears first, so that a send decided on this outcome finds the connection.
+		t.box.Put(done{y, again})
 	}
-	if again == nil {
-		t.logEnd(used, reason)
+	if s, ok := r.Payload.(*Stream); ok {
+		s.onEnd(func(reuse bool, reason string) {
+			if reuse {
+				ended(c, "")
+			} else {
+				ended(nil, reason)
+			}
+		})
+	} else {
+		ended(again, reason)
 	}
-	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
-	// The pool hears first, so that a send decided on this outcome finds the connection.
-	t.box.Put(done{y, again})
 	t.report(r)
 }
 
-func (t *target) dial(y *try) *conn {
-	ctx, stop := context.WithTimeout(y.ctx, t.opt.Dial)
+func (t *target) dial(within context.Context) *conn {
+	ctx, stop := context.WithTimeout(within, t.opt.Dial)
 	defer stop()
 	addr := t.address()
 	s, err := t.opt.Wire.Dial(ctx, addr)
--- a/scheduler.go
+++ b/scheduler.go
@@ -734,6 +734,9 @@
 
 // mayRepeat tells whether a further attempt of the request could ever be allowed.
 func (s *Scheduler) mayRepeat(r *request) bool {
+	if r.At != "" { // its body is gone
+		return false
+	}
 	if s.set.MaxAttempts > 0 && r.sent >= s.set.MaxAttempts {
 		return false
 	}
@@ -844,6 +847,10 @@
 // node, or a later one at which to look again.
 func (s *Scheduler) gate(r *request, l *lane) time.Duration {
 	n := l.node
+	if r.At != "" && r.At != n.ID {
+		s.lapse(r) // the rest of its body is elsewhere
+		return never
+	}
 	at := max(r.retryAt, n.openAt, s.orderGate(r), s.coldGate(n, r.Units), s.limitGate(r))
 	if r.sent > 0 {
 		at = max(at, s.budgetGate())
@@ -926,6 +933,9 @@
 
 // place returns the lane for a request: its shard's, or for a new object the one of least expected wait.
 func (s *Scheduler) place(r *request) *lane {
+	if n := s.byID[r.At]; n != nil {
+		return s.laneOf(n.Shard)
+	}
 	if r.Shard >= 0 || len(s.lanes) == 0 {
 		return s.laneOf(max(r.Shard, 0))
 	}
@@ -940,6 +950,16 @@
 	return best
 }
 
+// Where names the node that a request for the shard would go to now; empty: none. It is asked for where a body
+// must be on its way before the request can be decided on.
+func (s *Scheduler) Where(shard int) string {
+	r := &request{Request: Request{Shard: shard}}
+	if l := s.place(r); l.node != nil {
+		return l.node.ID
+	}
+	return ""
+}
+
 // wait estimates how long a request newly put in the lane would take.
 func (s *Scheduler) wait(l *lane) float64 {
 	n := l.node
@@ -961,7 +981,7 @@
 	for _, l := range s.lanes {
 		for i := 0; i < len(l.held); i++ {
 			r := l.held[i]
-			if r.Shard >= 0 || r.mayRun {
+			if r.Shard >= 0 || r.mayRun || r.At != "" {
 				continue
 			}
 			if to := s.place(r); to != l && 2*s.wait(to) < s.wait(l) {
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -791,3 +791,30 @@
 		t.Errorf("ends %v, want one", r.ends)
 	}
 }
+
+// TestBodyElsewhere is about requests whose body went ahead to a node: they go there and nowhere else, and but once; where
+// the shard has another node by then they are refused at once, since nothing has run.
+func TestBodyElsewhere(t *testing.T) {
+	ask := Request{ID: "1", Class: "get", Plan: "std", Volume: "v", Units: 1, Initiators: 1, Budget: time.Second, At: "a"}
+	for _, shard := range []int{0, -1} {
+		r := newRig(t, plain(), Node{ID: "a"}, Node{ID: "b", Shard: 1})
+		if got := r.s.Where(1); got != "b" {
+			t.Errorf("shard 1 is at %q, want b", got)
+		}
+		q := ask
+		q.Shard = shard
+		r.step(q)
+		if len(r.sends) != 1 || r.sends[0].Node != "a" {
+			t.Fatalf("shard %d: sent %+v, want once to a", shard, r.sends)
+		}
+		r.step(Outcome{ID: "1", Node: "a", Code: NoConnection})
+		if r.wait(time.Second); len(r.sends) != 1 || len(r.ends) != 1 || r.ends[0].Kind != Refuse {
+			t.Errorf("shard %d: after the attempt: sends %+v, ends %+v", shard, r.sends, r.ends)
+		}
+	}
+	r := newRig(t, plain(), Node{ID: "a", State: Draining}, Node{ID: "b"})
+	r.step(ask)
+	if len(r.sends) != 0 || len(r.ends) != 1 || r.ends[0].Kind != Refuse {
+		t.Errorf("with another node there: sends %+v, ends %+v", r.sends, r.ends)
+	}
+}
