Answers in chunks go on as they come, whole or not: first bytes were up to 0.3 s late

Cause: the standard library's chunk reader fills the whole buffer before it returns (http.go, resp.Body; stream.go, begin).

The project's own reader of chunks returns what is there.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -245,6 +245,9 @@
 			return a, nil
 		}
 		a.stream = &Stream{Length: resp.ContentLength, body: resp.Body, in: in, close: resp.Close}
+		if len(resp.TransferEncoding) > 0 {
+			a.stream.body = &chunks{in: in}
+		}
 		if err := a.stream.begin(hold); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -85,11 +85,12 @@
 			since = time.Now()
 		}
 		hold(time.Time{})
-		if s.Length >= 0 || len(first) >= pieceSize {
+		until := since.Add(holdFor)
+		if s.Length >= 0 || len(first) >= pieceSize || !time.Now().Before(until) {
 			return nil
 		}
 		// The wait is for raw bytes: a body's reader that met a deadline could not be read on.
-		hold(since.Add(holdFor))
+		hold(until)
 		_, err = s.in.Peek(1)
 		hold(time.Time{})
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -1,17 +1,23 @@
 package upstream
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"slices"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"spindlehitch"
 	"spindlehitch/internal/core"
 )
@@ -74,8 +80,8 @@
 	for says, want := range map[string]spindlehitch.Code{
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n": spindlehitch.Delivered,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n":           spindlehitch.Delivered,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n":         spindlehitch.Reset,
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nx\r\n":        spindlehitch.Reset,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n":          spindlehitch.Reset,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nx\r\n":         spindlehitch.Reset,
 		"HTTP/1.1 200 OK\r\n\r\nx": spindlehitch.Delivered,
 	} {
 		s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool { io.WriteString(conn, says); return false })
@@ -176,3 +182,61 @@
 		}
 	}
 }
+
+// TestSlowChunks guards the first bytes of a slow answer in chunks: what is there goes on, whether its chunk is whole or not.
+func TestSlowChunks(t *testing.T) {
+	stop := make(chan bool)
+	defer close(stop)
+	s := newStandIn(t, func(_ int32, _ *http.Request, conn net.Conn) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\nthe first")
+		<-stop
+		return false
+	})
+	b := newBench(s.Addr().String())
+	begun := time.Now()
+	b.send(10 * time.Second)
+	st, ok := b.result(t).Payload.(*Stream)
+	if !ok || time.Since(begun) > 5*time.Second {
+		t.Fatalf("a stream %v after %v", ok, time.Since(begun))
+	}
+	got := make([]byte, pieceSize)
+	if n, err := st.Read(got); string(got[:n]) != "the first" || err != nil {
+		t.Errorf("read %q, %v", got[:n], err)
+	}
+	st.Discard()
+}
+
+// TestChunkCuts reads bodies in chunks through readers of any size, cuts them, and feeds garbage: a whole one comes as it
+// was written and leaves what follows it, and no cut passes for whole.
+func TestChunkCuts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var raw bytes.Buffer
+		w := httputil.NewChunkedWriter(&raw)
+		var body []byte
+		for _, part := range rapid.SliceOf(rapid.SliceOfN(rapid.Byte(), 1, 300)).Draw(t, "parts") {
+			w.Write(part)
+			body = append(body, part...)
+		}
+		w.Close()
+		raw.WriteString(rapid.SampledFrom([]string{"\r\n", "A: b\r\n\r\n"}).Draw(t, "trailer"))
+		read := func(b []byte) ([]byte, string, error) {
+			in := bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(b)), 16)
+			got, err := io.ReadAll(&chunks{in: in})
+			rest, _ := io.ReadAll(in)
+			return got, string(rest), err
+		}
+		if got, rest, err := read(append(raw.Bytes(), "next"...)); err != nil || !bytes.Equal(got, body) || rest != "next" {
+			t.Fatalf("whole: %q, %q left, %v; want %q", got, rest, err, body)
+		}
+		cut := rapid.IntRange(0, raw.Len()-1).Draw(t, "cut")
+		if got, _, err := read(raw.Bytes()[:cut]); err == nil {
+			t.Fatalf("cut at %d passed for whole: %q", cut, got)
+		}
+		read(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
+	})
+	for _, bad := range []string{"-1\r\n", "fffffffff\r\n", "x\r\n", "1\r\nab\r\n", "0\r\n" + strings.Repeat("A: b\r\n", maxTrailer)} {
+		if _, err := io.ReadAll(&chunks{in: bufio.NewReader(strings.NewReader(bad))}); !errors.Is(err, errChunk) {
+			t.Errorf("%.20q: %v", bad, err)
+		}
+	}
+}
