Crowds: requests that keep coming keep their connection; clients get more of the descriptors

Seen in the logs: 32 connections were all that clients got of 192 descriptors (76 for targets, 56 spare), and past 32 the oldest first request went, whether it kept coming or not. A probe of 480 slow requests: 9 to 15 pieces, gaps of 0.1 to 0.5 s, 0.9 s at most, 2 s in all.

Lines at fault: conns.go, leastNeeded (age since the connection in place of time since the last byte), config/operator.go (spareFiles 56; some dozen are in use). Stalled requests make room after 0.7 s, or 0.35 s where the table is full.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -240,9 +240,9 @@
 	return m
 }
 
-// spareFiles are descriptors kept for discovery, the listener, logs and the runtime, and for connections past the
-// clients' cap.
-const spareFiles = 56
+// spareFiles are descriptors kept for discovery, the listener, logs and the runtime, some dozen, and for connections past
+// the clients' cap.
+const spareFiles = 28
 
 // clientBytes is about what a client's connection takes: buffers, a goroutine's stack, a request.
 const clientBytes = 24 << 10
@@ -263,4 +263,4 @@
 func (c *Config) TargetConns() int { return min(160, c.AllTargetConns()) }
 
 // AllTargetConns is how many connections all targets' pools may hold together.
-func (c *Config) AllTargetConns() int { return c.Limits.Sockets * 4 / 10 }
+func (c *Config) AllTargetConns() int { return c.Limits.Sockets * 3 / 10 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,8 +13,8 @@
 
 const (
 	// Most is how many connections are open at a time, and MostFiles how many descriptors all of it takes at most.
-	Most      = 24
-	MostFiles = Most + 4
+	Most      = 16
+	MostFiles = Most + 2
 	// callWithin is how long a call may take to come, and its answer to be read.
 	callWithin = 900 * time.Millisecond
 	maxHead    = 4 << 10
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -148,14 +148,18 @@
 }
 
 const (
-	// silentFor is how long a new connection may bring nothing before it makes room ahead of idle ones: usual
-	// clients connect to ask at once.
+	// silentFor is how long a new connection may bring nothing before it makes room ahead of idle ones, where there is no
+	// room at all: usual clients connect to ask at once. Six times that while there is some.
 	silentFor = 50 * time.Millisecond
+	// stalledFor is how long a request that has begun may bring nothing before its connection makes room, where there is none
+	// otherwise; twice that while there is some. True ones may take 2 s, in a dozen pieces with gaps of 0.1 to 0.5 s, few of
+	// them longer. Clients count those that stall among the connections that they may hold.
+	stalledFor = 7 * silentFor
 	// unusedFor is how long an answered connection must have been without a request to make room while there is some.
 	// At ten times that, a crowd of connections that asked once shut usual clients out.
 	unusedFor = 25 * time.Millisecond
 	// slack is how many connections past the cap are taken, each to have one request refused.
-	slack = 24
+	slack = 8
 	// mostTries is how many connections a new one looks at for room.
 	mostTries = 8
 )
@@ -208,7 +212,7 @@
 			break
 		}
 		if t.evict(o, phase, "CAP") {
-			return cc
+			return cc // one for one: what is idle serves its clients while the program leaves
 		}
 		o.since = time.Now() // it is asking just now
 	}
@@ -251,36 +255,32 @@
 }
 
 // leastNeeded is the connection to close for a new one: one that has been refused; otherwise one that has said nothing
-// for a while or is slow with its first request, the oldest first; otherwise the one unused longest; otherwise, where the
-// table is full, one that is new and silent. Never one with a request open. With it comes the phase it was seen in.
+// for a while, the oldest first; otherwise the one unused longest; otherwise one whose request has begun and stalled, the
+// longest stalled first. Where the table is full also one that is new and silent. Never one with a request open, nor one
+// whose request keeps coming, however slowly. With it comes the phase it was seen in.
 func (t *connTable) leastNeeded(but *clientConn, full bool) (best *clientConn, seen int32) {
 	now := time.Now()
-	rank := func(c *clientConn, phase int32) int {
-		first := !c.used.Load()
-		switch phase {
-		case spent:
-			return 4
-		case quiet:
-			switch {
-			case first && now.Sub(c.since) > silentFor:
-				return 3
-			case !first && (full || now.Sub(c.since) > unusedFor):
-				return 2
-			case full && first:
-				return 1
-			}
-		case reading:
-			if first && now.Sub(c.since) > 4*silentFor {
-				return 3
-			}
+	rank := func(c *clientConn, phase int32) (int, time.Time) {
+		first, silent, stalled := !c.used.Load(), now.Sub(c.since), now.Sub(c.arrival())
+		switch {
+		case phase == spent:
+			return 5, c.since
+		case phase == quiet && first && (silent > 6*silentFor || full && silent > silentFor):
+			return 4, c.since
+		case phase == quiet && !first && (full || silent > unusedFor):
+			return 3, c.since
+		case phase == reading && (full && stalled > stalledFor || stalled > 2*stalledFor):
+			return 2, now.Add(-stalled)
+		case phase == quiet && first && full:
+			return 1, c.since
 		}
-		return 0
+		return 0, now
 	}
-	most := 0
+	most, oldest := 0, now
 	for c := range t.open {
 		phase := c.phase.Load()
-		if r := rank(c, phase); c != but && r > 0 && (r > most || r == most && c.since.Before(best.since)) {
-			best, seen, most = c, phase, r
+		if r, at := rank(c, phase); c != but && r > 0 && (r > most || r == most && at.Before(oldest)) {
+			best, seen, most, oldest = c, phase, r, at
 		}
 	}
 	return best, seen
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -324,7 +325,7 @@
 			defer c.Close()
 			io.WriteString(c, raw)
 		}
-		time.Sleep(5 * silentFor)
+		time.Sleep(stalledFor + silentFor)
 		go func() {
 			for range 7 {
 				(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
@@ -509,3 +510,45 @@
 		}
 	})
 }
+
+// TestSlowRequestsStay guards true clients that take 2 s to write their request, in a crowd that begins one and stops: as
+// long as theirs keeps coming, others make room.
+func TestSlowRequestsStay(t *testing.T) {
+	_, b, addr := newFront(t, 8)
+	go func() {
+		for j := range b.jobs {
+			j.Done(core.Answer{Payload: []byte("x")})
+		}
+	}()
+	defer close(b.jobs)
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			for part := range slices.Chunk([]byte(good), len(good)/9) {
+				c.Write(part)
+				time.Sleep(stalledFor / 2)
+			}
+			if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 {
+				t.Errorf("written slowly: %+v, %v", resp, err)
+			}
+		})
+	}
+	time.Sleep(stalledFor / 2) // they have begun
+	for range 40 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, goodHead)
+		time.Sleep(stalledFor / 4)
+	}
+	wait.Wait()
+}
