Upgrades: two processes share limits by files and locks, and the older one leaves once the younger serves

Need: with the inherited socket alone both processes kept to all of the limits, each as if it were the only one, and the older one closed its idle connections only 1.8 s after SIGTERM. internal/handover has the files and the decision, the module divides the budgets of cold nodes, limits and repeated attempts (crew in state.go), pools, clients' connections, memory and held bytes go by the part. front.Stop has a way of its own where a successor has the socket: accept no more, close what is idle and has nothing unread, end the others with their answers.

--- a/api.go
+++ b/api.go
@@ -175,6 +175,9 @@
 // StreamBegun tells that the answer of an attempt has started.
 type StreamBegun struct{ ID string }
 
+// Shared tells how many processes act for this initiator, which for the rules are one. Until it comes there is one.
+type Shared struct{ Parts int }
+
 // Departed tells that the client is gone; nothing more is owed.
 type Departed struct{ ID string }
 
@@ -186,6 +189,7 @@
 func (Outcome) event()     {}
 func (StreamBegun) event() {}
 func (Departed) event()    {}
+func (Shared) event()      {}
 func (Timer) event()       {}
 
 // ActionKind tells the actions apart.
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +25,7 @@
 	"spindlehitch/internal/discovery"
 	"spindlehitch/internal/figures"
 	"spindlehitch/internal/front"
+	"spindlehitch/internal/handover"
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/listen"
 	"spindlehitch/internal/nvme"
@@ -129,7 +129,6 @@
 func serve(stop context.Context, cfg *config.Config, op *config.Operator, log *slog.Logger, listening func(),
 	changes <-chan change) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 
 	module, err := spindlehitch.New(cfg.Module, cfg.Seed)
 	if err != nil {
@@ -137,7 +136,7 @@
 	}
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	room := budget.New(int64(cfg.Limits.MemoryMB) << 20 / 4)
+	room := budget.New(0) // as soon as it is shared out
 	var wire upstream.Wire = upstream.NewHTTP(room)
 	var certs *keys.Keys
 	if op.NVMe != nil {
@@ -154,6 +153,7 @@
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
 		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Sent: numbers.Dispatched, Log: log}, func(r core.Result) { c.Report(r) })
+	leave := core.LeaveWithin(longest(cfg))
 	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
 	var book *ledger
 	if op.Accounts != nil {
@@ -169,12 +169,19 @@
 		}
 		go book.run(work)
 	}
-	var listed atomic.Bool
+	var listed, leaving atomic.Bool
+	known := make(chan struct{}) // closed with the first list
+	clients := front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
+		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: leave, Room: room, Ahead: up.Ahead, Log: log})
+	part := &shares{cfg: cfg, room: room, up: up, clients: clients, core: c}
+	part.divide(1)
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
 	tell := func(l *discovery.List) {
 		numbers.Listed(up.Apply(targets(l), l.Full))
 		c.List(nodes(l))
-		listed.Store(true)
+		if !listed.Swap(true) {
+			close(known)
+		}
 		if book != nil {
 			book.forget(l)
 		}
@@ -188,11 +195,10 @@
 	go list.Run(work)
 	update := func([]nvme.Namespace) {} // of the front that has namespaces
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
-	doors := map[string]door{cfg.Listen: front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Figures: numbers, Room: room, Ahead: up.Ahead, Log: log})}
+	doors := map[string]door{cfg.Listen: clients}
 	if op.NVMe != nil {
 		o := op.NVMe.Controller(cfg)
-		o.Log, o.Keys, o.Figures = log, certs, numbers
+		o.Log, o.Keys, o.Figures, o.Leave = log, certs, numbers, leave
 		controller := nvme.New(c, o)
 		doors[op.NVMe.Listen], update = controller, controller.Update
 	}
@@ -217,6 +223,9 @@
 			}
 		}
 	}()
+	crew := joinCrew(cfg, log)
+	defer crew.close()
+	go crew.watch(work, part.divide)
 	failed := make(chan error, len(doors))
 	ls := map[string]net.Listener{}
 	for addr := range doors {
@@ -234,13 +243,12 @@
 		}
 		ls[addr] = l
 	}
-	var serving atomic.Bool
 	if cfg.Control != "" {
 		at, err := listen.Bound(stop, cfg.Control, shared)
 		if err != nil {
 			return fmt.Errorf("control: %w", err)
 		}
-		pages := control.New(control.Options{Ready: func() bool { return serving.Load() && listed.Load() }, Figures: numbers.Render, Log: log})
+		pages := control.New(control.Options{Ready: func() bool { return listed.Load() && !leaving.Load() }, Figures: numbers.Render, Log: log})
 		defer pages.Close()
 		go pages.Serve(at)
 		log.Info("serving", slog.String("name", cfg.Name), slog.String("control", cfg.Control))
@@ -249,18 +257,31 @@
 		go func() { failed <- d.Serve(ls[addr]) }()
 		log.Info("serving", slog.String("name", cfg.Name), slog.String("listen", addr))
 	}
-	serving.Store(true)
+	go func() {
+		select {
+		case <-known: // what is taken before would wait
+			crew.enter(handover.Serving)
+		case <-work.Done():
+		}
+	}()
 	if listening != nil {
 		listening()
 	}
+	reason := "STOPPED"
 	select {
 	case err := <-failed:
 		return err
 	case <-stop.Done():
+	case <-crew.succeeded:
+		reason = "SUCCEEDED"
+	}
+	leaving.Store(true)
+	crew.enter(handover.Leaving)
+	if cfg.Inherited != "" {
+		clients.HandOver() // the socket stays, and whoever has it takes what comes
 	}
-	serving.Store(false)
-	log.Info("leaving", slog.String("reason", "STOPPED"), slog.Int("open", c.Open()))
-	bound, done := context.WithTimeout(context.Background(), longest(cfg)+600*time.Millisecond)
+	log.Info("leaving", slog.String("reason", reason), slog.Int("open", c.Open()), slog.Duration("within", leave.Answer))
+	bound, done := context.WithTimeout(context.Background(), max(leave.Answer, 3600*time.Millisecond))
 	defer done()
 	ended := make(chan error, len(doors))
 	for _, d := range doors {
@@ -277,8 +298,7 @@
 }
 
 // longest is the longest any client waits.
-func longest(cfg *config.Config) time.Duration {
-	d := 3 * time.Second
+func longest(cfg *config.Config) (d time.Duration) {
 	for _, c := range cfg.Module.Classes {
 		d = max(d, c.Deadline)
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -22,7 +22,7 @@
 	return true
 }
 
-// Give returns what was taken.
+// Give returns what was taken. A negative number makes the budget less: what is out then comes back to it first.
 func (b *Bytes) Give(n int64) { b.left.Add(n) }
 
 // Left tells how much is left.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -254,6 +254,13 @@
 	return max(n, 8)
 }
 
+// Part is what one of so many processes, which share the limits, may have.
+func (c *Config) Part(parts int) *Config {
+	part := *c
+	part.Limits.Sockets, part.Limits.MemoryMB = c.Limits.Sockets/max(parts, 1), c.Limits.MemoryMB/max(parts, 1)
+	return &part
+}
+
 // EasyConns is how many connections of clients may be without a request: half of the third of all descriptors that
 // clients hold at most.
 func (c *Config) EasyConns() int { return c.Limits.Sockets / 6 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,17 +49,22 @@
 // TooMany refuses what a front cannot take in for want of room: nothing of it has reached the module.
 var TooMany = Answer{Ending: Refused, RetryAfter: time.Second}
 
-// LingerFor is how long after SIGTERM a front takes new connections: clients come for 0.4 s, and one that the
-// machine has accepted but nobody has read from would be lost with the listener.
-const LingerFor = 450 * time.Millisecond
+// Leave is how a front leaves, from SIGTERM on.
+type Leave struct {
+	Linger time.Duration // new connections are taken: one that the machine has accepted but nobody has read from would be lost
+	Serve  time.Duration // it goes on with what comes on connections that it has: their clients know no other way
+	Answer time.Duration // what was taken after Linger has its answer, so that the successor need not wait
+	Handed bool          // a successor takes clients at the same socket: none of the above is needed, but for the answers
+}
 
-// ServeFor is how long after SIGTERM a front goes on with what comes on connections that it has: their clients know no
-// other way, and go without until the successor is up. AnswerBy is when, from SIGTERM on, what was taken after
-// LingerFor has its answer, so that the successor need not wait.
-const (
-	ServeFor = 1800 * time.Millisecond
-	AnswerBy = 2600 * time.Millisecond
-)
+// LeaveWithin is how to leave where a client waits so long at most. Clients come for 0.4 s. The successor is up once the
+// longest deadline and 0.7 s are over, and without these connections they would go without until then; nobody is made to
+// wait for more than 4 s for that.
+func LeaveWithin(longest time.Duration) Leave {
+	const linger = 450 * time.Millisecond
+	serve := max(min(longest, 4*time.Second)-200*time.Millisecond, linger)
+	return Leave{Linger: linger, Serve: serve, Answer: longest + 600*time.Millisecond}
+}
 
 // Pause waits until then, or until the context ends.
 func Pause(ctx context.Context, until time.Time) {
@@ -69,17 +74,17 @@
 	}
 }
 
-// Cut shortens a patience so that the answer is there by AnswerBy, for a request taken after LingerFor; left is the
-// moment of SIGTERM, nil before it.
-func Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
+// Cut shortens a patience so that the answer is there in time, for a request taken after Linger; left is the moment of
+// SIGTERM, nil before it.
+func (l Leave) Cut(patience time.Duration, arrived time.Time, left *time.Time) time.Duration {
 	if left == nil {
 		return patience
 	}
 	since := arrived.Sub(*left)
-	if since <= LingerFor {
+	if since <= l.Linger {
 		return patience
 	}
-	return max(min(patience, AnswerBy-since), 0)
+	return max(min(patience, l.Answer-since), 0)
 }
 
 // Job is a request as a front hands it over. ID and Budget are the core's to fill.
@@ -241,6 +246,9 @@
 // List hands over news of the targets.
 func (c *Core) List(l spindlehitch.NodeList) { c.box.Put(l) }
 
+// Share tells the module how many processes act for this initiator.
+func (c *Core) Share(parts int) { c.box.Put(spindlehitch.Shared{Parts: parts}) }
+
 // Inspect has f called from the core's goroutine, between two steps.
 func (c *Core) Inspect(f func()) { c.box.Put(f) }
 
@@ -306,6 +314,8 @@
 			c.result(now, m)
 		case written:
 			c.opt.Observer.End(c.observed(m.at), m.id)
+		case spindlehitch.Shared:
+			c.events = append(c.events, m)
 		case routed:
 			c.routes = append(c.routes, m)
 		case func():
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -180,7 +180,16 @@
 }
 
 func newConnTable(most, easy int, log *slog.Logger) *connTable {
-	return &connTable{most: most, easy: min(easy, most), log: log, open: map[*clientConn]bool{}}
+	t := &connTable{log: log, open: map[*clientConn]bool{}}
+	t.bound(most, easy)
+	return t
+}
+
+// bound sets the caps from now on; what is past them goes as others come.
+func (t *connTable) bound(most, easy int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.most, t.easy = most, min(easy, most)
 }
 
 // listener wraps accepted connections.
@@ -325,6 +334,21 @@
 	t.mu.Unlock()
 }
 
+// endAsked closes the connections that have had an answer and have no request, and tells how many are left of those that
+// may still bring one.
+func (t *connTable) endAsked() (left int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		switch phase := c.phase.Load(); {
+		case phase == quiet && c.used.Load() && t.evict(c, quiet, "LEAVING"):
+		case phase != spent:
+			left++
+		}
+	}
+	return left
+}
+
 // endUnasked closes what has no request open: net/http would wait for heads that may never come.
 func (t *connTable) endUnasked() {
 	t.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -45,6 +45,7 @@
 	EasyConn  int         // of these, how many may be without a request
 	Ready     func() bool // whether requests can be sent on; nil: from the start
 	ReadyOnly bool        // requests come in by another front
+	Leave     core.Leave
 	Figures   *figures.Book
 	Room      *budget.Bytes // for bodies and pieces of them
 	// Ahead opens a large body's way to a target.
@@ -67,12 +68,13 @@
 	listener atomic.Pointer[net.Listener]
 	conns    *connTable
 	left     atomic.Pointer[time.Time] // when Stop was called
+	handed   atomic.Bool
 }
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log)}
-	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: 2 * core.AnswerBy, MaxHeaderBytes: maxHead,
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: opt.Leave.Answer + idleFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
 }
@@ -101,17 +103,32 @@
 	return err
 }
 
+// HandOver tells that a successor takes clients at the same socket: Stop need not wait for any.
+func (s *Server) HandOver() { s.handed.Store(true) }
+
+// Bound sets how many connections of clients there may be, and how many without a request, from now on.
+func (s *Server) Bound(most, easy int) { s.conns.bound(most, easy) }
+
 // Stop leaves ready at once, keeps accepting while clients may still come, serves them for a while on the connections
 // they have, and then finishes what was taken until the context ends.
 func (s *Server) Stop(ctx context.Context) error {
 	now := time.Now()
 	s.left.Store(&now)
 	s.conns.leave()
-	core.Pause(ctx, now.Add(core.LingerFor))
+	how := s.opt.Leave
+	if s.handed.Load() {
+		how.Linger, how.Serve = 0, 0
+	}
+	core.Pause(ctx, now.Add(how.Linger))
 	if l := s.listener.Load(); l != nil {
 		(*l).Close()
 	}
-	core.Pause(ctx, now.Add(core.ServeFor))
+	// Clients of a successor go to it by themselves: each connection ends with its answer, and those that have just been
+	// made, and have brought no request yet, have their time for one.
+	for until := now.Add(headWithin); s.handed.Load() && s.conns.endAsked() > 0 && ctx.Err() == nil && time.Now().Before(until); {
+		core.Pause(ctx, time.Now().Add(10*time.Millisecond))
+	}
+	core.Pause(ctx, now.Add(how.Serve))
 	s.conns.endUnasked()
 	return s.http.Shutdown(ctx)
 }
@@ -165,7 +182,7 @@
 	if r.ContentLength != 0 && http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
 		panic(http.ErrAbortHandler)
 	}
-	j.Patience = core.Cut(j.Patience, arrived, s.left.Load())
+	j.Patience = s.opt.Leave.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := &handOver{answer: make(chan core.Answer, 1)}
 	j.Arrived, j.Payload, j.Done = arrived, m, final.put
@@ -178,6 +195,9 @@
 	}
 	select {
 	case a := <-final.answer:
+		if s.handed.Load() && s.left.Load() != nil {
+			w.Header().Set("Connection", "close")
+		}
 		if !write(w, a) {
 			panic(http.ErrAbortHandler) // the client must see that it is not whole
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -27,6 +27,8 @@
 
 func TestMain(m *testing.M) { seeded.Main(m) }
 
+var usual = core.LeaveWithin(2 * time.Second)
+
 // back is the stand-in core: it hands jobs to the test and notes departures.
 type back struct {
 	jobs chan *core.Job
@@ -48,7 +50,7 @@
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
 	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
-		Figures: figures.New([]string{"get", "put"}), Room: budget.New(1 << 20),
+		Figures: figures.New([]string{"get", "put"}), Room: budget.New(1 << 20), Leave: usual,
 		Log: slog.New(slog.DiscardHandler)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -446,7 +448,7 @@
 	if resp.StatusCode != 503 {
 		t.Errorf("ready while leaving: %d", resp.StatusCode)
 	}
-	time.Sleep(core.LingerFor + 100*time.Millisecond)
+	time.Sleep(usual.Linger + 100*time.Millisecond)
 	if c, err := net.Dial("tcp", addr); err == nil {
 		c.Close()
 		t.Error("still accepting after the linger")
@@ -461,13 +463,13 @@
 	if resp, body, _ := say(t, kept, strings.Replace(good, "480", "9999", 1)); resp.StatusCode != 200 || body != "kept" {
 		t.Errorf("on a connection from before: %d, %q", resp.StatusCode, body)
 	}
-	if p := <-served; p > core.AnswerBy-core.LingerFor {
+	if p := <-served; p > usual.Answer-usual.Linger {
 		t.Errorf("it may take %v, past the end", p)
 	}
 	select {
 	case <-stopped:
 		t.Error("ended with a request open")
-	case <-time.After(core.ServeFor):
+	case <-time.After(usual.Serve):
 	}
 	j.Done(core.Answer{Payload: []byte("late")})
 	wait.Wait()
@@ -552,3 +554,50 @@
 	}
 	wait.Wait()
 }
+
+// TestHandOver leaves while a successor takes clients at the same socket: nothing more is accepted, an idle connection is
+// closed without a reset, one with a request open ends with its answer, and one that was just made has its request served.
+func TestHandOver(t *testing.T) {
+	s, b, addr := newFront(t, 64)
+	go func() { (<-b.jobs).Done(core.Answer{Payload: []byte("x")}) }()
+	_, _, idle := ask(t, addr, good)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+	busy, fresh := dial(), dial()
+	io.WriteString(busy, good)
+	open := <-b.jobs
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		s.conns.mu.Lock()
+		n := len(s.conns.open)
+		s.conns.mu.Unlock()
+		if n == 3 {
+			break
+		}
+	}
+	s.HandOver()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	if n, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the idle connection: %d bytes, %v; want a clean end", n, err)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("it still accepts")
+	}
+	for c, j := range map[net.Conn]func() *core.Job{busy: func() *core.Job { return open }, fresh: func() *core.Job { io.WriteString(fresh, good); return <-b.jobs }} {
+		j().Done(core.Answer{Payload: []byte("x")})
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("a request at the time: %+v, %v; want it served on a connection that ends", resp, err)
+		}
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -30,6 +30,7 @@
 	Keys       *keys.Keys               // TLS, where there are any
 	Patience   map[string]time.Duration // of each class: NVMe commands carry no deadline of their own
 	Figures    *figures.Book            // nil: none are kept
+	Leave      core.Leave
 	Log        *slog.Logger
 }
 
@@ -251,13 +252,13 @@
 func (s *Server) Stop(ctx context.Context) error {
 	now := time.Now()
 	s.left.Store(&now)
-	core.Pause(ctx, now.Add(core.LingerFor))
+	core.Pause(ctx, now.Add(s.opt.Leave.Linger))
 	s.mu.Lock()
 	if s.listener != nil {
 		s.listener.Close()
 	}
 	s.mu.Unlock()
-	core.Pause(ctx, now.Add(core.ServeFor))
+	core.Pause(ctx, now.Add(s.opt.Leave.Serve))
 	s.leaving.Store(true)
 	for s.open.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(2 * time.Millisecond)
@@ -625,7 +626,7 @@
 	now := time.Now()
 	for i, x := range parts {
 		j := &core.Job{Request: p.ns.request(x), Arrived: now, Payload: x}
-		j.Patience = core.Cut(q.server.opt.Patience[j.Class], now, q.server.left.Load())
+		j.Patience = q.server.opt.Leave.Cut(q.server.opt.Patience[j.Class], now, q.server.left.Load())
 		j.Done = func(a core.Answer) { q.part(p, i, a) }
 		jobs[i] = j
 	}
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	s := New(c, Options{Subsystem: subsystem, Namespaces: []Namespace{space()}, QueueDepth: 8, MostConn: 64,
-		MostBytes: 8 << 20, Patience: map[string]time.Duration{"position-read": patient, "event-write": patient}, Log: quiet})
+		MostBytes: 8 << 20, Patience: map[string]time.Duration{"position-read": patient, "event-write": patient}, Leave: core.LeaveWithin(2 * time.Second), Log: quiet})
 	go s.Serve(l)
 	t.Cleanup(func() { l.Close() })
 	return s, l.Addr().String()
@@ -413,7 +413,7 @@
 	}
 	start := func(l net.Listener) *Server {
 		s := New(newStore(), Options{Subsystem: targetNQN, Namespaces: []Namespace{space()}, QueueDepth: 8, MostConn: 64,
-			MostBytes: 8 << 20, Patience: map[string]time.Duration{"event-write": patient, "position-read": patient}, Log: quiet})
+			MostBytes: 8 << 20, Patience: map[string]time.Duration{"event-write": patient, "position-read": patient}, Leave: core.LeaveWithin(2 * time.Second), Log: quiet})
 		go s.Serve(l)
 		return s
 	}
@@ -679,7 +679,7 @@
 	<-back.came
 	stopped := make(chan error)
 	go func() { stopped <- s.Stop(context.Background()) }()
-	time.Sleep(core.LingerFor + 100*time.Millisecond)
+	time.Sleep(core.LeaveWithin(2*time.Second).Linger + 100*time.Millisecond)
 	meanwhile := c.read(3, 1)
 	if x := <-back.came; x.SLBA != 3 {
 		t.Errorf("block %d was read while the program leaves, want 3", x.SLBA)
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -36,12 +36,23 @@
 	report  func(core.Result)
 	mu      sync.Mutex
 	targets map[string]*target
-	conns   atomic.Int64 // of all targets, those being made included
+	pool    pool
 }
 
+// pool is all targets' connections, those being made included, and how many there may be.
+type pool struct{ conns, mostOne, mostAll atomic.Int64 }
+
 // NewRegistry returns an empty registry; results go to report.
 func NewRegistry(opt Options, report func(core.Result)) *Registry {
-	return &Registry{opt: opt, report: report, targets: map[string]*target{}}
+	g := &Registry{opt: opt, report: report, targets: map[string]*target{}}
+	g.Bound(opt.MostConn, opt.MostAll)
+	return g
+}
+
+// Bound sets how many connections there may be, to one target and to all, from now on.
+func (g *Registry) Bound(one, all int) {
+	g.pool.mostOne.Store(int64(one))
+	g.pool.mostAll.Store(int64(all))
 }
 
 // Apply takes over entries of the list; with whole, a target that is absent is gone. It tells how many are listed now.
@@ -56,7 +67,7 @@
 			if x.State == spindlehitch.Removed {
 				continue
 			}
-			t = newTarget(x.ID, g.opt, &g.conns, g.report)
+			t = newTarget(x.ID, g.opt, &g.pool, g.report)
 			g.targets[x.ID] = t
 			go t.run()
 		}
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -172,9 +172,9 @@
 		if r := b.result(t); r.Code != spindlehitch.NoConnection {
 			t.Errorf("after it was closed: code %v", r.Code)
 		}
-		for end := time.Now().Add(10 * time.Second); b.conns.Load() > 1; time.Sleep(time.Millisecond) {
+		for end := time.Now().Add(10 * time.Second); b.pool.conns.Load() > 1; time.Sleep(time.Millisecond) {
 			if time.Now().After(end) {
-				t.Fatalf("%d connections are left", b.conns.Load())
+				t.Fatalf("%d connections are left", b.pool.conns.Load())
 			}
 		}
 		if len(bodies) > 0 {
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -36,8 +36,8 @@
 	idle    []*conn
 	busy    map[string]*try
 	conns   int
-	uploads int           // connections on which a body goes ahead
-	all     *atomic.Int64 // conns of all targets
+	uploads int   // connections on which a body goes ahead
+	pool    *pool // of all targets
 }
 
 // Wire opens connections of one protocol.
@@ -74,8 +74,8 @@
 	called bool // called off
 }
 
-func newTarget(id string, opt Options, all *atomic.Int64, report func(core.Result)) *target {
-	return &target{id: id, opt: opt, all: all, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
+func newTarget(id string, opt Options, all *pool, report func(core.Result)) *target {
+	return &target{id: id, opt: opt, pool: all, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
 }
 
 // set takes over what the list says; at once for attempts about to write, in turn for the pool.
@@ -184,7 +184,7 @@
 		t.drop(c, "TARGET_CLOSED_IDLE")
 	}
 	// Both bounds keep the process within its descriptors, whatever the number of targets.
-	return nil, t.conns < t.opt.MostConn && t.count(1)
+	return nil, int64(t.conns) < t.pool.mostOne.Load() && t.count(1)
 }
 
 func (t *target) finish(m done) {
@@ -225,8 +225,8 @@
 
 // count notes a connection more, unless all targets' connections are too many, or one less.
 func (t *target) count(n int) bool {
-	if t.all.Add(int64(n)) > int64(t.opt.MostAll) && n > 0 {
-		t.all.Add(int64(-n))
+	if t.pool.conns.Add(int64(n)) > t.pool.mostAll.Load() && n > 0 {
+		t.pool.conns.Add(int64(-n))
 		return false
 	}
 	t.conns += n
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -277,7 +277,7 @@
 		t.Errorf("draining: code %v, %d requests reached the target; want none after the first", r.Code, s.asked.Load())
 	}
 	// The same at the last look, with the connection in hand.
-	tg := newTarget("n", b.opt, &b.conns, b.report)
+	tg := newTarget("n", b.opt, &b.pool, b.report)
 	tg.set(s.Addr().String(), spindlehitch.Draining)
 	near, far := net.Pipe()
 	defer far.Close()
--- a/scheduler.go
+++ b/scheduler.go
@@ -74,6 +74,7 @@
 	byID     map[string]*node
 	keys     map[string]*orderKey
 	dues     dueHeap
+	crew     crew
 	// For the attempt budget; the next timer and what it is for, the last sweep, how long this initiator
 	// stood still before this step (0: not), when to ask for the list and how long to wait after that.
 	taken, extra                                    []time.Duration
@@ -155,6 +156,8 @@
 			if r := s.requests[e.ID]; r != nil && !r.done {
 				s.finish(r)
 			}
+		case Shared:
+			s.crew.set(e.Parts, s.now, s.set.Rules.FallWithin)
 		case Timer: // also one a little early: whoever drives the module may round
 			s.timerAt = never
 		}
@@ -889,7 +892,7 @@
 	}
 	sum, shown := total(n.recent), total(n.served)
 	grown := 1 + (1/max(ru.ColdShare, 0.01)-1)*max(0, age.Seconds())/ru.WarmWithin.Seconds()
-	part := s.set.ColdUnits / float64(s.set.Initiators) * grown
+	part := s.set.ColdUnits / float64(s.set.Initiators) * grown * s.crew.part(s.now)
 	if sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
 		return 0
 	}
@@ -908,7 +911,7 @@
 	}
 	s.taken = trim(s.taken, s.now-ru.BudgetSpan+2*s.set.Tick)
 	s.extra = trim(s.extra, s.now-ru.BudgetSpan-2*s.set.Tick)
-	if float64(len(s.extra)+1) <= ru.BudgetFree+ru.BudgetShare*float64(len(s.taken)) {
+	if float64(len(s.extra)+1) <= ru.BudgetFree*s.crew.part(s.now)+ru.BudgetShare*float64(len(s.taken)) {
 		return 0
 	}
 	return s.now + ru.BudgetSpan/64
@@ -921,12 +924,13 @@
 	if v.plan.Limit <= 0 || r.drawn {
 		return 0
 	}
-	v.store = min(v.plan.LimitBurst/v.hosts, v.store+(s.now-v.storeAt).Seconds()*v.plan.Limit/v.hosts)
+	hosts := v.hosts / s.crew.part(s.now)
+	v.store = min(v.plan.LimitBurst/hosts, v.store+(s.now-v.storeAt).Seconds()*v.plan.Limit/hosts)
 	v.storeAt = s.now
 	if v.store >= r.Units {
 		return 0
 	}
-	return s.now + seconds((r.Units-v.store)*v.hosts/v.plan.Limit) + s.set.Tick
+	return s.now + seconds((r.Units-v.store)*hosts/v.plan.Limit) + s.set.Tick
 }
 
 // ---- Placement of new objects ----
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -818,3 +818,27 @@
 		t.Errorf("with another node there: sends %+v, ends %+v", r.sends, r.ends)
 	}
 }
+
+// TestSharedBudgets divides what the rules allow among the processes of an initiator, also for a while after one has gone.
+func TestSharedBudgets(t *testing.T) {
+	set := plain()
+	set.ColdUnits = 4
+	set.Rules = Rules{ColdShare: 0.2, WarmWithin: 20 * time.Second, FallWithin: 3 * time.Second, FallMultiple: 4}
+	sent := func(parts ...int) int {
+		r := newRig(t, set, Node{ID: "a", Started: time.Second - 10*ms})
+		for _, n := range parts {
+			r.step(Shared{Parts: n})
+		}
+		for i := range 8 {
+			id := string(rune('a' + i))
+			r.step(Request{ID: id, Class: "get", Plan: "std", Volume: id, Units: 1, Initiators: 1, Budget: 2 * time.Second})
+			if len(r.sends) > i {
+				r.step(Outcome{ID: id, Node: "a", Code: Errored})
+			}
+		}
+		return len(r.sends)
+	}
+	if alone, two, after := sent(), sent(2), sent(2, 1); two >= alone || after != two {
+		t.Errorf("%d sends alone, %d as one of two, %d just after the other has gone", alone, two, after)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -118,6 +118,29 @@
 	units float64
 }
 
+// crew is the processes that act for this initiator: for the rules they are one.
+type crew struct {
+	size, before float64 // now, and until lately; 0: one
+	until        time.Duration
+}
+
+// set takes over their number. What one that has gone sent counts for the span that the rule on cold nodes looks back.
+func (c *crew) set(size int, now, span time.Duration) {
+	if next := float64(size); next < c.size {
+		c.size, c.before, c.until = next, c.size, now+span
+	} else {
+		c.size = next
+	}
+}
+
+// part is this process's part of what the rules allow them together.
+func (c *crew) part(now time.Duration) float64 {
+	if now < c.until {
+		return 1 / max(1, c.size, c.before)
+	}
+	return 1 / max(1, c.size)
+}
+
 // since drops the draws before from.
 func since(list []draw, from time.Duration) []draw {
 	for len(list) > 0 && list[0].at < from {
