--- /dev/null
+++ b/cmd/spindlehitch/bench_test.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"spindlehitch/internal/config"
+)
+
+// BenchmarkSmallRequest is a small read and a small write by turns on one connection, through the whole program to a stand-in
+// target in the same process.
+func BenchmarkSmallRequest(b *testing.B) {
+	w := newWorld(b)
+	cfg, err := config.Parse([]byte(w.config()), func(string) string { return "" })
+	if err != nil {
+		b.Fatal(err)
+	}
+	stop, leave := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(stop, cfg, &config.Operator{}, quiet, nil, nil) }()
+	var c net.Conn
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if status, _ := w.ask(); status == 200 {
+			break
+		} else if time.Now().After(end) {
+			b.Fatal("never served")
+		}
+	}
+	if c, err = net.Dial("tcp", w.listen); err != nil {
+		b.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		method, body := "GET", ""
+		if i%2 == 1 {
+			method, body = "PUT", "Content-Length: 200\r\n"
+		}
+		raw := fmt.Sprintf("%s /position-read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nRequest-Id: b%d\r\nTier: base\r\nRequest-Timeout-Ms: 20000\r\n"+
+			"IO-Info: volume=00000003b4d60021,units=0,shard=0,hosts=1\r\n%s\r\n", method, i, body)
+		if body != "" {
+			raw += string(make([]byte, 200))
+		}
+		io.WriteString(c, raw)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if n, _ := io.Copy(io.Discard, resp.Body); n == 0 || resp.StatusCode != 200 {
+			b.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	b.StopTimer()
+	c.Close()
+	leave()
+	if err := <-ended; err != nil {
+		b.Error(err)
+	}
+}
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -161,7 +161,7 @@
 		bounds.Observer = book.book
 	}
 	c = core.New(module, up, core.NewClock(), bounds)
-	shared := listening != nil // all addresses: a predecessor may still listen at each
+	shared := listening != nil || cfg.Inherited != "" // all other addresses: a predecessor may still listen at each
 	if book != nil {
 		book.core = c
 		if err := book.serve(work, shared); err != nil {
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -35,7 +35,7 @@
  "extra":{"meanUnits":1,"largest":8},"limits":{"sendCap":3}}`
 
 // freeAddr finds a port of the loopback that nobody listens on.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -54,7 +54,7 @@
 	came, release     chan struct{}
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	t.Helper()
 	w := &world{listen: freeAddr(t), came: make(chan struct{}, 1), release: make(chan struct{})}
 	target := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -146,7 +146,7 @@
 			http.NotFound(w, r)
 		default:
 			w.Header().Set("Connection", "close")
-			write(w, core.TooMany)
+			s.write(w, core.TooMany)
 			s.opt.Figures.Ended(classOf(r), figures.Overload)
 		}
 		return
@@ -189,7 +189,7 @@
 	conn.next()
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
-		write(w, core.TooMany)
+		s.write(w, core.TooMany)
 		seen.End(figures.Overload)
 		return
 	}
@@ -198,7 +198,7 @@
 		if s.handed.Load() && s.left.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
-		if !write(w, a) {
+		if !s.write(w, a) {
 			panic(http.ErrAbortHandler) // the client must see that it is not whole
 		}
 		seen.End(endingOf(a))
@@ -295,12 +295,12 @@
 
 // write gives the one final answer. Its length is told ahead, or it comes in chunks, so that a cut one shows. It tells
 // whether all of it was written, as far as is known.
-func write(w http.ResponseWriter, a core.Answer) bool {
+func (s *Server) write(w http.ResponseWriter, a core.Answer) bool {
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin)) // that of an answer before may be over
 	switch a.Ending {
 	case core.Served:
 		if st, ok := a.Payload.(*upstream.Stream); ok {
-			return pass(w, st)
+			return s.pass(w, st)
 		}
 		body, _ := a.Payload.([]byte)
 		h := w.Header()
@@ -321,7 +321,7 @@
 }
 
 // pass writes an answer as it comes, each piece at once.
-func pass(w http.ResponseWriter, st *upstream.Stream) bool {
+func (s *Server) pass(w http.ResponseWriter, st *upstream.Stream) bool {
 	defer st.Discard() // if it has not ended by itself
 	rc := http.NewResponseController(w)
 	h := w.Header()
@@ -331,6 +331,11 @@
 	}
 	piece, done := upstream.Piece()
 	defer done()
+	if room := int64(len(piece)); s.opt.Room.Take(room) {
+		defer s.opt.Room.Give(room)
+	} else {
+		piece = make([]byte, 2<<10) // it goes on, more slowly
+	}
 	for {
 		n, err := st.Read(piece)
 		if n > 0 {
