SIGKILL comes 3.7 s after SIGTERM at the latest: all is answered before it

Now 3.6 s for answers, new ones on open connections until 3.3 s.

TestSlowRequestsStay had a sixth of its margin, and failed once on a busy machine.

--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -281,7 +281,7 @@
 		clients.HandOver() // the socket stays, and whoever has it takes what comes
 	}
 	log.Info("leaving", slog.String("reason", reason), slog.Int("open", c.Open()), slog.Duration("within", leave.Answer))
-	bound, done := context.WithTimeout(context.Background(), max(leave.Answer, 3600*time.Millisecond))
+	bound, done := context.WithTimeout(context.Background(), leave.Answer)
 	defer done()
 	ended := make(chan error, len(doors))
 	for _, d := range doors {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,13 +57,13 @@
 	Handed bool          // a successor takes clients at the same socket: none of the above is needed, but for the answers
 }
 
-// LeaveWithin is how to leave where a client waits so long at most. Clients come for 0.4 s. The successor is up once the
-// longest deadline and 0.7 s are over, and without these connections they would go without until then; nobody is made to
-// wait for more than 4 s for that.
+// LeaveWithin is how to leave where a client waits so long at most. Clients come for 0.4 s. The process is killed once that
+// long and 0.7 s are over, or 3.7 s; the successor is up then at the earliest, and without these connections clients would
+// go without until then.
 func LeaveWithin(longest time.Duration) Leave {
 	const linger = 450 * time.Millisecond
-	serve := max(min(longest, 4*time.Second)-200*time.Millisecond, linger)
-	return Leave{Linger: linger, Serve: serve, Answer: longest + 600*time.Millisecond}
+	killed := min(longest, 3*time.Second) + 700*time.Millisecond
+	return Leave{Linger: linger, Serve: max(killed-400*time.Millisecond, linger), Answer: killed - 100*time.Millisecond}
 }
 
 // Pause waits until then, or until the context ends.
