NVMe: a command whose connection ends counts as an error and is not open any more

Found by reading what ends a command (controller.go, drop): it was counted as taken and never as ended, so that concurrent would have grown with each connection lost under commands. TestNumbers on both fronts; the NVMe one fails without it (three stay open).

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -601,3 +601,39 @@
 		t.Error(err)
 	}
 }
+
+// TestNumbers counts each request once, however it ends, and none as open afterwards: served, refused, failed, turned away for
+// what it is or for want of room, and left by its client.
+func TestNumbers(t *testing.T) {
+	s, b, addr := newFront(t, 64)
+	for _, ending := range []core.Ending{core.Served, core.Refused, core.Failed, core.Conflict} {
+		go func() { (<-b.jobs).Done(core.Answer{Ending: ending, Payload: []byte("x")}) }()
+		ask(t, addr, good)
+	}
+	ask(t, addr, strings.Replace(good, "std", "odd", 1))
+	ask(t, addr, strings.Replace(good, "/put/", "/odd/", 1))
+	left, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(left, good)
+	<-b.jobs
+	if got := string(s.opt.Figures.Render()); !strings.Contains(got, "concurrent:1|") {
+		t.Errorf("with one open:\n%s", got)
+	}
+	left.Close()
+	<-b.gone
+	s.opt.Room.Give(-s.opt.Room.Left())
+	if resp, _, _ := ask(t, addr, good); resp.StatusCode != 503 {
+		t.Errorf("without room: %d", resp.StatusCode)
+	}
+	var got string
+	want := []string{"put.success:1|", "put.overload:2|", "put.error:4|", "get.error:0|", "concurrent:0|"}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		got = string(s.opt.Figures.Render())
+		if !slices.ContainsFunc(want, func(w string) bool { return !strings.Contains(got, w) }) {
+			return
+		}
+	}
+	t.Errorf("numbers\n%s, want %q", got, want)
+}
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -343,6 +343,7 @@
 
 // release gives back what an open command holds.
 func (q *queue) release(p *pending) {
+	p.seen.End(figures.Failure) // its host is gone, where it has no status yet
 	if p.wait != nil {
 		p.wait.Stop()
 	}
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -11,6 +11,8 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +21,7 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/core"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/seeded"
 	"spindlehitch/internal/upstream"
 )
@@ -46,7 +49,8 @@
 		t.Fatal(err)
 	}
 	s := New(c, Options{Subsystem: subsystem, Namespaces: []Namespace{space()}, QueueDepth: 8, MostConn: 64,
-		MostBytes: 8 << 20, Patience: map[string]time.Duration{"position-read": patient, "event-write": patient}, Leave: core.LeaveWithin(2 * time.Second), Log: quiet})
+		MostBytes: 8 << 20, Patience: map[string]time.Duration{"position-read": patient, "event-write": patient}, Leave: core.LeaveWithin(2 * time.Second),
+		Figures: figures.New([]string{"position-read", "event-write"}), Log: quiet})
 	go s.Serve(l)
 	t.Cleanup(func() { l.Close() })
 	return s, l.Addr().String()
@@ -723,3 +727,42 @@
 		}
 	}
 }
+
+// TestNumbers counts each command once, by its status, and none as open once its connection has ended under it.
+func TestNumbers(t *testing.T) {
+	back := newStore()
+	s, addr := newServer(t, back, poolNQN)
+	c := newClient(t, addr, false)
+	c.read(1, 1)
+	c.next()
+	back.mu.Lock()
+	back.answer = core.Answer{Ending: core.Refused}
+	back.mu.Unlock()
+	c.read(2, 1)
+	c.next()
+	still := make(chan struct{})
+	defer close(still)
+	back.mu.Lock()
+	back.still = still
+	back.mu.Unlock()
+	for range 3 {
+		c.read(3, 1)
+	}
+	for range 5 {
+		<-back.came
+	}
+	numbers := func(want ...string) {
+		t.Helper()
+		var got string
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			got = string(s.opt.Figures.Render())
+			if !slices.ContainsFunc(want, func(w string) bool { return !strings.Contains(got, w) }) {
+				return
+			}
+		}
+		t.Errorf("numbers\n%s, want %q", got, want)
+	}
+	numbers("position-read.success:1|", "position-read.overload:1|", "position-read.error:0|", "concurrent:3|")
+	c.io.Close()
+	numbers("position-read.success:1|", "position-read.overload:1|", "position-read.error:3|", "concurrent:0|")
+}
