A process that leaves waits for early requests as long as their clients do, as before

What comes after SIGTERM is cut to be answered within 3.6 s by Leave.Cut; what was there before is not, and being killed with it is no loss.

TestServeAndStop now holds its request for longer than that, and fails without this.

--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -281,7 +281,9 @@
 		clients.HandOver() // the socket stays, and whoever has it takes what comes
 	}
 	log.Info("leaving", slog.String("reason", reason), slog.Int("open", c.Open()), slog.Duration("within", leave.Answer))
-	bound, done := context.WithTimeout(context.Background(), leave.Answer)
+	// What was taken early may wait for longer than the platform lets the process live. To be killed with it is then no
+	// fault of this program; to end before it is answered would be.
+	bound, done := context.WithTimeout(context.Background(), max(longest(cfg), 3*time.Second)+600*time.Millisecond)
 	defer done()
 	ended := make(chan error, len(doors))
 	for _, d := range doors {
--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -26,6 +26,7 @@
 	"spindlehitch/internal/accounts"
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/config"
+	"spindlehitch/internal/core"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -137,7 +138,7 @@
 	}()
 	<-w.came
 	leave()
-	time.Sleep(600 * time.Millisecond)
+	time.Sleep(core.LeaveWithin(time.Minute).Answer + 300*time.Millisecond) // its client waits for longer than that
 	close(w.release)
 	if got := <-open; got != "200 from the target" {
 		t.Errorf("the request that was open: %s", got)
