--- a/scheduler.go
+++ b/scheduler.go
@@ -954,8 +954,8 @@
 	return best
 }
 
-// Where names the node that a request for the shard would go to now; empty: none. It is asked for where a body
-// must be on its way before the request can be decided on.
+// Where names the node that a request for the shard would go to now; empty: none. It is asked for where a
+// body must be on its way before the request can be decided on.
 func (s *Scheduler) Where(shard int) string {
 	r := &request{Request: Request{Shard: shard}}
 	if l := s.place(r); l.node != nil {
