Read over: one place sets the bounds, one says whether clients are invited

serve gave pools and clients' connections their bounds and then shares.divide set them again; divide alone does now. The second address asked a condition of its own where the front's ready page has the same one: both ask front.Ready. What Watch remembers between looks is its own, not the group's; one line warns of a handover not told; a piece that is framed is never empty.

--- a/cmd/spindlehitch/crew.go
+++ b/cmd/spindlehitch/crew.go
@@ -33,11 +33,15 @@
 	var err error
 	if c.group, err = handover.Join(os.TempDir(), cfg.Name, log); err != nil {
 		c.group = nil
-		log.Warn("handover not told", slog.String("reason", "HANDOVER_FAILED"), slog.Any("error", err))
+		c.untold(err)
 	}
 	return c
 }
 
+func (c *crew) untold(err error) {
+	c.log.Warn("handover not told", slog.String("reason", "HANDOVER_FAILED"), slog.Any("error", err))
+}
+
 // watch follows the others until the context ends.
 func (c *crew) watch(ctx context.Context, share func(parts int)) {
 	if c.group == nil {
@@ -58,7 +62,7 @@
 		return
 	}
 	if err := c.group.Enter(p); err != nil {
-		c.log.Warn("handover not told", slog.String("reason", "HANDOVER_FAILED"), slog.Any("error", err))
+		c.untold(err)
 	}
 }
 
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -136,7 +136,7 @@
 	}
 	work, end := context.WithCancel(context.Background())
 	defer end()
-	room := budget.New(0) // as soon as it is shared out
+	room := budget.New(0) // until it is shared out
 	var wire upstream.Wire = upstream.NewHTTP(room)
 	var certs *keys.Keys
 	if op.NVMe != nil {
@@ -152,7 +152,7 @@
 	numbers := figures.New(slices.Collect(maps.Keys(cfg.Classes())))
 	var c *core.Core
 	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
-		MostConn: cfg.TargetConns(), MostAll: cfg.AllTargetConns(), Sent: numbers.Dispatched, Log: log}, func(r core.Result) { c.Report(r) })
+		Sent: numbers.Dispatched, Log: log}, func(r core.Result) { c.Report(r) })
 	leave := core.LeaveWithin(longest(cfg))
 	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
 	var book *ledger
@@ -169,10 +169,11 @@
 		}
 		go book.run(work)
 	}
-	var listed, leaving atomic.Bool
+	var listed atomic.Bool
 	known := make(chan struct{}) // closed with the first list
-	clients := front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(),
-		MostConn: cfg.ClientConns(), EasyConn: cfg.EasyConns(), Ready: listed.Load, ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: leave, Room: room, Ahead: up.Ahead, Log: log})
+	clients := front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(), Ready: listed.Load,
+		ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: leave, Room: room, Ahead: up.Ahead, Log: log})
+	// What there may be of connections and bytes is set here alone, now and whenever the processes become more or fewer.
 	part := &shares{cfg: cfg, room: room, up: up, clients: clients, core: c}
 	part.divide(1)
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
@@ -248,7 +249,7 @@
 		if err != nil {
 			return fmt.Errorf("control: %w", err)
 		}
-		pages := control.New(control.Options{Ready: func() bool { return listed.Load() && !leaving.Load() }, Figures: numbers.Render, Log: log})
+		pages := control.New(control.Options{Ready: clients.Ready, Figures: numbers.Render, Log: log})
 		defer pages.Close()
 		go pages.Serve(at)
 		log.Info("serving", slog.String("name", cfg.Name), slog.String("control", cfg.Control))
@@ -275,7 +276,6 @@
 	case <-crew.succeeded:
 		reason = "SUCCEEDED"
 	}
-	leaving.Store(true)
 	crew.enter(handover.Leaving)
 	if cfg.Inherited != "" {
 		clients.HandOver() // the socket stays, and whoever has it takes what comes
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -214,15 +214,26 @@
 	}
 }
 
-func (s *Server) ready(w http.ResponseWriter) {
+// Ready tells whether clients are invited.
+func (s *Server) Ready() bool { return s.unready() == "" }
+
+// unready is why clients are not invited; empty: they are.
+func (s *Server) unready() string {
 	switch {
 	case s.left.Load() != nil:
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return "leaving"
 	case s.opt.Ready != nil && !s.opt.Ready():
-		http.Error(w, "no list of targets yet", http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
+		return "no list of targets yet"
+	}
+	return ""
+}
+
+func (s *Server) ready(w http.ResponseWriter) {
+	if why := s.unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
 	}
+	w.WriteHeader(http.StatusOK)
 }
 
 // handOver is how a final answer gets from the core's goroutine, which must not wait, to a handler, which may have left.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -34,14 +34,12 @@
 	mu   sync.Mutex
 	me   Member
 	lock *os.File
-	last View
-	deaf bool // a look has failed, and that was logged
 }
 
 // Join has this process take part: its lock is held until Close, or its end. The folder has to be there.
 func Join(dir, name string, log *slog.Logger) (*Group, error) {
 	g := &Group{dir: dir, name: "handover-" + url.PathEscape(name) + "-", log: log,
-		me: Member{Started: time.Now().UnixNano(), PID: os.Getpid()}, last: View{Parts: 1}}
+		me: Member{Started: time.Now().UnixNano(), PID: os.Getpid()}}
 	f, err := os.OpenFile(g.path(g.me.PID, lockEnd), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, err
@@ -160,16 +158,17 @@
 func (g *Group) Watch(ctx context.Context, tell func(View)) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
+	last, deaf := View{Parts: 1}, false // deaf: a look has failed, and that was logged
 	for {
 		v, err := g.Look()
 		switch {
 		case err != nil:
-			if !g.deaf {
-				g.deaf = true
+			if !deaf {
+				deaf = true
 				g.log.Warn("handover not seen", slog.String("reason", "HANDOVER_FAILED"), slog.Any("error", err))
 			}
-		case v != g.last:
-			g.last = v
+		case v != last:
+			last = v
 			tell(v)
 		}
 		select {
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -119,7 +119,7 @@
 
 // frame is a piece as it is written.
 func (u *Upload) frame(piece []byte) []byte {
-	if u.length >= 0 || len(piece) == 0 {
+	if u.length >= 0 {
 		return piece
 	}
 	b := strconv.AppendInt(make([]byte, 0, len(piece)+16), int64(len(piece)), 16)
