A silent agent costs a call 0.4 s, not all of its 8 s; a rig for fault runs

Seen: with the first named of three agents stopped (SIGSTOP), `config list` failed after 8.0 s, as its call had all of the caller's time for one agent, and the same with the leader stopped, to which the others redirect; the message named the agent asked last. An instance's watch at a silent agent lasted 30 s.

Changed: a call gives each agent 0.4 s (doubled each round, 2 s at most) and goes round until the caller's 8 s are over; a redirect to the leader has a time of its own; the error names each agent and what came of it. Watches last 1 s. Since a change may now reach two agents, it carries an id, and the log makes it once. Raft finds peers by id through each agent's own file, so that a link can stand between any two.

Ruled out: asking all agents at once, which makes each change as often as there are agents.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -32,11 +32,24 @@
 	API  string `toml:"api"`  // where commands and instances reach it
 }
 
+// Peers is all agents, as one of them knows them.
+type Peers []Peer
+
+// ServerAddr implements raft.ServerAddressProvider.
+func (p Peers) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	for _, x := range p {
+		if x.ID == string(id) {
+			return raft.ServerAddress(x.Raft), nil
+		}
+	}
+	return "", fmt.Errorf("agent.peer: %q is none of the peers", id)
+}
+
 // Options set up one agent.
 type Options struct {
 	ID      string
 	Dir     string                                 // holds its log, votes and snapshots
-	Peers   []Peer                                 // all agents, this one included
+	Peers   Peers                                  // all agents, this one included
 	Check   func(name string, config []byte) error // whether the instance could start from it
 	Log     *slog.Logger
 	Timeout time.Duration // of heartbeats and elections; 0: one second
@@ -87,7 +100,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent.peers raft: %w", err)
 	}
-	if a.trans, err = raft.NewTCPTransportWithLogger(a.self.Raft, addr, 3, applyWithin, log); err != nil {
+	// Where the others are is this agent's file's to say, whatever a snapshot of another's has.
+	about := &raft.NetworkTransportConfig{ServerAddressProvider: opt.Peers, MaxPool: 3, Timeout: applyWithin, Logger: log}
+	if a.trans, err = raft.NewTCPTransportWithConfig(a.self.Raft, addr, about); err != nil {
 		return nil, fmt.Errorf("agent.peers raft: %w", err)
 	}
 	cfg := raft.DefaultConfig()
@@ -237,7 +252,7 @@
 	if a.elsewhere(w, r) {
 		return
 	}
-	c := change{Name: r.PathValue("name")}
+	c := change{Name: r.PathValue("name"), ID: r.Header.Get("Change-Id")}
 	if s := r.Header.Get("If-Version"); s != "" {
 		n, err := strconv.ParseUint(s, 10, 64)
 		if err != nil {
--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,73 +21,138 @@
 type Client struct {
 	Addrs []string
 	http  http.Client
+	first atomic.Int64 // which of Addrs answered last
 }
 
 const (
 	callWithin = 8 * time.Second
-	watchFor   = 30 * time.Second
-	retryAfter = 250 * time.Millisecond
+	// tryWithin is what one agent gets of a call's time before the next is asked; each round over all of them doubles it,
+	// up to mostTry, so that a busy group is not taken for a silent one for ever.
+	tryWithin  = 400 * time.Millisecond
+	mostTry    = 2 * time.Second
+	watchFor   = time.Second
+	retryAfter = 100 * time.Millisecond
 )
 
 // ErrNotFound says that no such instance is configured.
 var ErrNotFound = errors.New("no such instance")
 
-// refusal is an agent's answer that another agent would give as well.
-type refusal struct{ text string }
+// Refusal is an agent's answer that another agent would give as well.
+type Refusal struct {
+	Status int
+	Text   string
+}
+
+func (r *Refusal) Error() string { return r.Text }
 
-func (r *refusal) Error() string { return r.text }
+// call is one request to whichever agent can answer it.
+type call struct {
+	method, path string
+	ifVersion    string
+	id           string // of a change: an agent that meets it twice makes it once
+	body         []byte
+}
 
-// call asks the agents in turn until one answers. While there is no leader it tries again, until ctx ends.
-func (c *Client) call(ctx context.Context, method, path, ifVersion string, body []byte) (int, []byte, error) {
+// do asks the agents in turn until one answers, from the one that answered last on. The caller's time is the whole call's:
+// a silent agent costs a try. While there is no leader it goes round again, until ctx ends; the error then tells what came of
+// each agent.
+func (c *Client) do(ctx context.Context, call call) ([]byte, error) {
 	if len(c.Addrs) == 0 {
-		return 0, nil, errors.New("no agents are named")
+		return nil, errors.New("no agents are named")
 	}
-	var last error
-	for {
-		for _, addr := range c.Addrs {
-			status, answer, err := c.once(ctx, method, "http://"+addr+path, ifVersion, body)
-			var no *refusal
+	said := make([]error, len(c.Addrs))
+	for within := tryWithin; ; within = min(2*within, mostTry) {
+		from := int(c.first.Load())
+		for i := range c.Addrs {
+			at := (from + i) % len(c.Addrs)
+			_, answer, err := c.once(ctx, c.Addrs[at], call, within)
+			var no *Refusal
 			if err == nil || errors.Is(err, ErrNotFound) || errors.As(err, &no) {
-				return status, answer, err
+				c.first.Store(int64(at))
+				return answer, err
+			}
+			if ctx.Err() == nil || said[at] == nil {
+				said[at] = err
+			}
+			if ctx.Err() != nil {
+				return nil, errors.Join(said...)
 			}
-			last = err
 		}
 		select {
 		case <-ctx.Done():
-			return 0, nil, last
+			return nil, errors.Join(said...)
 		case <-time.After(retryAfter):
 		}
 	}
 }
 
-func (c *Client) once(ctx context.Context, method, url, ifVersion string, body []byte) (int, []byte, error) {
-	ctx, done := context.WithTimeout(ctx, callWithin+watchFor)
+// once asks one agent, and where that one knows the leader, the leader: each has within to answer. Errors name the agent
+// that they are about.
+func (c *Client) once(ctx context.Context, addr string, call call, within time.Duration) (int, []byte, error) {
+	status, answer, leader, err := c.ask(ctx, addr, call, within)
+	if leader != "" && leader != addr {
+		status, answer, leader, err = c.ask(ctx, leader, call, within)
+	}
+	if leader != "" {
+		err = fmt.Errorf("agent %s: the leader is changing", addr)
+	}
+	return status, answer, err
+}
+
+func (c *Client) ask(ctx context.Context, addr string, call call, within time.Duration) (status int, answer []byte, leader string, err error) {
+	ctx, done := context.WithTimeoutCause(ctx, within, fmt.Errorf("no answer within %v", within))
 	defer done()
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	defer func() {
+		var no *Refusal
+		if err != nil && !errors.Is(err, ErrNotFound) && !errors.As(err, &no) {
+			if why := context.Cause(ctx); why != nil {
+				err = why
+			}
+			err = fmt.Errorf("agent %s: %w", addr, err)
+		}
+	}()
+	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+addr+call.path, bytes.NewReader(call.body))
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, "", err
+	}
+	if call.ifVersion != "" {
+		req.Header.Set("If-Version", call.ifVersion)
 	}
-	if ifVersion != "" {
-		req.Header.Set("If-Version", ifVersion)
+	if call.id != "" {
+		req.Header.Set("Change-Id", call.id)
 	}
-	resp, err := c.http.Do(req)
+	// The transport alone: a redirect to the leader is another agent's turn, with a time of its own.
+	resp, err := c.transport().RoundTrip(req)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, "", err
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxConfig))
+	answer, err = io.ReadAll(io.LimitReader(resp.Body, 2*maxConfig))
 	text := strings.TrimSpace(string(answer))
 	switch {
 	case err != nil:
-		return 0, nil, err
+		return 0, nil, "", err
+	case resp.StatusCode == http.StatusTemporaryRedirect:
+		at, err := url.Parse(resp.Header.Get("Location"))
+		if err != nil || at.Host == "" {
+			return 0, nil, "", errors.New("it names a leader that cannot be read")
+		}
+		return resp.StatusCode, nil, at.Host, nil
 	case resp.StatusCode == http.StatusNotFound:
-		return resp.StatusCode, nil, ErrNotFound
+		return resp.StatusCode, nil, "", ErrNotFound
 	case resp.StatusCode == http.StatusServiceUnavailable:
-		return resp.StatusCode, nil, errors.New(text)
+		return resp.StatusCode, nil, "", errors.New(text)
 	case resp.StatusCode >= 300:
-		return resp.StatusCode, nil, &refusal{text}
+		return resp.StatusCode, nil, "", &Refusal{resp.StatusCode, text}
 	}
-	return resp.StatusCode, answer, nil
+	return resp.StatusCode, answer, "", nil
+}
+
+func (c *Client) transport() http.RoundTripper {
+	if c.http.Transport != nil {
+		return c.http.Transport
+	}
+	return http.DefaultTransport
 }
 
 func path(name string) string { return "/v1/instances/" + url.PathEscape(name) }
@@ -96,36 +163,38 @@
 
 // Get returns the latest configuration of an instance.
 func (c *Client) Get(ctx context.Context, name string) (Entry, error) {
-	ctx, done := bounded(ctx)
-	defer done()
-	return decode[Entry](c.call(ctx, http.MethodGet, path(name), "", nil))
+	return bring[Entry](ctx, c, call{method: http.MethodGet, path: path(name)})
 }
 
 // List returns the names configured, with their versions.
 func (c *Client) List(ctx context.Context) (map[string]uint64, error) {
-	ctx, done := bounded(ctx)
-	defer done()
-	return decode[map[string]uint64](c.call(ctx, http.MethodGet, "/v1/instances", "", nil))
+	return bring[map[string]uint64](ctx, c, call{method: http.MethodGet, path: "/v1/instances"})
 }
 
-// Put writes a configuration, with ifVersion only over that version. A nil one is taken away.
+// Put writes a configuration, with ifVersion only over that version. A nil one is taken away. An agent that commits it
+// and is lost before it answers has it made once, though it is asked of the next as well.
 func (c *Client) Put(ctx context.Context, name string, config []byte, ifVersion string) (Entry, error) {
-	ctx, done := bounded(ctx)
-	defer done()
 	method := http.MethodPut
 	if config == nil {
 		method = http.MethodDelete
 	}
-	return decode[Entry](c.call(ctx, method, path(name), ifVersion, config))
+	return bring[Entry](ctx, c, call{method: method, path: path(name), ifVersion: ifVersion, id: rand.Text(), body: config})
+}
+
+// bring makes a call within callWithin and reads its answer.
+func bring[T any](ctx context.Context, c *Client, call call) (v T, _ error) {
+	ctx, done := bounded(ctx)
+	defer done()
+	answer, err := c.do(ctx, call)
+	return decode[T](answer, err)
 }
 
 // Status asks each agent for itself; one that does not answer has an error in place of a state.
 func (c *Client) Status(ctx context.Context) []Status {
 	var all []Status
 	for _, addr := range c.Addrs {
-		ctx, done := context.WithTimeout(ctx, 2*time.Second)
-		s, err := decode[Status](c.once(ctx, http.MethodGet, "http://"+addr+"/v1/status", "", nil))
-		done()
+		_, answer, err := c.once(ctx, addr, call{method: http.MethodGet, path: "/v1/status"}, mostTry)
+		s, err := decode[Status](answer, err)
 		if err != nil {
 			s = Status{ID: addr, State: err.Error()}
 		}
@@ -134,7 +203,7 @@
 	return all
 }
 
-func decode[T any](_ int, answer []byte, err error) (v T, _ error) {
+func decode[T any](answer []byte, err error) (v T, _ error) {
 	if err != nil {
 		return v, err
 	}
@@ -146,17 +215,17 @@
 
 // Follow hands over an instance's configuration, first as it is and then whenever it changes, until ctx ends.
 // It asks any agent for what that one has: an instance goes on, and starts, also while there is no leader. An
-// agent that lags behind another cannot set it back.
+// agent that lags behind another cannot set it back. One that falls silent is found out within watchFor and a try.
 func (c *Client) Follow(ctx context.Context, name string, log *slog.Logger, tell func(Entry)) {
 	var has uint64
 	for turn := 0; ctx.Err() == nil; {
 		addr := c.Addrs[turn%len(c.Addrs)]
-		at := "http://" + addr + path(name) + "?stale&wait_ms=" + strconv.FormatInt(watchFor.Milliseconds(), 10) +
+		at := path(name) + "?stale&wait_ms=" + strconv.FormatInt(watchFor.Milliseconds(), 10) +
 			"&after=" + strconv.FormatUint(has, 10)
-		status, answer, err := c.once(ctx, http.MethodGet, at, "", nil)
+		status, answer, err := c.once(ctx, addr, call{method: http.MethodGet, path: at}, watchFor+tryWithin)
 		var e Entry
 		if err == nil && status == http.StatusOK {
-			e, err = decode[Entry](status, answer, nil)
+			e, err = decode[Entry](answer, nil)
 		}
 		switch {
 		case ctx.Err() != nil:
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -17,6 +17,7 @@
 	Name    string          `json:"name"`
 	Version uint64          `json:"version"`
 	Config  json.RawMessage `json:"config,omitempty"` // empty: taken away
+	Change  string          `json:"change,omitempty"` // the id of the change that made it
 }
 
 // change is a command of the log.
@@ -24,6 +25,7 @@
 	Name   string          `json:"name"`
 	Config json.RawMessage `json:"config,omitempty"` // empty: take it away
 	If     *uint64         `json:"if,omitempty"`     // only where the entry has this version; 0: where there is none
+	ID     string          `json:"id,omitempty"`     // the caller's own: a change that comes twice is made once
 }
 
 // errConflict answers a change whose condition does not hold.
@@ -48,10 +50,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if had := s.entries[c.Name]; c.If != nil && had.Version != *c.If {
+	had := s.entries[c.Name]
+	switch {
+	case c.ID != "" && c.ID == had.Change:
+		return had // its first answer was lost
+	case c.If != nil && had.Version != *c.If:
 		return fmt.Errorf("%s: %w: %d", c.Name, errConflict, had.Version)
 	}
-	e := Entry{Name: c.Name, Version: l.Index, Config: c.Config}
+	e := Entry{Name: c.Name, Version: l.Index, Config: c.Config, Change: c.ID}
 	if len(c.Config) == 0 {
 		delete(s.entries, c.Name)
 	} else {
--- /dev/null
+++ b/internal/faults/agents.go
@@ -0,0 +1,124 @@
+package faults
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// Agents is a group of agents, every directed pair of which has a link for Raft and one for calls.
+type Agents struct {
+	rig   *Rig
+	Procs []*Proc
+	Dirs  []string
+	Raft  []string  // where each listens, behind the links
+	API   []string  // the same for calls
+	links [][]*Link // from, to; nil on the diagonal: Raft
+	calls [][]*Link // the same for calls
+}
+
+// Agents starts n agents. Env is added to the environment of agent i, where it is given.
+func (r *Rig) Agents(n int, env ...[]string) *Agents {
+	r.T.Helper()
+	g := &Agents{rig: r}
+	addrs := FreeAddrs(r.T, 2*n)
+	g.Raft, g.API = addrs[:n], addrs[n:]
+	for i := range n {
+		var raft, calls []*Link
+		for j := range n {
+			if i == j {
+				raft, calls = append(raft, nil), append(calls, nil)
+				continue
+			}
+			from, to := fmt.Sprint("agent-", i), fmt.Sprint("agent-", j)
+			raft = append(raft, r.Link(from, to, g.Raft[j]))
+			calls = append(calls, r.Link(from, to, g.API[j]))
+		}
+		g.links, g.calls = append(g.links, raft), append(g.calls, calls)
+	}
+	for i := range n {
+		g.Dirs = append(g.Dirs, filepath.Join(r.Dir, fmt.Sprint("agent-", i)))
+		path := filepath.Join(r.Dir, fmt.Sprintf("agent-%d.toml", i))
+		if err := os.WriteFile(path, []byte(g.file(i)), 0o600); err != nil {
+			r.T.Fatal(err)
+		}
+		var more []string
+		if i < len(env) {
+			more = env[i]
+		}
+		g.Procs = append(g.Procs, r.Start(fmt.Sprint("agent-", i), more, "agent", "--operator", path))
+	}
+	return g
+}
+
+// file is agent i's operator's file: it reaches the others through its own links.
+func (g *Agents) file(i int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[agent]\nid = \"agent-%d\"\ndir = %q\n", i, g.Dirs[i])
+	for j := range g.Raft {
+		raft, api := g.Raft[j], g.API[j]
+		if i != j {
+			raft, api = g.links[i][j].Addr, g.calls[i][j].Addr
+		}
+		fmt.Fprintf(&b, "[[agent.peer]]\nid = \"agent-%d\"\nraft = %q\napi = %q\n", j, raft, api)
+	}
+	return b.String()
+}
+
+// Isolate cuts agent i off from the other agents, in both directions; Join ends it.
+func (g *Agents) Isolate(i int) { g.each(i, func(k *Link) { k.Set(Way{Hold: true}, Way{Hold: true}) }) }
+
+// Join lets agent i and the others hear one another again.
+func (g *Agents) Join(i int) { g.each(i, (*Link).Heal) }
+
+func (g *Agents) each(i int, do func(*Link)) {
+	for j := range g.Raft {
+		if i != j {
+			for _, k := range []*Link{g.links[i][j], g.links[j][i], g.calls[i][j], g.calls[j][i]} {
+				do(k)
+			}
+		}
+	}
+}
+
+// List is the agents' addresses as a flag has them, first the ones named.
+func (g *Agents) List(first ...int) string {
+	var all []string
+	seen := map[int]bool{}
+	for _, i := range first {
+		all, seen[i] = append(all, g.API[i]), true
+	}
+	for i, a := range g.API {
+		if !seen[i] {
+			all = append(all, a)
+		}
+	}
+	return strings.Join(all, ",")
+}
+
+// Leader waits until all agents that are alive and not in but name one leader, and returns its number.
+func (g *Agents) Leader(but ...int) int {
+	g.rig.T.Helper()
+	leader := -1
+	g.rig.Until("a leader", func() bool {
+		named := map[int]bool{}
+		for i := range g.Procs {
+			if slices.Contains(but, i) {
+				continue
+			}
+			out, _, _ := g.rig.Run("config", "status", "--agents", g.API[i])
+			leader = -1
+			if _, after, found := strings.Cut(out, "leader=agent-"); found {
+				fmt.Sscanf(after, "%d", &leader)
+			}
+			if slices.Contains(but, leader) {
+				leader = -1
+			}
+			named[leader] = true
+		}
+		return len(named) == 1 && leader >= 0
+	})
+	return leader
+}
--- /dev/null
+++ b/internal/faults/faults_test.go
@@ -0,0 +1,179 @@
+package faults
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+func TestMain(m *testing.M) { Main(m) }
+
+// echo is a server that sends back what comes.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestLink checks that each fault of a link is that fault: what is held does not pass until it is taken back, what is
+// dropped never does, a delay is that delay in that direction, a rate is no more than that rate, a cut ends connections.
+func TestLink(t *testing.T) {
+	const short, long = 150 * time.Millisecond, 30 * time.Second
+	text := []byte("twelve bytes")
+	for _, c := range []struct {
+		name        string
+		there, back Way
+		least       time.Duration // until the echo is there
+		never       bool          // it must not come until the link is healed
+		after       bool          // it comes then
+	}{
+		{name: "open"},
+		{name: "delay there", there: Way{Delay: short}, least: short},
+		{name: "delay both", there: Way{Delay: short}, back: Way{Delay: short}, least: 2 * short},
+		{name: "rate", back: Way{Rate: 60}, least: 200 * time.Millisecond},
+		{name: "hold there", there: Way{Hold: true}, never: true, after: true},
+		{name: "hold back", back: Way{Hold: true}, never: true, after: true},
+		{name: "drop there", there: Way{Drop: true}, never: true},
+		{name: "drop back", back: Way{Drop: true}, never: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k, err := NewLink("a", "b", echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer k.Close()
+			conn, err := net.Dial("tcp", k.Addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			k.Set(c.there, c.back)
+			began := time.Now()
+			conn.Write(text)
+			got := make([]byte, len(text))
+			if c.never {
+				conn.SetReadDeadline(time.Now().Add(short))
+				if n, _ := conn.Read(got); n > 0 {
+					t.Fatalf("%d bytes passed", n)
+				}
+				k.Heal()
+			}
+			conn.SetReadDeadline(time.Now().Add(long))
+			_, err = io.ReadFull(conn, got)
+			if c.never && !c.after {
+				if err == nil {
+					t.Error("what was dropped came after all")
+				}
+				return
+			}
+			if err != nil || !bytes.Equal(got, text) {
+				t.Fatalf("got %q, %v", got, err)
+			}
+			if took := time.Since(began); took < c.least {
+				t.Errorf("took %v, at least %v", took, c.least)
+			}
+		})
+	}
+	k, err := NewLink("a", "b", echo(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	conn, err := net.Dial("tcp", k.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.Write(text)
+	if _, err := io.ReadFull(conn, make([]byte, len(text))); err != nil {
+		t.Fatal(err)
+	}
+	k.Cut()
+	conn.SetReadDeadline(time.Now().Add(long))
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Error("a cut connection goes on")
+	}
+	if c, err := net.Dial("tcp", k.Addr); err == nil {
+		c.SetReadDeadline(time.Now().Add(long))
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Error("a cut link takes a new connection")
+		}
+		c.Close()
+	}
+}
+
+// TestSilentAgent has one agent of three stand still, the one named first or the leader: a call goes on to the others, within
+// an election and a second, on a machine that is as busy as it likes.
+func TestSilentAgent(t *testing.T) {
+	r := New(t)
+	g := r.Agents(3)
+	leader := g.Leader()
+	other := (leader + 1) % 3
+	for _, c := range []struct {
+		name   string
+		paused int
+		most   time.Duration // on a machine that is not busy; what is asserted is less than the 8 s that it took
+	}{{"a follower, named first", other, time.Second}, {"the leader", leader, 4 * time.Second}} {
+		g.Procs[c.paused].Pause()
+		out, code, took := r.Run("config", "list", "--agents", g.List(c.paused))
+		t.Logf("%s paused: %v", c.name, took)
+		if code != 0 || took > 7*time.Second {
+			t.Errorf("%s paused: exit code %d after %v: %s", c.name, code, took, out)
+		}
+		g.Procs[c.paused].Resume()
+	}
+	g.Leader()
+	for _, p := range g.Procs[1:] {
+		p.Pause()
+	}
+	out, code, _ := r.Run("config", "list", "--agents", g.List(1))
+	for _, a := range g.API[1:] {
+		if code == 0 || !bytes.Contains([]byte(out), []byte("agent "+a+": no answer")) {
+			t.Errorf("two agents paused: exit code %d, and the message does not name %s: %s", code, a, out)
+		}
+	}
+	for _, p := range g.Procs {
+		p.Resume()
+	}
+}
+
+// TestSilentFollowed has an instance follow an agent that stands still: it hears of a new configuration from another long
+// before the 30 s that its watch once took.
+func TestSilentFollowed(t *testing.T) {
+	r := New(t)
+	g := r.Agents(3)
+	quiet := (g.Leader() + 1) % 3
+	p := r.Start("n1", []string{"PROXY_NAME=n1"}, "serve", "--agents", g.List(quiet))
+	time.Sleep(300 * time.Millisecond) // its watch is open
+	g.Procs[quiet].Pause()
+	addrs := FreeAddrs(t, 2)
+	file := r.File("n1.json", `{"name":"n1","listen":"`+addrs[0]+`","discovery":"`+addrs[1]+`","settings":{"peersTotal":1,"tickUs":2000,
+ "classes":[{"name":"read","promiseUs":500000,"deadlineUs":2000000,"effect":"pure","worth":1}],
+ "contracts":[{"name":"base","usualRate":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8}}}`)
+	if out, code, _ := r.Run("config", "put", "n1", file, "--agents", g.List()); code != 0 {
+		t.Fatal(out)
+	}
+	took := r.Until("configuration taken", func() bool { return bytes.Contains([]byte(p.Log()), []byte("configuration taken")) })
+	t.Logf("told %v after", took)
+	if took > 15*time.Second {
+		t.Errorf("told only after %v", took)
+	}
+	g.Procs[quiet].Resume()
+}
--- /dev/null
+++ b/internal/faults/proc.go
@@ -0,0 +1,264 @@
+package faults
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Rig is the processes, relays and folders of one test.
+type Rig struct {
+	T   testing.TB
+	Dir string // a folder of the test's own
+	bin string
+}
+
+var built struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+// Main is for TestMain of a package with fault runs: it takes the built program away afterwards.
+func Main(m *testing.M) {
+	code := m.Run()
+	if built.dir != "" {
+		os.RemoveAll(built.dir)
+	}
+	os.Exit(code)
+}
+
+// New returns a rig for one test. The program is built once for each test binary, with the tag faults, which alone lets a
+// process be told that its clock runs unlike the others'.
+func New(t testing.TB) *Rig {
+	t.Helper()
+	built.once.Do(func() {
+		if built.dir, built.err = os.MkdirTemp("", "spindlehitch-faults"); built.err != nil {
+			return
+		}
+		out, err := exec.Command("go", "build", "-tags", "faults", "-o", built.dir, "spindlehitch/cmd/spindlehitch").CombinedOutput()
+		if err != nil {
+			built.err = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if built.err != nil {
+		t.Fatal(built.err)
+	}
+	return &Rig{T: t, Dir: t.TempDir(), bin: filepath.Join(built.dir, "spindlehitch")}
+}
+
+// Proc is one process of the program.
+type Proc struct {
+	Name string
+	rig  *Rig
+	env  []string
+	args []string
+	out  *tail
+	cmd  *exec.Cmd
+	done chan struct{} // closed once it has ended
+	err  error
+}
+
+// tail keeps what a process wrote, its last MiB.
+type tail struct {
+	mu sync.Mutex
+	b  []byte
+}
+
+func (o *tail) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.b = append(o.b, p...)
+	if over := len(o.b) - 1<<20; over > 0 {
+		o.b = bytes.Clone(o.b[over:])
+	}
+	return len(p), nil
+}
+
+func (o *tail) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.b)
+}
+
+// spawn starts commands from a thread that lives as long as this process: children are told to die with the thread that
+// started them, so that none is left behind by a test binary that is killed.
+var spawn = sync.OnceValue(func() chan<- func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range work {
+			f()
+		}
+	}()
+	return work
+})
+
+// Start starts the program with these arguments; env is added to a short environment of the rig's own.
+func (r *Rig) Start(name string, env []string, args ...string) *Proc {
+	r.T.Helper()
+	p := &Proc{Name: name, rig: r, env: env, args: args, out: &tail{}}
+	p.start()
+	r.T.Cleanup(func() {
+		p.Kill()
+		if r.T.Failed() {
+			lines := strings.Split(p.Log(), "\n")
+			r.T.Logf("%s wrote last:\n%s", name, strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		}
+	})
+	return p
+}
+
+func (p *Proc) start() {
+	p.rig.T.Helper()
+	p.cmd = exec.Command(p.rig.bin, p.args...)
+	p.cmd.Env = append([]string{"TMPDIR=" + p.rig.Dir, "PATH=" + os.Getenv("PATH")}, p.env...)
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	p.cmd.Dir = p.rig.Dir
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	spawn() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		p.rig.T.Fatal(err)
+	}
+	done := make(chan struct{})
+	p.done = done
+	go func() {
+		p.err = p.cmd.Wait()
+		close(done)
+	}()
+}
+
+// Run runs the program to its end, within a minute, and returns what it wrote and its exit code.
+func (r *Rig) Run(args ...string) (out string, code int, took time.Duration) {
+	r.T.Helper()
+	began := time.Now()
+	p := r.Start("command", nil, args...)
+	select {
+	case <-p.done:
+	case <-time.After(time.Minute):
+		r.T.Fatalf("%v did not end within a minute", args)
+	}
+	return p.Log(), p.cmd.ProcessState.ExitCode(), time.Since(began)
+}
+
+func (p *Proc) signal(s syscall.Signal) {
+	if p.Alive() {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// Alive tells whether it has not ended yet.
+func (p *Proc) Alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Pause stops it where it stands, and returns once the kernel has.
+func (p *Proc) Pause() {
+	p.signal(syscall.SIGSTOP)
+	for end := time.Now().Add(time.Second); p.Alive() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if _, state, found := strings.Cut(string(b), ") "); err != nil || found && state[0] == 'T' {
+			return
+		}
+	}
+}
+
+// Resume lets it go on.
+func (p *Proc) Resume() { p.signal(syscall.SIGCONT) }
+
+// Kill ends it by SIGKILL and waits until it is gone.
+func (p *Proc) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Stop ends it in order, by SIGTERM, and kills it if that takes longer than within. It tells whether it ended by itself.
+func (p *Proc) Stop(within time.Duration) bool {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(within):
+		p.Kill()
+		return false
+	}
+}
+
+// Restart starts it again with the same arguments, after it has ended.
+func (p *Proc) Restart() {
+	p.rig.T.Helper()
+	p.Kill()
+	p.start()
+}
+
+// Log is what it wrote, its last MiB, over all its starts.
+func (p *Proc) Log() string { return p.out.String() }
+
+// FillDisk has every write past the size that the files below dir have now fail, as on a disk that is full.
+func (p *Proc) FillDisk(dir string) error {
+	var largest int64
+	err := filepath.WalkDir(dir, func(_ string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
+			return err
+		}
+		info, err := e.Info()
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil
+		}
+		if err == nil {
+			largest = max(largest, info.Size())
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return p.fileSize(uint64(largest))
+}
+
+// FreeDisk ends FillDisk.
+func (p *Proc) FreeDisk() error { return p.fileSize(unix.RLIM_INFINITY) }
+
+func (p *Proc) fileSize(most uint64) error {
+	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}, nil)
+}
+
+// Until waits until done, for as long as a busy machine may take.
+func (r *Rig) Until(what string, done func() bool) time.Duration {
+	r.T.Helper()
+	began := time.Now()
+	for end := began.Add(time.Minute); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.T.Fatalf("not within a minute: %s", what)
+		}
+	}
+	return time.Since(began)
+}
+
+// File writes a file of the test's and returns its path.
+func (r *Rig) File(name, text string) string {
+	r.T.Helper()
+	path := filepath.Join(r.Dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		r.T.Fatal(err)
+	}
+	return path
+}
--- /dev/null
+++ b/internal/monotone/true.go
@@ -0,0 +1,7 @@
+//go:build !faults
+
+package monotone
+
+import "time"
+
+func skew(t time.Duration) time.Duration { return t }
