Machines of fleet-wide budgets: register, giver, holder, divider, and their proof

Need: parts of a whole for each instance that never sum to more than it, whatever is paused, cut off, late or replaced.

internal/fleet has the terms and their checks; register what the log says (budgets, seats); giver the leader's book and the desk that keeps answers back until a majority has told its terms; holder the member's side; divide weighted max-min. None does I/O. internal/fleet/proof holds them against each other: every state of small cases, long random walks, and `make proof`, which plants mistakes in the real code.

Found by the searches while they were written, and mended: an answer to a seat that a process had before was taken under the same number (answers name their member now); a join asked for again kept the age of its first asking, so its seat was given on early; a seat was given on while connections under its floor were still open; the odd unit of a stock wandered between equals, since rounding decided.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,13 @@
-.PHONY: build test race lint run ci
+.PHONY: build test proof race lint run ci
 
 build:
 	mkdir -p bin
 	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
+# The searches of the fleet's machines; the last line tells the states and how many planted mistakes were found.
+proof:
+	@SPINDLEHITCH_PROOF=1 go test -count=1 -v ./internal/fleet/proof | grep -E "^(---|FAIL|ok|proof:)" | grep -v "^ok"
+
 test:
 	go test ./...
 
--- /dev/null
+++ b/internal/fleet/divide/divide.go
@@ -0,0 +1,75 @@
+// Package divide shares a whole out by need: weighted max-min fairness (Bertsekas and Gallager, Data Networks, section 6.5.2,
+// with weights), so that nobody gets less than another, for its weight, unless it wants no more. It does no I/O; equal claims get equal
+// parts, and the same claims always the same.
+package divide
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Claim is one member's.
+type Claim struct {
+	Want   float64 // what it could use
+	Most   float64 // what it may get
+	Weight float64 // over 0
+}
+
+// Shares divides the whole: first what is wanted, the least wanting for their weight first, then what is left over by weight, so that
+// a need that grows finds something there. The shares sum to no more than the whole.
+func Shares(whole float64, claims []Claim) []float64 {
+	got := make([]float64, len(claims))
+	fill(whole, claims, got, func(c Claim) float64 { return min(max(c.Want, 0), c.Most) })
+	fill(whole, claims, got, func(c Claim) float64 { return c.Most })
+	return got
+}
+
+// fill raises all shares together, for their weight, up to each one's bound.
+func fill(whole float64, claims []Claim, got []float64, bound func(Claim) float64) {
+	order := make([]int, len(claims))
+	left, weights := whole, 0.0
+	for i, c := range claims {
+		order[i] = i
+		left -= got[i]
+		weights += c.Weight
+	}
+	room := func(i int) float64 { return max(0, bound(claims[i])-got[i]) }
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(room(a)/claims[a].Weight, room(b)/claims[b].Weight)
+	})
+	for _, i := range order {
+		if left <= 0 {
+			return
+		}
+		add := min(room(i), left*claims[i].Weight/weights)
+		got[i] += add
+		left -= add
+		weights -= claims[i].Weight
+	}
+}
+
+// Units makes the shares of something that can't be cut whole numbers: rounded down, and what that leaves of the whole goes, one
+// each, to those who lost most by it, the first of equals first.
+func Units(whole float64, shares []float64) []float64 {
+	out := make([]float64, len(shares))
+	order := make([]int, len(shares))
+	sum, cut := 0.0, 0.0
+	for i, s := range shares {
+		out[i], order[i] = math.Floor(s+1e-9), i
+		sum += out[i]
+		cut += max(0, s-out[i])
+	}
+	// Equal but for rounding is equal: else the odd unit would wander from one to another.
+	lost := func(i int) float64 { return math.Round((shares[i] - out[i]) * 1e6) }
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(lost(b), lost(a)) })
+	left := min(math.Floor(whole-sum+1e-9), math.Floor(cut+1e-6))
+	for _, i := range order {
+		if left < 1 || shares[i]-out[i] < 1e-9 {
+			break
+		}
+		out[i]++
+		left--
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/proof/proof_test.go
@@ -0,0 +1,139 @@
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+var (
+	fast, slow = 1 + ppm/1e6, 1 - ppm/1e6
+	clocks     = [][2][]float64{{{slow, fast}, {fast, slow}}, {{fast, slow}, {slow, fast}}, {{slow}, {fast}}}
+	all        = []Op{Elect, Renew, Deliver, Repeat, Ask, Told, Heard, Finish, Exchange, Use, Shrink, Reshape, Join, Unheard, Quit, Sweep, Reboot}
+)
+
+// cases are the small cases that are searched whole, and how deep.
+func cases() (list []struct {
+	Setup
+	depth int
+}) {
+	add := func(depth int, s Setup) {
+		for i, c := range clocks {
+			s := s
+			s.Name = fmt.Sprintf("%s, clocks %d", s.Name, i)
+			s.Rates, s.Leads = c[0], c[1]
+			list = append(list, struct {
+				Setup
+				depth int
+			}{s, depth})
+		}
+	}
+	three := []Step{{Exchange, 0}, {Exchange, 1}}
+	letters := []Op{Renew, Deliver, Repeat, Finish, Exchange}
+	add(6, Setup{Name: "letters", Processes: 2, Seats: 2, Joined: 2, Letters: 2, TickMs: 700, Ops: letters})
+	add(5, Setup{Name: "letters, three", Processes: 3, Seats: 3, Joined: 3, Letters: 2, TickMs: 560, Ops: letters, Before: three})
+	add(5, Setup{Name: "leaders", Processes: 3, Seats: 3, Joined: 3, Elections: 2, TickMs: 300, Ops: []Op{Elect, Exchange, Shrink, Reshape}})
+	add(6, Setup{Name: "a late letter to a new leader", Processes: 2, Seats: 2, Joined: 2, Elections: 2, Letters: 2, TickMs: 700,
+		Ops: []Op{Elect, Renew, Deliver, Finish, Exchange}, Before: []Step{{Exchange, 0}, {Tick, 0}, {Renew, 0}, {Tick, 0}, {Exchange, 1}}})
+	majority := []Op{Elect, Renew, Deliver, Ask, Told, Heard, Exchange}
+	add(6, Setup{Name: "an old leader", Processes: 2, Seats: 2, Joined: 2, Elections: 1, Letters: 2, TickMs: 700, Ops: majority,
+		Before: []Step{{Elect, 0}, {Tick, 0}, {Tick, 0}, {Exchange, 1}}})
+	add(5, Setup{Name: "an old leader that had asked", Processes: 2, Seats: 2, Joined: 2, Elections: 1, Letters: 2, TickMs: 700, Ops: majority,
+		Before: []Step{{Renew, 0}, {Deliver, 0}, {Ask, 0}, {Told, 0}, {Elect, 0}, {Tick, 0}, {Tick, 0}, {Exchange, 1}}})
+	add(6, Setup{Name: "uses", Processes: 2, Seats: 2, Joined: 2, Elections: 1, TickMs: 560, Ops: []Op{Elect, Exchange, Use, Shrink, Reshape}})
+	add(6, Setup{Name: "uses, saved up", Processes: 2, Seats: 2, Joined: 2, TickMs: 700, Ops: []Op{Exchange, Use},
+		Before: []Step{{Exchange, 0}, {Tick, 0}, {Tick, 0}}})
+	add(5, Setup{Name: "seats", Processes: 3, Seats: 2, Joined: 2, Elections: 1, TickMs: 700,
+		Ops: []Op{Elect, Exchange, Join, Unheard, Quit, Sweep, Reboot}})
+	add(5, Setup{Name: "uses and seats", Processes: 2, Seats: 2, Joined: 2, TickMs: 560, Ops: []Op{Exchange, Use, Join, Quit},
+		Before: []Step{{Exchange, 1}, {Tick, 0}}})
+	add(4, Setup{Name: "stock and seats", Processes: 3, Seats: 2, Joined: 2, TickMs: 560, Stock: true, Ops: []Op{Exchange, Use, Join, Sweep},
+		Before: []Step{{Use, 0}, {Use, 1}, {Tick, 0}, {Tick, 0}, {Exchange, 1}, {Tick, 0}, {Tick, 0}, {Exchange, 1}}})
+	add(5, Setup{Name: "stock", Processes: 2, Seats: 3, Joined: 2, Elections: 1, TickMs: 560, Stock: true, Ops: []Op{Elect, Exchange, Use, Quit, Reboot}})
+	add(5, Setup{Name: "stock, letters", Processes: 2, Seats: 2, Joined: 2, Letters: 2, TickMs: 90, Stock: true,
+		Ops: []Op{Renew, Deliver, Finish, Exchange, Use}, Before: []Step{{Exchange, 0}, {Use, 0}}})
+	return list
+}
+
+// searched is how many states TestSearch went through.
+var searched int
+
+// walks is how many random walks are taken.
+const walks = "6000"
+
+// TestLong takes long random walks with three processes on two seats or three, all that can happen, and then ends all faults: the whole must
+// be in use again.
+func TestLong(t *testing.T) {
+	for name, value := range map[string]string{"rapid.checks": walks, "rapid.shrinktime": "2s"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := clocks[rapid.IntRange(0, len(clocks)-1).Draw(t, "clocks")]
+		s := Setup{Name: "long", Processes: 3, Seats: rapid.IntRange(2, 4).Draw(t, "seats"), Joined: 2, Elections: 3, Letters: 3,
+			TickMs: rapid.SampledFrom([]int{90, 160, 350}).Draw(t, "tick"), Stock: rapid.Bool().Draw(t, "stock"),
+			Rates: c[0], Leads: c[1], Fresh: rapid.Bool().Draw(t, "fresh")}
+		// Of all that can happen a part, another each time: what takes several steps of one kind is met sooner.
+		for _, op := range all {
+			if rapid.Bool().Draw(t, "op") {
+				s.Ops = append(s.Ops, op)
+			}
+		}
+		w, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var steps []Step
+		for range 80 {
+			can := w.Steps()
+			// Of each kind as often, however many letters there are.
+			op := rapid.SampledFrom(can).Draw(t, "kind").Op
+			if rapid.IntRange(0, 3).Draw(t, "time") == 0 {
+				op = Tick
+			}
+			var of []Step
+			for _, x := range can {
+				if x.Op == op {
+					of = append(of, x)
+				}
+			}
+			x := of[rapid.IntRange(0, len(of)-1).Draw(t, "which")]
+			steps = append(steps, x)
+			if err := w.Do(x); err != nil {
+				t.Fatal(&Found{s, steps, err})
+			}
+		}
+		held, err := w.Settle()
+		if err != nil {
+			t.Fatal(&Found{s, steps, fmt.Errorf("%w, while settling", err)})
+		}
+		if held < 0.95 {
+			t.Fatalf("%.3f of the whole is held after all faults have ended, in %+v:\n%s", held, s, w.Print())
+		}
+	})
+}
+
+// TestSearch goes through every state of the small cases.
+func TestSearch(t *testing.T) {
+	searched = 0
+	for _, c := range cases() {
+		began := time.Now()
+		n, full, err := Search(c.Setup, c.depth, 400_000)
+		searched += n
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !full {
+			t.Errorf("%s: not gone through whole", c.Name)
+		}
+		t.Logf("%s: %d states to a depth of %d, %v", c.Name, n, c.depth, time.Since(began))
+	}
+}
--- /dev/null
+++ b/internal/fleet/proof/world.go
@@ -0,0 +1,553 @@
+// Package proof holds the fleet's machines against each other: the real register, givers, desks and holders, with a network that
+// delays, repeats, loses and reorders, clocks at both ends of their bound, processes that pause between any two steps and
+// leaders that are replaced while they believe to lead. After each step it sums what all processes could use. It does no I/O.
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/giver"
+	"spindlehitch/internal/fleet/holder"
+	"spindlehitch/internal/fleet/register"
+)
+
+// Op is one kind of step.
+type Op byte
+
+const (
+	Tick     Op = iota // time goes on
+	Elect              // another agent begins to lead; the one before doesn't know
+	Renew              // a process begins a renewal and sends it
+	Deliver            // a message arrives
+	Repeat             // a message arrives, and will again
+	Ask                // a leader asks a majority for their terms
+	Told               // the majority answers
+	Heard              // the answer to that arrives
+	Exchange           // a renewal and its answer without anything in between
+	Finish             // a leader asks, and hears at once
+	Use                // a process uses all that it may
+	Shrink             // the whole is made smaller
+	Reshape            // the rate is made larger and the burst smaller
+	Join               // a process without a seat asks for one
+	Unheard            // the same, and the answer is lost
+	Quit               // a process leaves in order
+	Sweep              // the leader takes back the seats that have ended
+	Reboot             // a process dies and is started again
+	ops
+)
+
+func (o Op) String() string {
+	return [...]string{"tick", "elect", "renew", "deliver", "repeat", "ask", "told", "heard", "exchange", "finish", "use", "shrink", "reshape", "join",
+		"unheard", "quit", "sweep", "reboot"}[o]
+}
+
+// Step is an op on the process, message or leader of that number.
+type Step struct {
+	Op Op
+	On int
+}
+
+func (s Step) String() string { return fmt.Sprintf("%v %d", s.Op, s.On) }
+
+// Setup is a small case.
+type Setup struct {
+	Name      string
+	Processes int
+	Seats     int
+	Rates     []float64 // of the processes' clocks, against true time
+	Leads     []float64 // of the agents' clocks, in the order in which they lead
+	Elections int       // at most
+	Letters   int       // on their way at a time, at most
+	Stock     bool      // connections at a target, else a rate
+	Ops       []Op      // beside Tick
+	TickMs    int
+	Joined    int // processes that have a seat at the beginning
+	Before    []Step
+	Fresh     bool // the first leader has just begun; else its wait is over
+}
+
+// Bounds of the small cases: parts of a second and clocks a tenth off, so that what is wrong shows within few steps.
+const (
+	partMs  = 1000
+	seatS   = 2
+	ppm     = 100_000
+	least   = 1
+	linger  = 200 * time.Millisecond
+	target  = "t"
+	wholeAt = 12 // at the beginning, with a depth of
+	depthAt = 6
+	smaller = 8
+	larger  = 16
+)
+
+// Depths after a change.
+const (
+	depthSmaller = 4.0
+	depthLarger  = 4.5
+)
+
+type process struct {
+	h    *holder.Holder
+	rate float64
+	id   string
+	born int
+	over time.Duration // true time since when it has more open than it may; 0: it has not
+}
+
+type lead struct {
+	g     *giver.Giver
+	desk  giver.Desk[letter]
+	term  uint64
+	rate  float64
+	round uint64 // asked
+	told  uint64 // the term that the majority told; 0: nothing yet
+}
+
+type letter struct {
+	to      int // a process, for an answer
+	renewal *fleet.Renewal
+	answer  *fleet.Answer
+	during  uint64 // the question that was out when it was decided
+}
+
+// World is one state of a small case.
+type World struct {
+	set    Setup
+	now    time.Duration
+	reg    register.Register
+	index  uint64
+	procs  []process
+	leads  []*lead // the last of them leads; the one before may still believe so
+	term   uint64
+	mail   []letter
+	level  float64       // of a bucket that takes all uses, filled at the whole's rate
+	before fleet.Doc     // the set of budgets before the one that holds
+	until  time.Duration // until then that one may be met
+}
+
+var key = fleet.Key{Budget: "b"}
+
+func document(s Setup, whole, depth float64) fleet.Doc {
+	b := fleet.Budget{Name: "b", Use: fleet.Work, Per: fleet.PerFleet, Kind: "rate", Whole: whole, Burst: whole*fleet.Air.Seconds() + depth,
+		Least: least, LeastBurst: 1}
+	if s.Stock {
+		b = fleet.Budget{Name: "b", Use: fleet.Connection, Per: fleet.PerTarget, Kind: "stock", Whole: whole, Least: least,
+			LingerMs: linger.Milliseconds()}
+	}
+	return fleet.Doc{Seats: s.Seats, RenewMs: 100, PartMs: partMs, SeatS: seatS, ClockPPM: ppm, Budgets: []fleet.Budget{b}}
+}
+
+// New returns the first state of a case.
+func New(s Setup) (*World, error) {
+	w := &World{set: s, term: 1, index: 1, now: time.Hour}
+	if err := w.reg.Set(w.index, document(s, wholeAt, depthAt)); err != nil {
+		return nil, err
+	}
+	for i := range s.Processes {
+		w.procs = append(w.procs, process{rate: s.Rates[i%len(s.Rates)]})
+		w.boot(i)
+	}
+	for i := range s.Joined {
+		w.join(i, true)
+	}
+	began := w.now
+	if !s.Fresh {
+		began -= 10 * time.Second
+	}
+	l := &lead{term: 1, rate: s.Leads[0]}
+	l.g = giver.New(scaled(began, l.rate), w.reg.Doc, nil)
+	w.leads = []*lead{l}
+	l.g.Update(scaled(w.now, l.rate), w.reg.Doc, w.reg.Members)
+	for i, x := range s.Before {
+		if err := w.Do(x); err != nil {
+			return nil, &Found{s, s.Before[:i+1], err}
+		}
+	}
+	return w, nil
+}
+
+func scaled(t time.Duration, rate float64) time.Duration { return time.Duration(float64(t) * rate) }
+
+func (w *World) clock(i int) time.Duration { return scaled(w.now, w.procs[i].rate) }
+
+func (w *World) key() fleet.Key {
+	if w.set.Stock {
+		return fleet.Key{Budget: "b", Key: target}
+	}
+	return key
+}
+
+func (w *World) boot(i int) {
+	p := &w.procs[i]
+	p.born++
+	p.id = fmt.Sprintf("p%d.%d", i, p.born)
+	p.h = holder.New([]fleet.Use{fleet.Work, fleet.Connection})
+}
+
+func (w *World) join(i int, heard bool) bool {
+	p := &w.procs[i]
+	if p.h.ID() == p.id { // it had a seat by this id, which has ended
+		p.born++
+		p.id = fmt.Sprintf("p%d.%d", i, p.born)
+	}
+	w.index++
+	m, err := w.reg.Join(w.index, fleet.Member{ID: p.id, Name: p.id, Weight: 1})
+	if err == nil && heard {
+		p.h.Seat(w.clock(i), m.ID, w.reg.Doc)
+	}
+	return err == nil
+}
+
+func (w *World) lead() *lead { return w.leads[len(w.leads)-1] }
+
+// sync has the leader hear of the log. One that no longer leads hears nothing.
+func (w *World) sync() {
+	l := w.lead()
+	l.g.Update(scaled(w.now, l.rate), w.reg.Doc, w.reg.Members)
+}
+
+// Steps are all that can happen next, in a fixed order.
+func (w *World) Steps() []Step {
+	steps := []Step{{Tick, 0}}
+	for _, op := range w.set.Ops {
+		switch op {
+		case Elect:
+			if int(w.term) <= w.set.Elections {
+				steps = append(steps, Step{op, 0})
+			}
+		case Shrink, Reshape:
+			if w.reg.Doc.Budgets[0].Whole == wholeAt {
+				steps = append(steps, Step{op, 0})
+			}
+		case Sweep:
+			steps = append(steps, Step{op, 0})
+		case Deliver, Repeat:
+			for i := range w.mail {
+				for j := range w.leads {
+					if w.mail[i].renewal != nil {
+						steps = append(steps, Step{op, i*4 + j})
+					}
+				}
+				if w.mail[i].answer != nil {
+					steps = append(steps, Step{op, i * 4})
+				}
+			}
+		case Ask, Told, Heard, Finish:
+			for j, l := range w.leads {
+				if (op == Ask || op == Finish) && l.round == 0 && len(l.desk.Waiting()) > 0 || op == Told && l.round != 0 && l.told == 0 || op == Heard && l.told != 0 {
+					steps = append(steps, Step{op, j})
+				}
+			}
+		default:
+			for i := range w.procs {
+				seated := w.procs[i].h.Seated(w.clock(i))
+				if op == Renew && len(w.mail) >= w.set.Letters || op != Join && op != Unheard && op != Reboot && !seated || (op == Join || op == Unheard) && seated {
+					continue
+				}
+				steps = append(steps, Step{op, i})
+			}
+		}
+	}
+	return steps
+}
+
+// Do takes a step and checks the promise. The step must be one of Steps.
+func (w *World) Do(s Step) error {
+	switch s.Op {
+	case Tick:
+		w.tick()
+	case Elect:
+		w.term++
+		l := &lead{term: w.term, rate: w.set.Leads[int(w.term-1)%len(w.set.Leads)]}
+		l.g = giver.New(scaled(w.now, l.rate), w.reg.Doc, w.reg.Members)
+		w.leads = append(w.leads, l)
+		if len(w.leads) > 2 {
+			w.leads = w.leads[1:]
+		}
+	case Renew:
+		r := w.procs[s.On].h.Renew(w.clock(s.On))
+		w.mail = append(w.mail, letter{to: s.On, renewal: &r})
+	case Deliver, Repeat:
+		m := w.mail[s.On/4]
+		if s.Op == Deliver {
+			w.mail = slices.Delete(slices.Clone(w.mail), s.On/4, s.On/4+1)
+		}
+		if m.answer != nil {
+			w.procs[m.to].h.Accept(w.clock(m.to), *m.answer)
+		} else {
+			w.decide(w.leads[s.On%4], m)
+		}
+	case Ask:
+		l := w.leads[s.On]
+		if round, due := l.desk.Ask(); due {
+			l.round, l.told = round, 0
+		}
+	case Told:
+		w.leads[s.On].told = w.term
+	case Heard:
+		w.heard(w.leads[s.On], true)
+	case Finish:
+		l := w.leads[s.On]
+		l.round, _ = l.desk.Ask()
+		l.told = w.term
+		w.heard(l, true)
+	case Exchange:
+		w.exchange(s.On)
+	case Use:
+		if err := w.use(s.On); err != nil {
+			return err
+		}
+	case Shrink, Reshape:
+		w.index++
+		w.before = w.reg.Clone().Doc
+		next := document(w.set, smaller, depthSmaller)
+		if s.Op == Reshape {
+			next = document(w.set, larger, depthLarger)
+		}
+		if err := w.reg.Set(w.index, next); err != nil {
+			return err
+		}
+		// In force once all that was given before has ended, by the slowest clocks.
+		w.until = w.now + 2*partMs*time.Millisecond + 2*linger
+		w.sync()
+	case Join, Unheard:
+		p, l := &w.procs[s.On], w.lead()
+		if err := l.g.Admit(scaled(w.now, l.rate), fleet.Member{ID: p.id, Name: p.id}); err == fleet.UnknownMember {
+			w.boot(s.On)
+		} else if err == nil && w.join(s.On, s.Op == Join) {
+			w.sync()
+		}
+	case Quit:
+		p := &w.procs[s.On]
+		id := p.h.ID()
+		for p.h.Out() > 0 {
+			p.h.Close(target)
+		}
+		p.h.Leave()
+		w.reg.Leave(id)
+		w.boot(s.On)
+		w.sync()
+	case Sweep:
+		l := w.lead()
+		w.reg.Leave(l.g.Gone(scaled(w.now, l.rate))...)
+		w.sync()
+	case Reboot:
+		w.boot(s.On) // the kernel closes its connections; its seat lasts
+	}
+	return w.check()
+}
+
+func (w *World) tick() {
+	w.now += time.Duration(w.set.TickMs) * time.Millisecond
+	w.level = max(0, w.level-w.whole()*float64(w.set.TickMs)/1000)
+	if !w.set.Stock {
+		return
+	}
+	for i := range w.procs {
+		p := &w.procs[i]
+		n := p.h.Over(w.clock(i), target)
+		ended := time.Duration(0) // by its clock, when what it had last ended
+		for _, at := range []time.Duration{p.h.Ended(), p.h.SeatEnds()} {
+			if at <= w.clock(i) {
+				ended = max(ended, at)
+			}
+		}
+		if w.now-scaled(ended, 1/p.rate) < linger/2 {
+			continue // an attempt goes on
+		}
+		for range n {
+			p.h.Close(target)
+		}
+	}
+}
+
+// decide has a leader decide on a renewal; the answer waits for the majority.
+func (w *World) decide(l *lead, m letter) {
+	a, err := l.g.Renew(scaled(w.now, l.rate), *m.renewal)
+	if err == nil {
+		l.desk.Put(letter{to: m.to, answer: &a, during: l.round})
+	}
+}
+
+// heard has a leader hear what the majority told, of three agents.
+func (w *World) heard(l *lead, post bool) (out []letter) {
+	agreed := giver.Majority(l.term, []uint64{l.told}, 3)
+	done := l.desk.Hear(l.round)
+	l.round, l.told = 0, 0
+	if !agreed {
+		return nil
+	}
+	if post {
+		w.mail = append(w.mail, done...)
+	}
+	return done
+}
+
+// exchange is a renewal at its best: nothing is late.
+func (w *World) exchange(i int) {
+	l := w.lead()
+	if l.round != 0 {
+		return // a question is out
+	}
+	p := &w.procs[i]
+	r := p.h.Renew(w.clock(i))
+	w.decide(l, letter{to: i, renewal: &r})
+	round, due := l.desk.Ask()
+	if !due {
+		return
+	}
+	l.round, l.told = round, w.term
+	for _, m := range w.heard(l, false) {
+		w.procs[m.to].h.Accept(w.clock(m.to), *m.answer)
+	}
+}
+
+// use has a process use all that it may now.
+func (w *World) use(i int) error {
+	p, now := &w.procs[i], w.clock(i)
+	if w.set.Stock {
+		for p.h.Open(now, target) {
+		}
+		return nil
+	}
+	var units float64
+	p.h.Wait(now, fleet.Draw{Use: fleet.Work, Units: 1e-6}) // it is known from now on
+	for _, x := range p.h.All(now) {
+		units = x.Tokens
+	}
+	if units <= 0 {
+		return nil
+	}
+	if wait, _ := p.h.Wait(now, fleet.Draw{Use: fleet.Work, Units: units}); wait > 0 {
+		return nil
+	}
+	p.h.Take(now, fleet.Draw{Use: fleet.Work, Units: units})
+	w.level += units
+	most := w.burst()
+	if w.level > most+1e-6 {
+		return fmt.Errorf("broken: a window sees %.4f units beyond the rate, of %.4f", w.level, most)
+	}
+	return nil
+}
+
+// total is what binds now; after a change also what did before, while what was given under it may last.
+func (w *World) total() fleet.Amount {
+	t := w.reg.Doc.Total(&w.reg.Doc.Budgets[0])
+	if w.now < w.until {
+		b := w.before.Total(&w.before.Budgets[0])
+		t = fleet.Amount{Rate: max(t.Rate, b.Rate), Burst: max(t.Burst, b.Burst)}
+	}
+	return t
+}
+
+// whole is the rate that binds now, by true time.
+func (w *World) whole() float64 {
+	whole := w.reg.Doc.Budgets[0].Whole
+	if w.now < w.until {
+		whole = max(whole, w.before.Budgets[0].Whole)
+	}
+	return whole
+}
+
+// burst is how far a window that ends now may be over the rate. It may reach back to before a change.
+func (w *World) burst() float64 {
+	b := w.total().Burst
+	if w.until != 0 {
+		b = max(b, w.before.Total(&w.before.Budgets[0]).Burst)
+	}
+	return b
+}
+
+// check sums what all processes could use at this moment.
+func (w *World) check() error {
+	var sum fleet.Amount
+	for i := range w.procs {
+		p := &w.procs[i]
+		a := p.h.Limit(w.clock(i), w.key())
+		if w.set.Stock {
+			a.Rate = max(a.Rate, float64(p.h.Out()))
+		} else {
+			a.Rate *= p.rate // by true time
+		}
+		sum.Rate += a.Rate
+		sum.Burst += a.Burst
+	}
+	total := w.total()
+	if whole := w.whole(); sum.Rate > whole+1e-6 {
+		return fmt.Errorf("broken: parts sum to %.4f of %.4f", sum.Rate, whole)
+	}
+	if sum.Burst > total.Burst+1e-6 {
+		return fmt.Errorf("broken: bursts sum to %.4f of %.4f", sum.Burst, total.Burst)
+	}
+	if len(w.reg.Members) > w.reg.Doc.Seats {
+		return fmt.Errorf("broken: %d members on %d seats", len(w.reg.Members), w.reg.Doc.Seats)
+	}
+	return nil
+}
+
+// Settle ends all faults: whoever has no seat joins, everyone renews in time. It tells what part of the whole is held in the end.
+func (w *World) Settle() (float64, error) {
+	w.mail = nil
+	l := w.lead()
+	if l.round != 0 {
+		l.told = w.term
+		w.heard(l, false)
+	}
+	for range 4 * seatS * 1000 / 150 {
+		w.now += 150 * time.Millisecond
+		w.level = max(0, w.level-w.whole()*0.15)
+		if w.set.Stock {
+			w.tick()
+		}
+		if err := w.Do(Step{Sweep, 0}); err != nil {
+			return 0, err
+		}
+		for i := range w.procs {
+			op := Exchange
+			if !w.procs[i].h.Seated(w.clock(i)) {
+				op = Join
+			}
+			if err := w.Do(Step{op, i}); err != nil {
+				return 0, err
+			}
+			if w.set.Stock { // connections are asked for by need
+				w.procs[i].h.Open(w.clock(i), target)
+			}
+		}
+	}
+	sum := 0.0
+	for i := range w.procs {
+		sum += w.procs[i].h.Limit(w.clock(i), w.key()).Rate
+	}
+	d := w.reg.Doc
+	free := float64(d.Seats-min(d.Seats, len(w.procs))) * least
+	return (sum + free) / d.Total(&d.Budgets[0]).Rate, nil
+}
+
+// Print is the state as text: equal states print alike.
+func (w *World) Print() string {
+	b := fmt.Appendf(nil, "%d %d %.6f %v %v\n", w.now, w.term, w.level, w.until, w.reg)
+	for _, p := range w.procs {
+		b = fmt.Appendf(b, "%+v\n", *p.h)
+	}
+	for _, l := range w.leads {
+		b = fmt.Appendf(b, "%+v %d %d %d", *l.g, l.term, l.round, l.told)
+		for _, m := range l.desk.Waiting() {
+			b = m.print(fmt.Appendf(b, "%d ", m.during))
+		}
+	}
+	for _, m := range w.mail {
+		b = m.print(b)
+	}
+	return string(b)
+}
+
+func (m letter) print(b []byte) []byte {
+	if m.renewal != nil {
+		return fmt.Appendf(b, "%d>%+v\n", m.to, *m.renewal)
+	}
+	return fmt.Appendf(b, "%d<%s %d %+v\n", m.to, m.answer.ID, m.answer.Seq, m.answer.Grants)
+}
