--- a/api.go
+++ b/api.go
@@ -82,6 +82,7 @@
 	Handshake    float64       // what a new connection to a node costs, in requests
 	Meter        time.Duration // period of the use meter; 0: none
 	AskForList   bool          // the node list must be subscribed to
+	Ration       Ration        // part of fleet-wide wholes, in place of even ones; nil: none
 }
 
 // Event is one of the event types below.
@@ -218,4 +219,5 @@
 	Wait    time.Duration
 	Ahead   time.Duration // of a request's end of being held: how much of it its start tag lay ahead
 	Text    string
+	Permit  Permit // of a Send: has to be good at its first byte; nil: none is needed
 }
--- /dev/null
+++ b/cmd/spindlehitch/fleet.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/giver"
+)
+
+// fleetFlags are those of every command that asks the agents for the fleet.
+type fleetFlags struct {
+	client agent.Client
+	json   bool
+}
+
+func (f *fleetFlags) add(cmd *cobra.Command) {
+	cmd.PersistentFlags().StringSliceVar(&f.client.Addrs, "agents", []string{"127.0.0.1:7701"}, "where the agents answer")
+	cmd.PersistentFlags().BoolVar(&f.json, "json", false, "print JSON in place of a table")
+}
+
+// show prints the fleet by table, or as JSON what value makes of it. What may be old says so, also by the exit code.
+func (f *fleetFlags) show(cmd *cobra.Command, value func(agent.View) (any, error), table func(io.Writer, agent.View)) error {
+	v, err := f.client.Fleet(cmd.Context())
+	if err != nil {
+		return &exit{exitSilent, err}
+	}
+	it, err := value(v)
+	if err != nil {
+		return err
+	}
+	if f.json {
+		e := json.NewEncoder(cmd.OutOrStdout())
+		e.SetIndent("", "  ")
+		err = e.Encode(it)
+	} else {
+		w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+		table(w, v)
+		err = w.Flush()
+	}
+	if err == nil && !v.Leads {
+		age := "no agent there knows how old"
+		if v.AgeMs >= 0 {
+			age = "at least " + ms(v.AgeMs) + " old"
+		}
+		err = &exit{exitOld, fmt.Errorf("no leader answers: this is what the log of %s says, %s", v.Agent, age)}
+	}
+	return err
+}
+
+func ms(n int64) string { return (time.Duration(n) * time.Millisecond).String() }
+
+func membersCommand() *cobra.Command {
+	var f fleetFlags
+	cmd := &cobra.Command{Use: "members", Short: "List the processes that have a seat in the fleet", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.show(cmd, func(v agent.View) (any, error) {
+				v.Lines = nil
+				return v, nil
+			}, func(w io.Writer, v agent.View) {
+				fmt.Fprintln(w, "NAME\tINCARNATION\tSTATE\tSEEN\tBY\tSEAT ENDS IN\tADDRESS\tVERSION\tMEMBER")
+				for _, m := range v.Members {
+					seen := "never"
+					if m.AgoMs >= 0 {
+						seen = ms(m.AgoMs) + " ago"
+					}
+					fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", m.Name, m.Incarnation, m.State, seen, v.Agent, ms(m.SeatMs), m.Addr, m.Version, m.ID)
+				}
+				fmt.Fprintf(w, "%d of %d seats\n", len(v.Members), v.Doc.Seats)
+			})
+		}}
+	f.add(cmd)
+	return cmd
+}
+
+func budgetCommand() *cobra.Command {
+	var f fleetFlags
+	cmd := &cobra.Command{Use: "budget", Short: "Fleet-wide budgets: what all instances together may use"}
+	f.add(cmd)
+	list := &cobra.Command{Use: "list", Short: "List the budgets in force", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.show(cmd, func(v agent.View) (any, error) { return v.Doc, nil }, func(w io.Writer, v agent.View) {
+				fmt.Fprintln(w, "NAME\tUSE\tPER\tKIND\tWHOLE\tBURST\tLEAST\tMOST\tHELD")
+				for _, b := range v.Doc.Budgets {
+					held := 0.0
+					for _, l := range v.Lines {
+						if l.Budget == b.Name {
+							held += l.May.Rate
+						}
+					}
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%g\t%g\t%g\t%g\t%.4g\n", b.Name, b.Use, b.Per, b.Kind, b.Whole, b.Burst, b.Least, b.Most, held)
+				}
+				fmt.Fprintf(w, "version %d, %d seats, parts of %s\n", v.Doc.Version, v.Doc.Seats, v.Doc.Part())
+			})
+		}}
+	show := &cobra.Command{Use: "show NAME", Short: "Show who holds how much of a budget, and until when", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return f.show(cmd, func(v agent.View) (any, error) { return shown(v, args[0]) }, func(w io.Writer, v agent.View) {
+				s, err := shown(v, args[0])
+				if err == nil {
+					s.table(w)
+				}
+			})
+		}}
+	var against string
+	check := &cobra.Command{Use: "check FILE", Short: "Check a file of budgets and change nothing", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			d, err := readBudgets(args[0], against)
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: %d budgets, %d seats\n", args[0], len(d.Budgets), d.Seats)
+			}
+			return err
+		}}
+	set := &cobra.Command{Use: "set FILE", Short: "Have the fleet go by a file of budgets", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			d, err := readBudgets(args[0], against)
+			if err != nil {
+				return err
+			}
+			d, err = f.client.SetBudgets(cmd.Context(), d)
+			var no *agent.Refusal
+			switch {
+			case errors.As(err, &no):
+				return fmt.Errorf("%s: %w", args[0], err)
+			case err != nil:
+				return &exit{exitSilent, err}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "version %d\n", d.Version)
+			return nil
+		}}
+	for _, c := range []*cobra.Command{check, set} {
+		c.Flags().StringVar(&against, "config", "", "an instance's configuration, whose plans and classes the budgets may name")
+	}
+	cmd.AddCommand(list, show, set, check)
+	return cmd
+}
+
+func readBudgets(path, against string) (fleet.Doc, error) {
+	var c *config.Config
+	if against != "" {
+		text, err := os.ReadFile(against)
+		if err != nil {
+			return fleet.Doc{}, err
+		}
+		if c, err = config.Parse(text, func(string) string { return "" }); err != nil {
+			return fleet.Doc{}, fmt.Errorf("%s: %w", against, err)
+		}
+	}
+	return config.ReadBudgets(path, c)
+}
+
+// budgetShown is one budget as the leader sees it.
+type budgetShown struct {
+	fleet.Budget
+	Pool    fleet.Amount `json:"pool"` // what is divided, beyond the floors
+	Agent   string       `json:"agent"`
+	Leads   bool         `json:"leads"`
+	AgeMs   int64        `json:"age_ms"`
+	WaitMs  int64        `json:"wait_ms"` // until a new leader gives anything new
+	Behind  []string     `json:"behind"`  // members that go by another version of the budgets
+	Holders []giver.Line `json:"holders"`
+}
+
+func shown(v agent.View, name string) (*budgetShown, error) {
+	b := v.Doc.Budget(name)
+	if b == nil {
+		return nil, fmt.Errorf("no budget %q", name)
+	}
+	s := &budgetShown{Budget: *b, Pool: v.Doc.Pool(b), Agent: v.Agent, Leads: v.Leads, AgeMs: v.AgeMs, WaitMs: v.WaitMs,
+		Behind: []string{}, Holders: []giver.Line{}}
+	for _, l := range v.Lines {
+		if l.Budget == name {
+			s.Holders = append(s.Holders, l)
+		}
+	}
+	for _, m := range v.Members {
+		if m.Version != v.Doc.Version {
+			s.Behind = append(s.Behind, m.Name)
+		}
+	}
+	return s, nil
+}
+
+func (s *budgetShown) table(w io.Writer) {
+	fmt.Fprintln(w, "OF\tNAME\tMAY HOLD\tBURST\tASKED\tUSED\tOUT\tUNTIL\tSEEN\tBY\tMEMBER")
+	sum := map[string]float64{}
+	for _, l := range s.Holders {
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g\t%.4g\t%.4g\t%g\t%s\t%s ago\t%s\t%s\n", l.Key.Key, l.Name, l.May.Rate, l.May.Burst, l.Want, l.Used, l.InUse,
+			ms(l.UntilMs), ms(l.AgoMs), s.Agent, l.ID)
+		sum[l.Key.Key] += l.May.Rate
+	}
+	most := 0.0
+	for _, x := range sum {
+		most = max(most, x)
+	}
+	fmt.Fprintf(w, "%.4g of a pool of %.4g held at most; each seat has %g besides\n", most, s.Pool.Rate, s.Least)
+	if s.WaitMs > 0 {
+		fmt.Fprintf(w, "the leader is new: nothing new is given for %s\n", ms(s.WaitMs))
+	}
+	if len(s.Behind) > 0 {
+		fmt.Fprintf(w, "not heard of yet by %v\n", s.Behind)
+	}
+}
--- a/cmd/spindlehitch/main.go
+++ b/cmd/spindlehitch/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -11,10 +12,29 @@
 func main() {
 	if err := rootCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "spindlehitch:", err)
+		var e *exit
+		if errors.As(err, &e) {
+			os.Exit(e.code)
+		}
 		os.Exit(1)
 	}
 }
 
+// exit is an error with an exit code that scripts can tell from others; without one it is 1.
+type exit struct {
+	code int
+	err  error
+}
+
+func (e *exit) Error() string { return e.err.Error() }
+func (e *exit) Unwrap() error { return e.err }
+
+// Exit codes beside 0 and 1 (refused, or bad input).
+const (
+	exitOld    = 3 // what was printed may be old
+	exitSilent = 4 // no agent answered in time: a change may or may not have been made
+)
+
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "spindlehitch",
@@ -23,6 +43,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), agentCommand(), configCommand(),
-		conformCommand(), reportCommand(), topCommand())
+		conformCommand(), reportCommand(), topCommand(), budgetCommand(), membersCommand())
 	return root
 }
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -29,6 +29,7 @@
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/listen"
 	"spindlehitch/internal/nvme"
+	"spindlehitch/internal/ration"
 	"spindlehitch/internal/upstream"
 )
 
@@ -130,7 +131,14 @@
 	changes <-chan change) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
 
-	module, err := spindlehitch.New(cfg.Module, cfg.Seed)
+	var part *ration.Ration
+	settings := cfg.Module
+	if op.Fleet != nil {
+		part = ration.New(ration.Options{Name: cfg.Name, Addr: cfg.Listen, Agents: op.Fleet.Agents, Weight: op.Fleet.Weight,
+			Uses: op.Fleet.Uses, Log: log})
+		settings.Ration = part
+	}
+	module, err := spindlehitch.New(settings, cfg.Seed)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -151,8 +159,11 @@
 	}
 	numbers := figures.New(slices.Collect(maps.Keys(cfg.Classes())))
 	var c *core.Core
-	up := upstream.NewRegistry(upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5,
-		Sent: numbers.Dispatched, Log: log}, func(r core.Result) { c.Report(r) })
+	out := upstream.Options{Wire: wire, Dial: cfg.Dial, Idle: cfg.ConnIdle * 4 / 5, Sent: numbers.Dispatched, Log: log}
+	if part != nil {
+		out.Stock = part
+	}
+	up := upstream.NewRegistry(out, func(r core.Result) { c.Report(r) })
 	leave := core.LeaveWithin(longest(cfg))
 	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
 	var book *ledger
@@ -174,8 +185,8 @@
 	clients := front.New(c, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(), Ready: listed.Load,
 		ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: leave, Room: room, Ahead: up.Ahead, Log: log})
 	// What there may be of connections and bytes is set here alone, now and whenever the processes become more or fewer.
-	part := &shares{cfg: cfg, room: room, up: up, clients: clients, core: c}
-	part.divide(1)
+	limits := &shares{cfg: cfg, room: room, up: up, clients: clients, core: c}
+	limits.divide(1)
 	// The targets' actors hear before the module does: a send decided on the older list meets the newer one.
 	tell := func(l *discovery.List) {
 		numbers.Listed(up.Apply(targets(l), l.Full))
@@ -188,6 +199,10 @@
 		}
 	}
 	go c.Run(work)
+	leaveFleet := func(context.Context) {}
+	if part != nil {
+		leaveFleet = joinFleet(work, part, c, up)
+	}
 	about := discovery.Options{Addr: cfg.Discovery, Known: cfg.Known, Seed: cfg.Seed, Log: log}
 	if cfg.Module.AskForList {
 		about.Crowd = cfg.Module.Initiators
@@ -226,7 +241,7 @@
 	}()
 	crew := joinCrew(cfg, log)
 	defer crew.close()
-	go crew.watch(work, part.divide)
+	go crew.watch(work, limits.divide)
 	failed := make(chan error, len(doors))
 	ls := map[string]net.Listener{}
 	for addr := range doors {
@@ -249,7 +264,11 @@
 		if err != nil {
 			return fmt.Errorf("control: %w", err)
 		}
-		pages := control.New(control.Options{Ready: clients.Ready, Figures: numbers.Render, Log: log})
+		figures := numbers.Render
+		if part != nil {
+			figures = func() []byte { return append(numbers.Render(), part.Render()...) }
+		}
+		pages := control.New(control.Options{Ready: clients.Ready, Figures: figures, Log: log})
 		defer pages.Close()
 		go pages.Serve(at)
 		log.Info("serving", slog.String("name", cfg.Name), slog.String("control", cfg.Control))
@@ -295,10 +314,31 @@
 	if book != nil {
 		book.save(bound)
 	}
+	leaveFleet(bound)
 	log.Info("left", slog.Int("open", c.Open()))
 	return err
 }
 
+// joinFleet has the instance keep a seat in the fleet, and tells how it is given back once nothing is served any more.
+func joinFleet(work context.Context, part *ration.Ration, c *core.Core, up *upstream.Registry) (leave func(context.Context)) {
+	part.OnMove(func() {
+		c.Rationed()
+		up.Review()
+	})
+	ctx, stop := context.WithCancel(work)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		part.Run(ctx)
+	}()
+	return func(within context.Context) {
+		stop()
+		<-ended
+		up.Retire()
+		part.Leave(within)
+	}
+}
+
 // longest is the longest any client waits.
 func longest(cfg *config.Config) (d time.Duration) {
 	for _, c := range cfg.Module.Classes {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -64,6 +64,7 @@
 	bolt  *raftboltdb.BoltStore
 	trans *raft.NetworkTransport
 	http  http.Server
+	desk  *fleetDesk
 }
 
 // Start opens the durable store and joins the others. An agent that has no state yet begins with the peers it
@@ -122,7 +123,9 @@
 	if a.raft, err = raft.NewRaft(cfg, a.store, a.bolt, a.bolt, snaps, a.trans); err != nil {
 		return nil, err
 	}
+	a.desk = newFleetDesk(a)
 	mux := http.NewServeMux()
+	a.desk.routes(mux)
 	mux.HandleFunc("GET /v1/status", a.status)
 	mux.HandleFunc("GET /v1/instances", a.list)
 	mux.HandleFunc("GET /v1/instances/{name}", a.get)
@@ -155,6 +158,7 @@
 	if a.http.Shutdown(ctx) != nil {
 		a.http.Close() // watches that still wait
 	}
+	a.desk.stop()
 	err := a.raft.Shutdown().Error()
 	a.release()
 	return err
@@ -273,18 +277,12 @@
 		}
 		c.Config = body
 	}
-	data, err := json.Marshal(c)
+	v, err := a.apply(c)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	f := a.raft.Apply(data, applyWithin)
-	if err := f.Error(); err != nil {
-		// It may or may not be in the log: the caller looks, or writes again under If-Version.
-		http.Error(w, "not confirmed: "+err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	switch v := f.Response().(type) {
+	switch v := v.(type) {
 	case Entry:
 		v.Config = nil
 		reply(w, http.StatusOK, v)
@@ -296,3 +294,17 @@
 		http.Error(w, v.Error(), status)
 	}
 }
+
+// apply has a change made through the log and returns what the log says to it. After an error it may or may not be in the log:
+// the caller looks, or asks again by the same id.
+func (a *Agent) apply(c change) (any, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	f := a.raft.Apply(data, applyWithin)
+	if err := f.Error(); err != nil {
+		return nil, fmt.Errorf("not confirmed: %w", err)
+	}
+	return f.Response(), nil
+}
--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"spindlehitch/internal/fleet"
 )
 
 // Client speaks to the agents: any of them that answers, and through it the leader.
@@ -246,3 +248,54 @@
 		}
 	}
 }
+
+// Join asks for a seat. A fleet.Reason as error says that there is none, or not for it.
+func (c *Client) Join(ctx context.Context, m fleet.Member) (fleet.Member, fleet.Doc, error) {
+	j, err := send[joined](ctx, c, http.MethodPost, "/v1/fleet/members", m)
+	return j.Member, j.Doc, err
+}
+
+// Renew sends a renewal and brings its answer.
+func (c *Client) Renew(ctx context.Context, r fleet.Renewal) (fleet.Answer, error) {
+	return send[fleet.Answer](ctx, c, http.MethodPost, "/v1/fleet/renew", r)
+}
+
+// Leave gives a seat back, of a member that uses nothing any more.
+func (c *Client) Leave(ctx context.Context, id string) error {
+	_, err := send[struct{}](ctx, c, http.MethodDelete, "/v1/fleet/members/"+url.PathEscape(id), nil)
+	return err
+}
+
+// SetBudgets has the fleet go by another set of budgets.
+func (c *Client) SetBudgets(ctx context.Context, d fleet.Doc) (fleet.Doc, error) {
+	ctx, done := bounded(ctx)
+	defer done()
+	return send[fleet.Doc](ctx, c, http.MethodPut, "/v1/fleet", d)
+}
+
+// Fleet shows the fleet as its leader sees it. Where there is none, or none that a majority agrees with, it is what some agent's
+// log says: Leads is false then, and AgeMs says how old it may be.
+func (c *Client) Fleet(ctx context.Context) (View, error) {
+	fresh, done := context.WithTimeout(ctx, callWithin/2)
+	v, err := decode[View](c.do(fresh, call{method: http.MethodGet, path: "/v1/fleet"}))
+	done()
+	if err == nil {
+		return v, nil
+	}
+	ctx, done = context.WithTimeout(ctx, callWithin/2)
+	defer done()
+	return decode[View](c.do(ctx, call{method: http.MethodGet, path: "/v1/fleet?stale"}))
+}
+
+func send[T any](ctx context.Context, c *Client, method, path string, body any) (v T, err error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return v, err
+	}
+	v, err = decode[T](c.do(ctx, call{method: method, path: path, body: text}))
+	var no *Refusal
+	if errors.As(err, &no) && no.Status == http.StatusConflict {
+		err = fleet.Reason(no.Text)
+	}
+	return v, err
+}
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -7,9 +7,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/raft"
+
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/register"
 )
 
 // Entry is one instance's configuration. Version grows with each change of any entry.
@@ -20,12 +26,24 @@
 	Change  string          `json:"change,omitempty"` // the id of the change that made it
 }
 
-// change is a command of the log.
+// change is a command of the log: about one instance's configuration, or where one of the others is there, about the fleet.
 type change struct {
-	Name   string          `json:"name"`
+	Name   string          `json:"name,omitempty"`
 	Config json.RawMessage `json:"config,omitempty"` // empty: take it away
 	If     *uint64         `json:"if,omitempty"`     // only where the entry has this version; 0: where there is none
 	ID     string          `json:"id,omitempty"`     // the caller's own: a change that comes twice is made once
+	Set    *fleet.Doc      `json:"set,omitempty"`    // the fleet's budgets
+	Join   *fleet.Member   `json:"join,omitempty"`   // a seat is asked for
+	Leave  []string        `json:"leave,omitempty"`  // seats are given back
+}
+
+// mostRecent is how many changes are known by their ids.
+const mostRecent = 256
+
+// joined answers a join.
+type joined struct {
+	Member fleet.Member `json:"member"`
+	Doc    fleet.Doc    `json:"doc"`
 }
 
 // errConflict answers a change whose condition does not hold.
@@ -35,6 +53,8 @@
 type store struct {
 	mu      sync.Mutex
 	entries map[string]Entry
+	recent  []Entry // what the last changes made, each known by its change's id
+	fleet   register.Register
 	changed chan struct{} // closed and renewed at each change
 }
 
@@ -50,11 +70,33 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	had := s.entries[c.Name]
+	if c.ID != "" {
+		for _, made := range s.recent {
+			if made.Change == c.ID {
+				return made // its first answer was lost
+			}
+		}
+	}
 	switch {
-	case c.ID != "" && c.ID == had.Change:
-		return had // its first answer was lost
-	case c.If != nil && had.Version != *c.If:
+	case c.Set != nil:
+		defer s.announce()
+		if err := s.fleet.Set(l.Index, *c.Set); err != nil {
+			return &Refusal{http.StatusUnprocessableEntity, err.Error()}
+		}
+		return s.fleet.Doc
+	case c.Join != nil:
+		defer s.announce()
+		m, err := s.fleet.Join(l.Index, *c.Join)
+		if err != nil {
+			return err
+		}
+		return joined{m, s.fleet.Doc}
+	case len(c.Leave) > 0:
+		defer s.announce()
+		s.fleet.Leave(c.Leave...)
+		return struct{}{}
+	}
+	if had := s.entries[c.Name]; c.If != nil && had.Version != *c.If {
 		return fmt.Errorf("%s: %w: %d", c.Name, errConflict, had.Version)
 	}
 	e := Entry{Name: c.Name, Version: l.Index, Config: c.Config, Change: c.ID}
@@ -63,6 +105,12 @@
 	} else {
 		s.entries[c.Name] = e
 	}
+	if c.ID != "" {
+		made := e
+		made.Config = nil
+		s.recent = append(s.recent, made)
+		s.recent = s.recent[max(0, len(s.recent)-mostRecent):]
+	}
 	s.announce()
 	return e
 }
@@ -92,23 +140,33 @@
 	return m
 }
 
-// snapshot is the store at one moment.
-type snapshot map[string]Entry
+// register returns what the log says of the fleet, and what is closed at the next change of anything.
+func (s *store) register() (register.Register, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Clone(), s.changed
+}
+
+// snapshot is the store at one moment. Snapshots from before there were formats are the entries alone.
+type snapshot struct {
+	Format  int               `json:"format"`
+	Entries map[string]Entry  `json:"entries"`
+	Recent  []Entry           `json:"recent,omitempty"`
+	Fleet   register.Register `json:"fleet"`
+}
+
+const format = 2
 
 // Snapshot implements raft.FSM.
 func (s *store) Snapshot() (raft.FSMSnapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := make(snapshot, len(s.entries))
-	for name, e := range s.entries {
-		m[name] = e
-	}
-	return m, nil
+	return snapshot{format, maps.Clone(s.entries), slices.Clone(s.recent), s.fleet.Clone()}, nil
 }
 
 // Persist implements raft.FSMSnapshot.
 func (m snapshot) Persist(sink raft.SnapshotSink) error {
-	if err := json.NewEncoder(sink).Encode(map[string]Entry(m)); err != nil {
+	if err := json.NewEncoder(sink).Encode(m); err != nil {
 		sink.Cancel()
 		return err
 	}
@@ -121,13 +179,27 @@
 // Restore implements raft.FSM.
 func (s *store) Restore(in io.ReadCloser) error {
 	defer in.Close()
-	m := map[string]Entry{}
-	if err := json.NewDecoder(in).Decode(&m); err != nil {
+	var text json.RawMessage
+	if err := json.NewDecoder(in).Decode(&text); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	var m snapshot
+	if json.Unmarshal(text, &m) != nil || m.Format == 0 {
+		// An instance may be named like a field: then it is no number, or no map of entries.
+		m = snapshot{}
+		if err := json.Unmarshal(text, &m.Entries); err != nil {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+	}
+	if m.Format > format {
+		return fmt.Errorf("snapshot: format %d is newer than this program's %d", m.Format, format)
+	}
+	if m.Entries == nil {
+		m.Entries = map[string]Entry{}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries = m
+	s.entries, s.recent, s.fleet = m.Entries, m.Recent, m.Fleet
 	s.announce()
 	return nil
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -4,12 +4,14 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/BurntSushi/toml"
 
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/control"
+	"spindlehitch/internal/fleet"
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/nvme"
 )
@@ -20,6 +22,59 @@
 	NVMe     *NVMe     `toml:"nvme"`
 	Agent    *Agent    `toml:"agent"`
 	Accounts *Accounts `toml:"accounts"`
+	Fleet    *Fleet    `toml:"fleet"`
+}
+
+// Fleet has an instance keep to its part of fleet-wide budgets.
+type Fleet struct {
+	Agents []string    `toml:"agents"`
+	Weight float64     `toml:"weight"` // in divisions, 1 where it is not told
+	Uses   []fleet.Use `toml:"uses"`   // nothing of these is used before the budgets are known; all where it is not told
+}
+
+func (f *Fleet) check() error {
+	if len(f.Agents) == 0 {
+		return Missing("agents")
+	}
+	for i, a := range f.Agents {
+		if err := checkAddr(a); err != nil {
+			return fmt.Errorf("agents[%d]: %w", i, err)
+		}
+	}
+	if f.Weight == 0 {
+		f.Weight = 1
+	}
+	if !(f.Weight > 0 && f.Weight <= 1000) {
+		return fmt.Errorf("weight: %v is not over 0 and up to 1000", f.Weight)
+	}
+	if f.Uses == nil {
+		f.Uses = slices.Clone(fleet.Uses)
+	}
+	for i, u := range f.Uses {
+		if !slices.Contains(fleet.Uses, u) {
+			return fmt.Errorf("uses[%d]: unknown use %q", i, u)
+		}
+	}
+	return nil
+}
+
+// ReadBudgets reads a set of budgets and checks it, against an instance's configuration where one is given.
+func ReadBudgets(path string, c *Config) (fleet.Doc, error) {
+	var d fleet.Doc
+	meta, err := toml.DecodeFile(path, &d)
+	switch {
+	case err != nil:
+		return d, fmt.Errorf("%s: %w", path, err)
+	case len(meta.Undecoded()) > 0:
+		return d, fmt.Errorf("%s: %s: unknown field", path, meta.Undecoded()[0])
+	}
+	if err = d.Check(); err == nil && c != nil {
+		err = d.CheckNames(c.Plans(), c.Classes())
+	}
+	if err != nil {
+		return d, fmt.Errorf("%s: %w", path, err)
+	}
+	return d, nil
 }
 
 // Accounts has latency accounts kept by volume.
@@ -118,6 +173,11 @@
 			return nil, fmt.Errorf("operator's file: accounts.%w", err)
 		}
 	}
+	if o.Fleet != nil {
+		if err := o.Fleet.check(); err != nil {
+			return nil, fmt.Errorf("operator's file: fleet.%w", err)
+		}
+	}
 	return &o, nil
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,8 +105,12 @@
 	Until   time.Time // given up then
 	Payload any
 	OnSent  func() // nil: nobody asks
+	Permit  spindlehitch.Permit
 }
 
+// Allowed tells, just before the first byte, whether the attempt may still be made.
+func (a *Attempt) Allowed() bool { return a.Permit == nil || a.Permit.Good() }
+
 // Sent is to be called by whoever carries the attempt out, once its last byte is written: from then on it may run.
 func (a *Attempt) Sent() {
 	if a.OnSent != nil {
@@ -249,6 +253,9 @@
 // Share tells the module how many processes act for this initiator.
 func (c *Core) Share(parts int) { c.box.Put(spindlehitch.Shared{Parts: parts}) }
 
+// Rationed tells the module that its part of the fleet's wholes has changed.
+func (c *Core) Rationed() { c.box.Put(spindlehitch.Rationed{}) }
+
 // Inspect has f called from the core's goroutine, between two steps.
 func (c *Core) Inspect(f func()) { c.box.Put(f) }
 
@@ -314,8 +321,8 @@
 			c.result(now, m)
 		case written:
 			c.opt.Observer.End(c.observed(m.at), m.id)
-		case spindlehitch.Shared:
-			c.events = append(c.events, m)
+		case spindlehitch.Shared, spindlehitch.Rationed:
+			c.events = append(c.events, m.(spindlehitch.Event))
 		case routed:
 			c.routes = append(c.routes, m)
 		case func():
@@ -421,7 +428,7 @@
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
 		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
-			Until: now.Add(a.Wait), Payload: e.job.Payload})
+			Until: now.Add(a.Wait), Payload: e.job.Payload, Permit: a.Permit})
 	case spindlehitch.Refuse:
 		c.answer(e, Answer{Ending: Refused, RetryAfter: a.Wait})
 		c.tidy(a.Request, e)
--- /dev/null
+++ b/internal/faults/fleet.go
@@ -0,0 +1,152 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Instance is one initiator as a process, with a link to each agent.
+type Instance struct {
+	*Proc
+	Listen, Control string
+	Links           []*Link
+	load            atomic.Int64 // requests a second offered, in thousandths
+	Served, Other   atomic.Int64 // answers 200, and any other
+	Lost            atomic.Int64 // requests without an answer
+}
+
+// InstanceOptions set up instances.
+type InstanceOptions struct {
+	Agents  *Agents // nil: none, each keeps to the even part of the settings
+	Targets *Targets
+	Peers   int    // how many the settings name
+	Rules   string // JSON, of the settings
+	Uses    string // TOML
+}
+
+// Instance starts one initiator.
+func (r *Rig) Instance(name string, o InstanceOptions, rate float64) *Instance {
+	r.T.Helper()
+	addrs := FreeAddrs(r.T, 2)
+	n := &Instance{Listen: addrs[0], Control: addrs[1]}
+	rules := o.Rules
+	if rules == "" {
+		rules = "{}"
+	}
+	file := r.File(name+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"control":%q,"discovery":%q,"limits":{"sockets":256},"settings":{"peersTotal":%d,"tickUs":2000,
+ "classes":[{"name":"position-read","promiseUs":1000000,"deadlineUs":2000000,"effect":"pure","worth":1}],
+ "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],
+ "extra":{"meanUnits":1,"largest":8,"coldBears":40},"limits":{"sendCap":3},"rules":%s}}`, name, n.Listen, n.Control, o.Targets.Discovery, o.Peers, rules))
+	args := []string{"serve"}
+	if o.Agents != nil {
+		var agents []string
+		for i, a := range o.Agents.API {
+			n.Links = append(n.Links, r.Link(name, fmt.Sprint("agent-", i), a))
+			agents = append(agents, fmt.Sprintf("%q", n.Links[i].Addr))
+		}
+		args = append(args, "--operator", r.File(name+".toml", "[fleet]\nagents = ["+strings.Join(agents, ", ")+"]\n"+o.Uses))
+	}
+	env := []string{"PROXY_CONFIG=" + file}
+	if rate != 0 {
+		env = append(env, fmt.Sprint("SPINDLEHITCH_CLOCK_RATE=", rate))
+	}
+	n.Proc = r.Start(name, env, args...)
+	return n
+}
+
+// CutOff has nothing pass between the instance and the agents: asked says whether that goes for what it sends, told for what comes
+// back.
+func (n *Instance) CutOff(asked, told bool) {
+	for _, k := range n.Links {
+		k.Set(Way{Drop: asked}, Way{Drop: told})
+	}
+}
+
+// Heal ends CutOff.
+func (n *Instance) Heal() {
+	for _, k := range n.Links {
+		k.Heal()
+	}
+}
+
+// Figures is what the instance's second address tells; nothing where it does not answer.
+func (n *Instance) Figures() string {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + n.Control + "/v1/metrics")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return string(b)
+}
+
+// Offer has requests come at so many a second from now on, whatever becomes of them.
+func (n *Instance) Offer(rate float64) { n.load.Store(int64(rate * 1000)) }
+
+// Load is an open-loop generator for the instances: it ends with the context.
+func (r *Rig) Load(ctx context.Context, all []*Instance, shards int) {
+	var work sync.WaitGroup
+	ctx, stop := context.WithCancel(ctx)
+	r.T.Cleanup(func() {
+		stop()
+		work.Wait()
+	})
+	for i, n := range all {
+		client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 64}}
+		work.Go(func() {
+			defer client.CloseIdleConnections()
+			due := time.Now()
+			for k := 0; ctx.Err() == nil; k++ {
+				rate := float64(n.load.Load()) / 1000
+				if rate <= 0 {
+					due = time.Now().Add(20 * time.Millisecond)
+				} else {
+					due = due.Add(time.Duration(float64(time.Second) / rate))
+					if late := time.Since(due); late > time.Second {
+						due = due.Add(late) // the generator itself stood still
+					}
+				}
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(time.Until(due)):
+				}
+				if rate > 0 {
+					work.Go(func() { n.ask(ctx, client, fmt.Sprintf("%d-%d-%d", i, k, due.UnixNano()), k%shards) })
+				}
+			}
+		})
+	}
+}
+
+func (n *Instance) ask(ctx context.Context, client *http.Client, id string, shard int) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Listen+"/position-read/7f3a9c21e0b4d655", nil)
+	if err != nil {
+		return
+	}
+	for name, value := range map[string]string{"Request-Id": id, "Tier": "base", "Request-Timeout-Ms": "2000",
+		"IO-Info": fmt.Sprintf("volume=00000003b4d60021,units=1,shard=%d,hosts=1", shard)} {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		if ctx.Err() == nil {
+			n.Lost.Add(1)
+		}
+		return
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		n.Served.Add(1)
+	} else {
+		n.Other.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/faults/judge.go
@@ -0,0 +1,188 @@
+package faults
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Judge counts by itself what reaches all stand-in targets, and knows nothing of parts: of a rate, how far any window went beyond
+// it; of connections, how many were ever open at one target.
+type Judge struct {
+	mu      sync.Mutex
+	began   time.Time
+	rates   map[string]*bucket
+	seen    map[string]int // attempts by request
+	reached [][3]int64     // by tenths of a second: all, repeats, at cold targets
+}
+
+// bucket takes what arrives and empties at the rate: its level is the most by which a window that ends now is over it.
+type bucket struct {
+	rate, level, worst float64
+	at                 time.Time
+}
+
+func (b *bucket) arrive(now time.Time, units float64) {
+	b.level = max(0, b.level-b.rate*now.Sub(b.at).Seconds()) + units
+	b.at, b.worst = now, max(b.worst, b.level)
+}
+
+// Targets is the stand-in targets, and the service that lists them.
+type Targets struct {
+	rig       *Rig
+	Judge     *Judge
+	All       []*Target
+	Discovery string
+	mu        sync.Mutex
+	version   int
+	changed   chan struct{}
+}
+
+// Target is one stand-in.
+type Target struct {
+	ID, Addr string
+	Shard    int
+	Started  atomic.Int64 // Unix ms; 0: long ago
+	Fails    atomic.Bool  // answers with errors
+	Takes    atomic.Int64 // ns for each request
+	conns    atomic.Int64
+	most     atomic.Int64
+}
+
+// Targets starts n targets, each with a shard of its own. Rates are what the judge holds all of them against, in units a second,
+// by the names work, repeat and cold; cold counts for each target alone.
+func (r *Rig) Targets(n int, rates map[string]float64) *Targets {
+	g := &Targets{rig: r, version: 1, changed: make(chan struct{}),
+		Judge: &Judge{began: time.Now(), rates: map[string]*bucket{}, seen: map[string]int{}}}
+	for name, rate := range rates {
+		if name == "cold" {
+			for i := range n {
+				g.Judge.rates[fmt.Sprint("cold.t", i)] = &bucket{rate: rate}
+			}
+			continue
+		}
+		g.Judge.rates[name] = &bucket{rate: rate}
+	}
+	for i := range n {
+		t := &Target{ID: fmt.Sprint("t", i), Shard: i}
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { g.serve(t, w, q) }))
+		s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				n := t.conns.Add(1)
+				for most := t.most.Load(); n > most && !t.most.CompareAndSwap(most, n); most = t.most.Load() {
+				}
+			case http.StateClosed, http.StateHijacked:
+				t.conns.Add(-1)
+			}
+		}
+		s.Start()
+		r.T.Cleanup(s.Close)
+		t.Addr = strings.TrimPrefix(s.URL, "http://")
+		g.All = append(g.All, t)
+	}
+	list := httptest.NewServer(http.HandlerFunc(g.list))
+	r.T.Cleanup(func() {
+		list.CloseClientConnections()
+		list.Close()
+	})
+	g.Discovery = strings.TrimPrefix(list.URL, "http://")
+	return g
+}
+
+func (g *Targets) list(w http.ResponseWriter, q *http.Request) {
+	g.mu.Lock()
+	version, changed := g.version, g.changed
+	g.mu.Unlock()
+	if q.URL.Query().Get("after") == fmt.Sprint(version) {
+		select {
+		case <-q.Context().Done():
+			return
+		case <-changed:
+		}
+		g.mu.Lock()
+		version = g.version
+		g.mu.Unlock()
+	}
+	var all []string
+	for _, t := range g.All {
+		all = append(all, fmt.Sprintf(`{"id":%q,"addr":%q,"cell":%d,"state":"SERVING","started_ms":%d}`, t.ID, t.Addr, t.Shard, t.Started.Load()))
+	}
+	fmt.Fprintf(w, `{"version":%d,"full":true,"servers":[%s]}`, version, strings.Join(all, ","))
+}
+
+// Restarted has the list tell that a target has started at that moment: it is cold.
+func (g *Targets) Restarted(t *Target) {
+	t.Started.Store(time.Now().UnixMilli())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.version++
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *Targets) serve(t *Target, w http.ResponseWriter, q *http.Request) {
+	now, j := time.Now(), g.Judge
+	cold := t.Started.Load() > 0
+	j.mu.Lock()
+	id := q.Header.Get("Request-Id")
+	j.seen[id]++
+	repeat := j.seen[id] > 1
+	at := int(now.Sub(j.began) / (100 * time.Millisecond))
+	for len(j.reached) <= at {
+		j.reached = append(j.reached, [3]int64{})
+	}
+	for i, x := range []struct {
+		name string
+		is   bool
+	}{{"work", true}, {"repeat", repeat}, {"cold." + t.ID, cold}} {
+		if !x.is {
+			continue
+		}
+		j.reached[at][i]++
+		if b := j.rates[x.name]; b != nil {
+			b.arrive(now, 1)
+		}
+	}
+	j.mu.Unlock()
+	time.Sleep(time.Duration(t.Takes.Load()))
+	if t.Fails.Load() {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	fmt.Fprint(w, "done")
+}
+
+// Worst is by how much any window so far was over the rate of that name.
+func (j *Judge) Worst(name string) float64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.rates[name].worst
+}
+
+// Rate is what arrived a second, over the last whole tenths of a second: all, repeats, at cold targets.
+func (j *Judge) Rate(over time.Duration) (rate [3]float64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	to := int(time.Since(j.began) / (100 * time.Millisecond))
+	from := max(0, to-int(over/(100*time.Millisecond)))
+	for at := from; at < min(to, len(j.reached)); at++ {
+		for i, n := range j.reached[at] {
+			rate[i] += float64(n) / over.Seconds()
+		}
+	}
+	return rate
+}
+
+// MostConns is how many connections were ever open at one target at a time.
+func (g *Targets) MostConns() (most int64) {
+	for _, t := range g.All {
+		most = max(most, t.most.Load())
+	}
+	return most
+}
--- /dev/null
+++ b/internal/ration/ration.go
@@ -0,0 +1,313 @@
+// Package ration is an instance's edge of the fleet: it keeps a seat at the agents by renewals, and answers the module and the
+// targets' pools from the holder, on the clock that counts sleep. All decisions are the holder's (internal/fleet/holder).
+package ration
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/holder"
+	"spindlehitch/internal/monotone"
+)
+
+// Options set up an instance's part in the fleet.
+type Options struct {
+	Name   string
+	Addr   string // where it takes clients: two processes at one address are an upgrade
+	Agents []string
+	Weight float64
+	Uses   []fleet.Use // nothing of these is used before the fleet's budgets are known
+	Log    *slog.Logger
+}
+
+// Ration is an instance's. All of it is safe for concurrent use.
+type Ration struct {
+	opt    Options
+	client agent.Client
+	moved  func() // told when parts have changed
+	wake   chan struct{}
+
+	mu     sync.Mutex
+	h      *holder.Holder
+	why    string // why there is no seat, or nothing beyond the floor; empty: there is
+	counts struct{ renewed, failed, lapsed, denied int64 }
+}
+
+// New returns one that has no seat yet; Run gets it one.
+func New(opt Options) *Ration {
+	return &Ration{opt: opt, client: agent.Client{Addrs: opt.Agents}, h: holder.New(opt.Uses), why: "JOINING",
+		wake: make(chan struct{}, 1), moved: func() {}}
+}
+
+// OnMove has f called whenever parts have changed. It must be called before Run, and f must not wait.
+func (r *Ration) OnMove(f func()) { r.moved = f }
+
+func draw(d spindlehitch.Draw) fleet.Draw {
+	use := [...]fleet.Use{spindlehitch.ColdWork: fleet.Cold, spindlehitch.Repeats: fleet.Repeat,
+		spindlehitch.Connections: fleet.Connection, spindlehitch.AllWork: fleet.Work}[d.Use]
+	return fleet.Draw{Use: use, Target: d.Node, Plan: d.Plan, Class: d.Class, Units: d.Units}
+}
+
+// Wait implements spindlehitch.Ration.
+func (r *Ration) Wait(d spindlehitch.Draw) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait, governed := r.h.Wait(monotone.Now(), draw(d))
+	if wait > 0 {
+		r.counts.denied++
+		r.rouse()
+	}
+	return wait, governed
+}
+
+// rouse has a renewal sent early, where the holder wants one. Its caller holds mu.
+func (r *Ration) rouse() {
+	if r.h.Hungry() {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Take implements spindlehitch.Ration. The permit is good while the part that it is from lasts.
+func (r *Ration) Take(draws []spindlehitch.Draw) spindlehitch.Permit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]fleet.Draw, len(draws))
+	for i, d := range draws {
+		all[i] = draw(d)
+	}
+	return permit{r, r.h.Take(monotone.Now(), all...)}
+}
+
+type permit struct {
+	r     *Ration
+	until time.Duration
+}
+
+// Good implements spindlehitch.Permit.
+func (p permit) Good() bool {
+	good := monotone.Now() < p.until
+	if !good {
+		p.r.mu.Lock()
+		p.r.counts.lapsed++
+		p.r.mu.Unlock()
+	}
+	return good
+}
+
+// Open counts a connection to a target; false: there may be none more.
+func (r *Ration) Open(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ok := r.h.Open(monotone.Now(), target)
+	if !ok {
+		r.counts.denied++
+		r.rouse()
+	}
+	return ok
+}
+
+// Close counts a connection that has ended.
+func (r *Ration) Close(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.Close(target)
+}
+
+// Over is how many connections to a target are to be closed.
+func (r *Ration) Over(target string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.h.Over(monotone.Now(), target)
+}
+
+const (
+	joinAgain  = 200 * time.Millisecond // doubled up to
+	mostJoin   = 5 * time.Second
+	leaveAfter = time.Second // how long connections may take to close before the seat is given back
+)
+
+// Run keeps a seat until ctx ends; Leave gives it back.
+func (r *Ration) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.join(ctx) {
+			r.keep(ctx)
+		}
+	}
+}
+
+// join asks for a seat until there is one. Each seat is for an id of its own; an answer that was lost is asked for again by the
+// same, for as long as its seat could last.
+func (r *Ration) join(ctx context.Context) bool {
+	id := rand.Text()
+	for pause := joinAgain; ; pause = min(2*pause, mostJoin) {
+		began := monotone.Now()
+		m, doc, err := r.client.Join(ctx, fleet.Member{ID: id, Name: r.opt.Name, Addr: r.opt.Addr, Weight: r.opt.Weight})
+		if err == nil {
+			r.mu.Lock()
+			r.h.Seat(began, m.ID, doc)
+			r.why = ""
+			r.mu.Unlock()
+			r.opt.Log.Info("joined the fleet", slog.String("reason", "FLEET_JOINED"), slog.String("member", m.ID),
+				slog.Uint64("incarnation", m.Incarnation), slog.Uint64("version", doc.Version))
+			r.moved()
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		why := "NO_AGENT"
+		var no fleet.Reason
+		if errors.As(err, &no) {
+			why = string(no)
+		}
+		r.mu.Lock()
+		again := r.why == why
+		r.why = why
+		r.mu.Unlock()
+		if !again {
+			r.opt.Log.Warn("turned away from the fleet", slog.String("reason", "FLEET_"+why), slog.Any("error", err))
+		}
+		if no == fleet.UnknownMember {
+			id = rand.Text()
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(pause):
+		}
+	}
+}
+
+// keep renews until the seat is lost or ctx ends.
+func (r *Ration) keep(ctx context.Context) {
+	cut := false
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		due := r.h.Next() - monotone.Now()
+		r.mu.Unlock()
+		if due > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(due):
+			case <-r.wake:
+				continue // perhaps sooner
+			}
+		}
+		r.mu.Lock()
+		if !r.h.Seated(monotone.Now()) {
+			r.lost("SEAT_ENDED")
+			r.mu.Unlock()
+			r.moved()
+			return
+		}
+		ren := r.h.Renew(monotone.Now()) // before it goes out: its part's end is reckoned from here
+		within := r.h.Patience()
+		r.mu.Unlock()
+		call, done := context.WithTimeout(ctx, within)
+		a, err := r.client.Renew(call, ren)
+		done()
+		r.mu.Lock()
+		switch {
+		case errors.Is(err, fleet.UnknownMember):
+			r.lost(err.Error())
+			r.mu.Unlock()
+			r.moved()
+			return
+		case err == nil && r.h.Accept(monotone.Now(), a):
+			r.counts.renewed++
+			if cut {
+				cut, r.why = false, ""
+				r.opt.Log.Info("heard the agents again", slog.String("reason", "FLEET_HEARD"))
+			}
+		default:
+			r.counts.failed++
+			if !cut && monotone.Now() >= r.h.Ended() && ctx.Err() == nil {
+				cut, r.why = true, "CUT_OFF"
+				r.opt.Log.Warn("cut off from the agents: the floor is all there is", slog.String("reason", "FLEET_CUT_OFF"), slog.Any("error", err))
+			}
+		}
+		r.mu.Unlock()
+		r.moved()
+	}
+}
+
+// lost gives the seat up. Its caller holds mu.
+func (r *Ration) lost(why string) {
+	r.why = why
+	r.h.Unseat()
+	r.opt.Log.Warn("seat lost", slog.String("reason", "FLEET_SEAT_LOST"), slog.String("why", why))
+}
+
+// Leave uses nothing more, and once no connection is open gives the seat back; where that takes too long it is left to end.
+// Run must have ended.
+func (r *Ration) Leave(ctx context.Context) {
+	r.mu.Lock()
+	seated, id := r.h.Seated(monotone.Now()), r.h.ID()
+	r.h.Leave()
+	r.mu.Unlock()
+	for end := time.Now().Add(leaveAfter); ; time.Sleep(10 * time.Millisecond) {
+		r.mu.Lock()
+		out := r.h.Out()
+		r.mu.Unlock()
+		if out == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			r.opt.Log.Warn("seat not given back", slog.String("reason", "FLEET_NOT_LEFT"), slog.Int("connections", out))
+			return
+		}
+	}
+	if !seated {
+		return
+	}
+	if err := r.client.Leave(ctx, id); err != nil {
+		r.opt.Log.Warn("seat not given back", slog.String("reason", "FLEET_NOT_LEFT"), slog.Any("error", err))
+		return
+	}
+	r.opt.Log.Info("left the fleet", slog.String("reason", "FLEET_LEFT"))
+}
+
+// Render writes the numbers of the fleet's budgets, one a line, for the second address.
+func (r *Ration) Render() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := monotone.Now()
+	var out []byte
+	line := func(kind byte, n float64, format string, args ...any) {
+		out = fmt.Appendf(out, "edge_proxy.fleet."+format+":", args...)
+		out = append(strconv.AppendFloat(out, n, 'f', -1, 64), '|', kind, '\n')
+	}
+	seated := 0.0
+	if r.h.Seated(now) {
+		seated = 1
+	}
+	line('g', seated, "seated")
+	line('g', float64(r.h.Version()), "version")
+	line('c', float64(r.counts.renewed), "renewals.taken")
+	line('c', float64(r.counts.failed), "renewals.failed")
+	line('c', float64(r.counts.denied), "denied")
+	line('c', float64(r.counts.lapsed), "lapsed")
+	for _, x := range r.h.All(now) {
+		name := x.Budget
+		if x.Key.Key != "" {
+			name += "." + x.Key.Key
+		}
+		line('g', x.Limit.Rate, "%s.part", name)
+		line('g', x.InUse+x.Rate, "%s.used", name)
+		line('g', max(0, (x.Until-now).Seconds()), "%s.ends_s", name)
+	}
+	return out
+}
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -99,8 +99,8 @@
 		raw = append(appendHead(make([]byte, 0, 256+len(m.Body)), m, c.host, wait, int64(len(m.Body))), m.Body...)
 	}
 	// The last look before the first byte: news may have come while the connection was being made. The first byte of a
-	// body that went ahead is long written.
-	if !first() && m.Upload == nil {
+	// body that went ahead is long written, but nothing of it has begun: without a permit it does not.
+	if !first() && (m.Upload == nil || !a.Allowed()) {
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
 	}
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -26,9 +26,17 @@
 	MostConn int           // connections to one target
 	MostAll  int           // connections to all targets together
 	Sent     func()        // called for each attempt that is written whole; nil: nobody asks
+	Stock    Stock         // of connections over all instances; nil: none is kept
 	Log      *slog.Logger
 }
 
+// Stock is this process's part of the connections that all instances hold at a target. It is asked before each is made.
+type Stock interface {
+	Open(target string) bool // false: there may be none more
+	Close(target string)
+	Over(target string) int // open beyond what may be
+}
+
 // Registry holds the targets' actors. The list actor applies news to it before the module hears of them, so
 // that a send decided on an older list still meets the newer state at its first byte.
 type Registry struct {
@@ -100,6 +108,18 @@
 	}
 }
 
+// Review has every target's actor look at what it may keep open.
+func (g *Registry) Review() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.targets {
+		t.box.Put(moved{})
+	}
+}
+
+// Retire has every target's actor end once nothing is out at it, and close its idle connections. Nothing may be sent after it.
+func (g *Registry) Retire() { g.Apply(nil, true) }
+
 // Cancel calls an attempt off; its connection is closed before its result is reported.
 func (g *Registry) Cancel(node, request string) {
 	g.mu.Lock()
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -208,6 +208,10 @@
 	t.closeIdle("TARGET_LEAVES", func(*conn) bool { return !open(&t.state) })
 	t.closeIdle("TARGET_MOVED", func(c *conn) bool { return c.addr != addr })
 	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.opt.Idle })
+	if t.opt.Stock != nil && len(t.idle) > 0 {
+		over := t.opt.Stock.Over(t.id)
+		t.closeIdle("RATION", func(*conn) bool { over--; return over >= 0 })
+	}
 }
 
 func (t *target) closeIdle(reason string, which func(*conn) bool) {
@@ -229,6 +233,14 @@
 		t.pool.conns.Add(int64(-n))
 		return false
 	}
+	if t.opt.Stock != nil {
+		if n < 0 {
+			t.opt.Stock.Close(t.id)
+		} else if !t.opt.Stock.Open(t.id) {
+			t.pool.conns.Add(int64(-n))
+			return false
+		}
+	}
 	t.conns += n
 	return true
 }
@@ -312,7 +324,7 @@
 	var began time.Time
 	*r, reuse, reason = c.Do(y.Attempt, func() bool {
 		began = time.Now()
-		return open(&t.state)
+		return open(&t.state) && y.Allowed()
 	})
 	r.Began = began
 	if y.calledOff() {
--- a/scheduler.go
+++ b/scheduler.go
@@ -437,6 +437,7 @@
 // send is the only way out: it sends r to the lane's node.
 func (s *Scheduler) send(r *request, l *lane) {
 	n := l.node
+	permit := s.permit(n, r)
 	r.unhold()
 	if n.last == r.Extent {
 		n.run++
@@ -460,7 +461,7 @@
 	n.wide = max(n.wide, len(n.out))
 	wait := s.patience(n, r)
 	wait = min(wait, max(r.due-s.now, s.set.Tick))
-	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now)})
+	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now), Permit: permit})
 }
 
 // ---- Node health ----
@@ -854,9 +855,9 @@
 		s.lapse(r) // the rest of its body is elsewhere
 		return never
 	}
-	at := max(r.retryAt, n.openAt, s.orderGate(r), s.coldGate(n, r.Units), s.limitGate(r))
+	at := max(r.retryAt, n.openAt, s.orderGate(r), s.coldGate(n, r), s.limitGate(r), s.rationGate(n, r))
 	if r.sent > 0 {
-		at = max(at, s.budgetGate())
+		at = max(at, s.budgetGate(n, r))
 		c := r.class
 		there := n.Zone == r.ranZone && (c.Group == GroupZone || n.Shard == r.ranShard)
 		if r.mayRun && c.Effect == Keyed && c.Group != GroupAll && !there || !s.mayRepeat(r) {
@@ -882,14 +883,17 @@
 // along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is
 // under one mean request the node's own reports tell of all initiators' sends: while it holds few requests,
 // each may have one out there. They are as late as FallWithin allows; without one, a request a span may go.
-func (s *Scheduler) coldGate(n *node, units float64) time.Duration {
-	ru := s.set.Rules
+func (s *Scheduler) coldGate(n *node, r *request) time.Duration {
+	ru, units := s.set.Rules, r.Units
 	age := s.now - n.Started
 	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick) // also while warm: a start is told late
 	n.served = since(n.served, s.now-ru.FallWithin+s.set.Tick)
-	if n.Started <= 0 || age >= ru.WarmWithin || ru.FallWithin <= 0 {
+	if !s.cold(n) {
 		return 0 // before the sums: every held request comes here at every step
 	}
+	if at, governed := s.rationed(ColdWork, n, r, units); governed {
+		return at
+	}
 	sum, shown := total(n.recent), total(n.served)
 	grown := 1 + (1/max(ru.ColdShare, 0.01)-1)*max(0, age.Seconds())/ru.WarmWithin.Seconds()
 	part := s.set.ColdUnits / float64(s.set.Initiators) * grown * s.crew.part(s.now)
@@ -904,8 +908,11 @@
 }
 
 // budgetGate keeps further attempts within the ration, counted against us at both edges.
-func (s *Scheduler) budgetGate() time.Duration {
+func (s *Scheduler) budgetGate(n *node, r *request) time.Duration {
 	ru := s.set.Rules
+	if at, governed := s.rationed(Repeats, n, r, 1); governed {
+		return at
+	}
 	if !ru.Budget {
 		return 0
 	}
