A decision of an earlier term is not let go by a question of a later one at the same agent

Found by reading: the desk kept decisions without their term, and asked for the term that its agent leads in when the question goes out. Decisions carry their term; those of another are refused (TestDesk, which fails without it). The searches have a desk for each term and could not meet it. Besides, sending a caller to the leader and answering a change of the log are one place each.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -243,15 +243,20 @@
 	if a.raft.State() == raft.Leader && a.raft.VerifyLeader().Error() == nil {
 		return false
 	}
+	a.redirect(w, r)
+	return true
+}
+
+// redirect sends a client to the leader, as far as this agent knows who that is.
+func (a *Agent) redirect(w http.ResponseWriter, r *http.Request) {
 	_, id := a.raft.LeaderWithID()
 	for _, p := range a.opt.Peers {
 		if p.ID == string(id) && p.ID != a.opt.ID {
 			http.Redirect(w, r, "http://"+p.API+r.URL.RequestURI(), http.StatusTemporaryRedirect)
-			return true
+			return
 		}
 	}
 	http.Error(w, "no leader at the moment", http.StatusServiceUnavailable)
-	return true
 }
 
 // stale tells whether the caller takes what this agent has, however old.
--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -37,16 +37,10 @@
 	mu    sync.Mutex
 	term  uint64 // of the giver; 0: this agent does not lead
 	giver *giver.Giver
-	desk  giver.Desk[*kept]
+	desk  giver.Desk[chan<- bool]
 	led   time.Duration // when this agent last led; 0: never
 }
 
-// kept is a decision that waits for the majority.
-type kept struct {
-	answer fleet.Answer
-	agreed chan bool
-}
-
 func newFleetDesk(a *Agent) *fleetDesk {
 	d := &fleetDesk{a: a, wake: make(chan struct{}, 1)}
 	d.client.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
@@ -137,19 +131,21 @@
 		}
 		for {
 			d.mu.Lock()
-			round, due := d.desk.Ask()
 			term := d.term
+			round, due := d.desk.Ask(term)
 			d.mu.Unlock()
 			if !due {
 				break
 			}
 			agreed := term != 0 && d.majority(term)
 			d.mu.Lock()
-			done := d.desk.Hear(round)
-			agreed = agreed && d.term == term
+			done, void := d.desk.Hear(round)
 			d.mu.Unlock()
 			for _, k := range done {
-				k.agreed <- agreed
+				k <- agreed
+			}
+			for _, k := range void {
+				k <- false
 			}
 		}
 	}
@@ -222,14 +218,7 @@
 	if here {
 		return false
 	}
-	_, id := d.a.raft.LeaderWithID()
-	for _, p := range d.a.opt.Peers {
-		if p.ID == string(id) && p.ID != d.a.opt.ID {
-			http.Redirect(w, r, "http://"+p.API+r.URL.RequestURI(), http.StatusTemporaryRedirect)
-			return true
-		}
-	}
-	http.Error(w, errNoGiver.Error(), http.StatusServiceUnavailable)
+	d.a.redirect(w, r)
 	return true
 }
 
@@ -259,16 +248,16 @@
 }
 
 // agree keeps a decision back until the majority has agreed after it was taken. It is called with mu held, and gives it up.
-func (d *fleetDesk) agree(ctx context.Context, a fleet.Answer) bool {
-	k := &kept{a, make(chan bool, 1)}
-	d.desk.Put(k)
+func (d *fleetDesk) agree(ctx context.Context) bool {
+	agreed := make(chan bool, 1)
+	d.desk.Put(d.term, agreed)
 	d.mu.Unlock()
 	select {
 	case d.wake <- struct{}{}:
 	default:
 	}
 	select {
-	case ok := <-k.agreed:
+	case ok := <-agreed:
 		return ok
 	case <-ctx.Done():
 	case <-d.ctx.Done():
@@ -293,7 +282,7 @@
 	a, err := d.giver.Renew(monotone.Now(), ren)
 	if errors.Is(err, fleet.UnknownMember) || err == nil {
 		// Also the word that a seat is gone must be that of an agent which really leads.
-		if !d.agree(r.Context(), a) {
+		if !d.agree(r.Context()) {
 			refuse(w, errNoGiver)
 			return
 		}
@@ -331,27 +320,28 @@
 		refuse(w, err)
 		return
 	}
-	v, err := d.a.apply(change{Join: &m})
-	if no, refused := v.(error); refused && err == nil {
-		err = no
-	}
-	if err != nil {
-		refuse(w, err)
-		return
-	}
-	d.follow() // its first renewal may come at once
-	reply(w, http.StatusOK, v)
+	d.change(w, change{Join: &m})
 }
 
 func (d *fleetDesk) leave(w http.ResponseWriter, r *http.Request) {
 	if d.elsewhere(w, r) {
 		return
 	}
-	if _, err := d.a.apply(change{Leave: []string{r.PathValue("id")}}); err != nil {
+	d.change(w, change{Leave: []string{r.PathValue("id")}})
+}
+
+// change has the fleet changed through the log, and answers with what the log says to it.
+func (d *fleetDesk) change(w http.ResponseWriter, c change) {
+	v, err := d.a.apply(c)
+	if no, refused := v.(error); refused && err == nil {
+		err = no
+	}
+	if err != nil {
 		refuse(w, err)
 		return
 	}
-	reply(w, http.StatusOK, struct{}{})
+	d.follow() // the giver knows before the caller does
+	reply(w, http.StatusOK, v)
 }
 
 func (d *fleetDesk) set(w http.ResponseWriter, r *http.Request) {
@@ -366,15 +356,7 @@
 		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
 		return
 	}
-	v, err := d.a.apply(change{Set: &doc})
-	if no, refused := v.(error); refused && err == nil {
-		err = no
-	}
-	if err != nil {
-		refuse(w, err)
-		return
-	}
-	reply(w, http.StatusOK, v)
+	d.change(w, change{Set: &doc})
 }
 
 // View is the fleet as an agent sees it.
@@ -420,7 +402,7 @@
 		for i := range reg.Doc.Budgets {
 			v.WaitMs = max(v.WaitMs, d.giver.Waits(now, &reg.Doc.Budgets[i]).Milliseconds())
 		}
-		v.Leads = d.agree(r.Context(), fleet.Answer{})
+		v.Leads = d.agree(r.Context())
 	} else {
 		d.mu.Unlock()
 	}
--- a/internal/fleet/proof/world.go
+++ b/internal/fleet/proof/world.go
@@ -282,7 +282,7 @@
 		}
 	case Ask:
 		l := w.leads[s.On]
-		if round, due := l.desk.Ask(); due {
+		if round, due := l.desk.Ask(l.term); due {
 			l.round, l.told = round, 0
 		}
 	case Told:
@@ -291,7 +291,7 @@
 		w.heard(w.leads[s.On], true)
 	case Finish:
 		l := w.leads[s.On]
-		l.round, _ = l.desk.Ask()
+		l.round, _ = l.desk.Ask(l.term)
 		l.told = w.term
 		w.heard(l, true)
 	case Exchange:
@@ -368,14 +368,14 @@
 func (w *World) decide(l *lead, m letter) {
 	a, err := l.g.Renew(scaled(w.now, l.rate), *m.renewal)
 	if err == nil {
-		l.desk.Put(letter{to: m.to, answer: &a, during: l.round})
+		l.desk.Put(l.term, letter{to: m.to, answer: &a, during: l.round})
 	}
 }
 
 // heard has a leader hear what the majority told, of three agents.
 func (w *World) heard(l *lead, post bool) (out []letter) {
 	agreed := giver.Majority(l.term, []uint64{l.told}, 3)
-	done := l.desk.Hear(l.round)
+	done, _ := l.desk.Hear(l.round)
 	l.round, l.told = 0, 0
 	if !agreed {
 		return nil
@@ -395,7 +395,7 @@
 	p := &w.procs[i]
 	r := p.h.Renew(w.clock(i))
 	w.decide(l, letter{to: i, renewal: &r})
-	round, due := l.desk.Ask()
+	round, due := l.desk.Ask(l.term)
 	if !due {
 		return
 	}
--- a/internal/fleet/proof/wrong_test.go
+++ b/internal/fleet/proof/wrong_test.go
@@ -37,7 +37,7 @@
 	{"buckets that start full", "holder/holder.go", "row{at: h.seatedAt, touched: now}", "row{at: 0, touched: now}"},
 	{"a majority of one", "giver/desk.go", "return 2*agree > agents", "return agree > 0"},
 	{"a later term agreed with", "giver/desk.go", "if t <= own {", "if t > 0 {"},
-	{"asked before it is decided", "giver/desk.go", "decision[T]{d.round + 1, it}", "decision[T]{d.round, it}"},
+	{"asked before it is decided", "giver/desk.go", "decision[T]{d.round + 1, term, it}", "decision[T]{d.round, term, it}"},
 	{"a seat given on early", "giver/giver.go", "now >= m.heard+g.seat())", "now >= m.heard+g.doc.Part())"},
 	{"a seat given on with its floor still out", "giver/giver.go", "return g.doc.Elsewhere(g.doc.Seat() + linger)", "return g.doc.Elsewhere(g.doc.Seat()) + 0*linger"},
 	{"a seat that doesn't end at its member", "holder/holder.go", "return h.seated && now < h.seatEnd", "return h.seated"},
