--- /dev/null
+++ b/internal/fleet/holder/holder_test.go
@@ -0,0 +1,100 @@
+package holder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"spindlehitch/internal/fleet"
+)
+
+const begun = time.Hour
+
+func seated(t *testing.T, budgets ...fleet.Budget) *Holder {
+	t.Helper()
+	d := fleet.Doc{Version: 1, Seats: 2, Budgets: budgets}
+	if err := d.Check(); err != nil {
+		t.Fatal(err)
+	}
+	h := New(fleet.Uses)
+	h.Seat(begun, "m", d)
+	return h
+}
+
+// TestBarred has nothing of a governed use before the budgets are known or after leaving, and what no budget governs free after.
+func TestBarred(t *testing.T) {
+	work, cold := fleet.Draw{Use: fleet.Work, Units: 1}, fleet.Draw{Use: fleet.Cold, Target: "t", Units: 1}
+	h := New([]fleet.Use{fleet.Work})
+	if wait, governed := h.Wait(begun, work); wait == 0 || !governed {
+		t.Error("work before the budgets are known")
+	}
+	if wait, governed := h.Wait(begun, cold); wait != 0 || governed {
+		t.Error("a use that its file does not name is held up")
+	}
+	h = seated(t, fleet.Budget{Name: "cold", Use: fleet.Cold, Per: fleet.PerTarget, Only: []string{"u"}, Whole: 10, Burst: 10})
+	for _, d := range []fleet.Draw{work, cold} {
+		if wait, governed := h.Wait(begun, d); wait != 0 || governed {
+			t.Errorf("%v is governed by no budget", d)
+		}
+	}
+	cold.Target = "u"
+	if wait, _ := h.Wait(begun, cold); wait == 0 {
+		t.Error("no floor and no part, and yet")
+	}
+	h.Leave()
+	if wait, _ := h.Wait(begun, work); wait == 0 || h.Open(begun, "t") {
+		t.Error("something is used after leaving")
+	}
+}
+
+// TestWant asks for what was used and a quarter more, holds that steady, doubles where something is denied, and lets go slowly.
+func TestWant(t *testing.T) {
+	h := seated(t, fleet.Budget{Name: "work", Use: fleet.Work, Whole: 1000, Burst: 1000, Least: 1, LeastBurst: 1})
+	d := fleet.Draw{Use: fleet.Work, Units: 1}
+	now, last := begun, 0.0
+	renew := func(uses float64, denied bool) float64 {
+		for range int(uses) {
+			h.Take(now, d)
+		}
+		if denied {
+			h.Wait(now, fleet.Draw{Use: fleet.Work, Units: 1e6})
+		}
+		now += time.Second
+		r := h.Renew(now)
+		h.Accept(now, fleet.Answer{ID: "m", Seq: r.Seq, Grants: []fleet.Grant{{Key: r.Reports[0].Key, Amount: fleet.Amount{Rate: 99, Burst: 99}}}})
+		return r.Reports[0].Want
+	}
+	for i, c := range []struct {
+		uses      float64
+		denied    bool
+		low, high float64
+	}{{40, false, 50, 50}, {41, false, 50, 50}, {38, false, 50, 50}, {60, false, 75, 75}, {0, false, 60, 60}, {0, false, 48, 48}, {0, true, 1e6, 1e6}} {
+		want := renew(c.uses, c.denied)
+		if want < c.low-1e-6 || want > c.high+1e-6 {
+			t.Errorf("renewal %d: %v wanted after %v used, %v before; want %v to %v", i, want, c.uses, last, c.low, c.high)
+		}
+		last = want
+	}
+}
+
+// TestEnds keeps what is known bounded, and forgets what nobody draws from.
+func TestEnds(t *testing.T) {
+	h := seated(t, fleet.Budget{Name: "cold", Use: fleet.Cold, Per: fleet.PerTarget, Whole: 10, Burst: 10, Least: 1, LeastBurst: 1})
+	now := begun + time.Minute
+	for i := range 2 * fleet.MostKeys {
+		wait, _ := h.Wait(now, fleet.Draw{Use: fleet.Cold, Target: fmt.Sprint(i), Units: 1})
+		if (wait == 0) != (i < fleet.MostKeys) {
+			t.Fatalf("target %d: wait %v", i, wait)
+		}
+	}
+	if n := len(h.Renew(now).Reports); n != fleet.MostKeys {
+		t.Errorf("%d reports", n)
+	}
+	now += forget + time.Second
+	if h.Accept(now, fleet.Answer{ID: "m", Seq: 1}); !h.Seated(now) {
+		t.Fatal("the seat has ended")
+	}
+	if n := len(h.Renew(now).Reports); n != 0 {
+		t.Errorf("%d targets are known long after", n)
+	}
+}
