--- a/internal/faults/budget_test.go
+++ b/internal/faults/budget_test.go
@@ -363,6 +363,16 @@
 	if out, code, _ := r.Run("budget", "show", "play", "--agents", g.List()); code != 1 || !strings.Contains(out, "play") {
 		t.Errorf("an unknown budget: exit code %d, %s", code, out)
 	}
+	// An agent hears only with the next heartbeat that what it has written down is confirmed.
+	r.Until("all agents have applied it", func() bool {
+		out, _, _ := r.Run("config", "status", "--agents", g.List())
+		applied := map[string]bool{}
+		for line := range strings.Lines(out) {
+			_, after, _ := strings.Cut(line, "applied=")
+			applied[after] = true
+		}
+		return len(applied) == 1
+	})
 	for _, p := range g.Procs[1:] {
 		p.Kill()
 	}
