A renewal's time is not used up by one silent agent

Found by reading: a renewal has `renew_ms` for its answer, a try at one agent 0.4 s; where the first is silent and renewals are short, the call ended before the next was asked, and the next call began at the same agent again. A try gets half of the time that is left at most, and a call after a failed one begins at the next agent.

--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -32,6 +32,7 @@
 	// up to mostTry, so that a busy group is not taken for a silent one for ever.
 	tryWithin = 400 * time.Millisecond
 	mostTry   = 2 * time.Second
+	leastTry  = 20 * time.Millisecond
 	// statusWithin is what an agent gets to tell of itself.
 	statusWithin = time.Second
 	watchFor     = time.Second
@@ -69,7 +70,11 @@
 		from := int(c.first.Load())
 		for i := range c.Addrs {
 			at := (from + i) % len(c.Addrs)
-			_, answer, err := c.once(ctx, c.Addrs[at], call, within)
+			try := within
+			if end, ok := ctx.Deadline(); ok {
+				try = max(min(try, time.Until(end)/2), leastTry) // short calls have time for the next as well
+			}
+			_, answer, err := c.once(ctx, c.Addrs[at], call, try)
 			var no *Refusal
 			if err == nil || errors.Is(err, ErrNotFound) || errors.As(err, &no) {
 				c.first.Store(int64(at))
@@ -78,6 +83,7 @@
 			if ctx.Err() == nil || said[at] == nil {
 				said[at] = err
 			}
+			c.first.CompareAndSwap(int64(at), int64((at+1)%len(c.Addrs))) // the next call begins elsewhere
 			if ctx.Err() != nil {
 				return nil, errors.Join(said...)
 			}
--- a/internal/faults/budget_test.go
+++ b/internal/faults/budget_test.go
@@ -398,3 +398,20 @@
 	}
 	return file, l.Addr().String()
 }
+
+// TestRenewPastSilent has the agent that an instance asks first stand still: its renewals go on at the others, though one agent could use
+// up all the time that a renewal has.
+func TestRenewPastSilent(t *testing.T) {
+	f := newFleet(t, 1, 1, strings.Replace(head, "seat_s = 6", "seat_s = 600", 1)+workBudget, map[string]float64{"work": workRate}, InstanceOptions{})
+	taken := func() (n int) {
+		_, after, _ := strings.Cut(f.all[0].Figures(), "renewals.taken:")
+		fmt.Sscanf(after, "%d", &n)
+		return n
+	}
+	f.Until("it renews", func() bool { return taken() > 0 })
+	f.agents.Procs[0].Pause()
+	before := taken()
+	took := f.Until("it renews at another", func() bool { return taken() >= before+5 })
+	t.Logf("five more renewals after %v", took)
+	f.agents.Procs[0].Resume()
+}
