Members in an overload renew no more often than others; a denied one asks for four times

Seen: of five instances under more load than the whole, each renewed thirteen times a second at a renewal time of 0.3 s, four times as often as set: whoever is denied something renewed early, and in an overload everyone is, always. An overload would so have become the agents'. Now early ones are for a need that is new, and while asking brings more (TestNext fails without it).

--- a/internal/fleet/holder/holder.go
+++ b/internal/fleet/holder/holder.go
@@ -15,6 +15,7 @@
 
 const (
 	headroom = 1.25 // of what was used, asked for beyond it: a need that grows by less finds its part there
+	more     = 4    // times what there is are asked for where something was denied: what is really needed can't be seen then
 	decay    = 0.8  // of what was asked for last is asked for at least: a short lull gives nothing away
 	steady   = 0.1  // a want that changes by less stays as it was
 	slack    = 1e-9 // of sums of floating-point numbers
@@ -39,6 +40,8 @@
 	heard    bool          // its answer was taken
 	wantsAt  time.Duration // when wants were last reckoned
 	hungry   bool          // something was denied since the last renewal
+	hungered bool          // and before it
+	grew     bool          // a part grew by the last answer
 }
 
 // row is one whole as this member has it.
@@ -93,7 +96,7 @@
 // Renew begins a renewal. Only its own answer will be taken from now on (4).
 func (h *Holder) Renew(now time.Duration) fleet.Renewal {
 	h.seq++
-	h.began, h.heard, h.hungry = now, false, false
+	h.began, h.heard, h.hungered, h.hungry, h.grew = now, false, h.hungry, false, false
 	r := fleet.Renewal{ID: h.id, Seq: h.seq, Version: h.doc.Version}
 	span := max((now - h.wantsAt).Seconds(), 1e-3)
 	h.wantsAt = now
@@ -134,7 +137,7 @@
 	return r
 }
 
-// need reckons what is asked for: what was used and a little more, twice as much where something was denied.
+// need reckons what is asked for: what was used and a little more, much more where something was denied.
 func (h *Holder) need(b *fleet.Budget, k fleet.Key, x row, span float64, now time.Duration) row {
 	has := b.Least + h.part(x, now).Rate
 	x.rate = x.used / span
@@ -146,7 +149,7 @@
 		}
 	}
 	if x.denied > 0 {
-		want = max(want, 2*has, x.denied)
+		want = max(want, more*has, x.denied, h.doc.Total(b).Rate/float64(h.doc.Seats))
 	}
 	want = max(want, x.want*decay)
 	if math.Abs(want-x.want) < steady*x.want {
@@ -189,6 +192,7 @@
 		if g.Extends && now >= x.until {
 			continue // what it would extend may be another's by now (5)
 		}
+		h.grew = h.grew || g.Rate > h.part(x, now).Rate*(1+steady)
 		x.amount, x.until = g.Amount, end
 		x.tokens = min(x.tokens, h.depth(b, x, now)) // a part brings no tokens (8)
 		h.rows[g.Key] = x
@@ -407,12 +411,13 @@
 // Hungry tells whether something was denied since the last renewal.
 func (h *Holder) Hungry() bool { return h.hungry }
 
-// Next is when the next renewal is due, where one was sent; sooner where something is wanted.
+// Next is when the next renewal is due, where one was sent; sooner where something is wanted that was not before, or where asking has
+// just brought more. Whoever is denied for good asks no more often than others: an overload must not become the agents'.
 func (h *Holder) Next() time.Duration {
 	if !h.known {
 		return 0
 	}
-	if h.hungry {
+	if h.hungry && (!h.hungered || h.grew) {
 		return h.began + h.doc.Renew()/4
 	}
 	return h.began + h.doc.Renew()
--- a/internal/fleet/holder/holder_test.go
+++ b/internal/fleet/holder/holder_test.go
@@ -98,3 +98,24 @@
 		t.Errorf("%d targets are known long after", n)
 	}
 }
+
+// TestNext renews sooner for a new need and while asking brings more, and no more often than others where it is denied for good.
+func TestNext(t *testing.T) {
+	h := seated(t, fleet.Budget{Name: "work", Use: fleet.Work, Whole: 1000, Burst: 1000, Least: 1, LeastBurst: 1})
+	now := begun
+	for i, c := range []struct {
+		denied bool
+		gets   float64
+		sooner bool
+	}{{false, 10, false}, {true, 10, true}, {true, 10, false}, {true, 20, true}, {true, 20, false}, {false, 20, false}, {true, 20, true}} {
+		r := h.Renew(now)
+		h.Accept(now, fleet.Answer{ID: "m", Seq: r.Seq, Grants: []fleet.Grant{{Key: r.Reports[0].Key, Amount: fleet.Amount{Rate: c.gets, Burst: 9}}}})
+		if c.denied {
+			h.Wait(now, fleet.Draw{Use: fleet.Work, Units: 1e6})
+		}
+		if sooner := h.Next()-now < time.Second; sooner != c.sooner {
+			t.Errorf("renewal %d: next in %v", i, h.Next()-now)
+		}
+		now += time.Second
+	}
+}
