TestOtherBudgets by hand: the agents gone for a minute, targets cold throughout

Targets warm up after the settings' time: the judge went on to count them as cold, and no budget of cold work was shown any more. The settings keep them cold for ten minutes.

--- a/internal/faults/budget_test.go
+++ b/internal/faults/budget_test.go
@@ -178,7 +178,7 @@
 // cold while a third of the fleet is cut off, the whole agent group is gone and comes back with its disks.
 func TestOtherBudgets(t *testing.T) {
 	const conns, repeats, repeatBurst, cold, coldBurst = 30, 20.0, 40.0, 40.0, 48.0
-	rules := `{"coldShare":0.2,"warmWithinUs":60000000,"fallUs":2000000,"tipMultiple":2,"resendRatio":5,"extraFree":100,"resendSpanUs":1000000}`
+	rules := `{"coldShare":0.2,"warmWithinUs":600000000,"fallUs":2000000,"tipMultiple":2,"resendRatio":5,"extraFree":100,"resendSpanUs":1000000}`
 	f := newFleet(t, 6, 3, head+connBudget+`[[budget]]
 name = "repeats"
 use = "repeat"
@@ -230,7 +230,7 @@
 		p.Restart()
 	}
 	f.Until("the agents are heard again", func() bool {
-		out, code, _ := f.Run("budget", "show", "cold", "--json", "--agents", f.agents.List())
+		out, code, _ := f.Run("budget", "show", "conns", "--json", "--agents", f.agents.List())
 		return code == 0 && strings.Contains(out, `"name": "n5"`)
 	})
 	time.Sleep(partMs * time.Millisecond)
