The giver takes the log's word in order where two goroutines bring it

Found by reading over: follow runs in its own goroutine and in handlers of changes, and read the register before it took the lock. One that read earlier and came later would have taken a member's seat and rows out of the book for a moment, and with them what it was granted. The register is read with the lock held. No test times this; the agents' tests and TestRenewalTwice pass.

--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -102,8 +102,8 @@
 			return
 		}
 	}
-	reg, _ := d.a.store.register()
 	d.mu.Lock()
+	reg, _ := d.a.store.register() // with mu held: two of these at a time must not take the log's word in the wrong order
 	now := monotone.Now()
 	if had == 0 {
 		d.giver, d.term = giver.New(now, reg.Doc, reg.Members), term
