Leases for fleet-wide tasks: the machines, the search and planted mistakes

Need: some work is to be done once for the fleet, and a lease that merely runs out does not stop a process that was paused.

Search and planting are generic now (proof/explore), and serve budgets and leases.

make proof returned success whatever its tests said, as its pipe ended in grep: it has pipefail now.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,11 @@
 	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 # The searches of the fleet's machines; the last line tells the states and how many planted mistakes were found.
+proof: SHELL := /bin/bash
+proof: .SHELLFLAGS := -o pipefail -c
 proof:
-	@SPINDLEHITCH_PROOF=1 go test -count=1 -v ./internal/fleet/proof | grep -E "^(---|FAIL|ok|proof:)" | grep -v "^ok"
+	@SPINDLEHITCH_PROOF=1 go test -count=1 -p 1 -v ./internal/fleet/proof/... | grep --line-buffered -E "^(---|FAIL|proof:)" | \
+	awk '{print} /^proof:/ {n += $$3; found += $$6; all += $$8} END {printf "proof: %d states searched, %d of %d planted mistakes found\n", n, found, all}'
 
 test:
 	go test ./...
--- a/internal/fleet/proof/search.go
+++ b/internal/fleet/proof/explore/explore.go
@@ -1,4 +1,5 @@
-package proof
+// Package explore goes through the states of small worlds, and plants mistakes into the code that they drive.
+package explore
 
 import (
 	"fmt"
@@ -8,31 +9,42 @@
 	"sync"
 )
 
+// World is machines in one state, with all that is between them.
+type World[S fmt.Stringer] interface {
+	Steps() []S    // all that can happen next, in a fixed order
+	Do(S) error    // takes one of them and checks the promises
+	Print() string // equal states print alike
+}
+
 // Found is a broken promise and the steps to it.
 type Found struct {
-	Setup Setup
-	Steps []Step
+	Case  string
+	Steps []string
 	Err   error
 }
 
 func (f *Found) Error() string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "%s: %v, after", f.Setup.Name, f.Err)
-	for _, s := range f.Steps {
-		fmt.Fprintf(&b, " / %v", s)
+	return fmt.Sprintf("%s: %v, after / %s", f.Case, f.Err, strings.Join(f.Steps, " / "))
+}
+
+// Broken is a Found of these steps.
+func Broken[S fmt.Stringer](name string, steps []S, err error) *Found {
+	f := &Found{Case: name, Err: err}
+	for _, s := range steps {
+		f.Steps = append(f.Steps, s.String())
 	}
-	return b.String()
+	return f
 }
 
 // Replay takes the steps from the first state on.
-func Replay(s Setup, steps []Step) (*World, error) {
-	w, err := New(s)
+func Replay[S fmt.Stringer, W World[S]](name string, first func() (W, error), steps []S) (W, error) {
+	w, err := first()
 	if err != nil {
-		return nil, err
+		return w, err
 	}
 	for i, x := range steps {
 		if err := w.Do(x); err != nil {
-			return nil, &Found{s, steps[:i+1], err}
+			return w, Broken(name, steps[:i+1], err)
 		}
 	}
 	return w, nil
@@ -40,35 +52,35 @@
 
 // Search goes through all states within depth steps of the first, each once, and returns how many there are. Breadth first: what
 // it finds is as short as can be. Past most states it goes no deeper; full tells whether it went through all.
-func Search(s Setup, depth, most int) (states int, full bool, err error) {
+func Search[S fmt.Stringer, W World[S]](name string, first func() (W, error), depth, most int) (states int, full bool, err error) {
 	seed := maphash.MakeSeed()
 	seen := map[uint64]bool{}
-	level := [][]Step{nil}
+	level := [][]S{nil}
 	type next struct {
-		steps []Step
+		steps []S
 		hash  uint64
 	}
 	for range depth {
 		found := make([][]next, len(level))
 		var mu sync.Mutex
-		var first *Found
-		firstAt := len(level)
+		var broken *Found
+		brokenAt := len(level)
 		var wg sync.WaitGroup
 		work := make(chan int)
 		for range runtime.GOMAXPROCS(0) {
 			wg.Go(func() {
 				for at := range work {
-					w, err := Replay(s, level[at])
+					w, err := Replay(name, first, level[at])
 					if err != nil {
 						continue // told before
 					}
 					for _, x := range w.Steps() {
 						steps := append(level[at][:len(level[at]):len(level[at])], x)
-						w, err := Replay(s, steps)
+						w, err := Replay(name, first, steps)
 						if err != nil {
 							mu.Lock()
-							if f, ok := err.(*Found); ok && at < firstAt {
-								first, firstAt = f, at
+							if f, ok := err.(*Found); ok && at < brokenAt {
+								broken, brokenAt = f, at
 							}
 							mu.Unlock()
 							break
@@ -83,8 +95,8 @@
 		}
 		close(work)
 		wg.Wait()
-		if first != nil {
-			return len(seen), false, first
+		if broken != nil {
+			return len(seen), false, broken
 		}
 		level = nil
 		for _, f := range found {
--- /dev/null
+++ b/internal/fleet/proof/explore/plant.go
@@ -0,0 +1,79 @@
+package explore
+
+import (
+	"cmp"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// Mistake is put into the real code: its name, the file, what is right there, what stands in its place, and, where it is not all that
+// Plant is told, the tests that look for it. Places stands between several places, of one file or of as many.
+type Mistake [5]string
+
+// Places stands between several places in a Mistake.
+const Places = "\n----\n"
+
+// Plant puts each mistake into the code below root and has the tests of this folder that match run look for it: a mistake that they
+// do not find is one that they could not find if somebody made it. It returns how many were found.
+func Plant(t *testing.T, root, run string, all []Mistake) (found int) {
+	root, err := filepath.Abs(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	t.Run("each", func(t *testing.T) {
+		for _, m := range all {
+			t.Run(m[0], func(t *testing.T) {
+				t.Parallel()
+				files, rights, wrongs := strings.Split(m[1], Places), strings.Split(m[2], Places), strings.Split(m[3], Places)
+				dir := t.TempDir()
+				texts, replace := map[string]string{}, map[string]string{}
+				for i, right := range rights {
+					path := filepath.Join(root, files[min(i, len(files)-1)])
+					if texts[path] == "" {
+						b, err := os.ReadFile(path)
+						if err != nil {
+							t.Fatal(err)
+						}
+						texts[path] = string(b)
+					}
+					if n := strings.Count(texts[path], right); n != 1 {
+						t.Fatalf("what is right there stands %d times in %s: %q", n, path, right)
+					}
+					texts[path] = strings.Replace(texts[path], right, wrongs[i], 1)
+				}
+				for path, text := range texts {
+					replace[path] = filepath.Join(dir, filepath.Base(path))
+					if err := os.WriteFile(replace[path], []byte(text), 0o600); err != nil {
+						t.Fatal(err)
+					}
+				}
+				overlay := filepath.Join(dir, "overlay.json")
+				list, _ := json.Marshal(map[string]map[string]string{"Replace": replace})
+				if err := os.WriteFile(overlay, list, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				run := cmp.Or(m[4], run)
+				cmd := exec.Command("go", "test", "-overlay", overlay, "-count=1", "-vet=off", "-failfast", "-run", run, ".")
+				cmd.Env = append(os.Environ(), "SPINDLEHITCH_PROOF=", "GOMAXPROCS=2")
+				out, err := cmd.CombinedOutput()
+				// Only a broken promise counts: not a build that fails, nor a whole that is not in use.
+				at := strings.Index(string(out), "broken: ")
+				if err == nil || at < 0 {
+					t.Fatalf("not found: %.2000s", out)
+				}
+				line, _, _ := strings.Cut(string(out[at:]), "\n")
+				t.Logf("%.300s", line)
+				mu.Lock()
+				found++
+				mu.Unlock()
+			})
+		}
+	})
+	return found
+}
--- a/internal/fleet/proof/proof_test.go
+++ b/internal/fleet/proof/proof_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 
+	"spindlehitch/internal/fleet/proof/explore"
 	"spindlehitch/internal/seeded"
 )
 
@@ -108,12 +109,12 @@
 		x := of[rapid.IntRange(0, len(of)-1).Draw(t, "which")]
 		steps = append(steps, x)
 		if err := w.Do(x); err != nil {
-			t.Fatal(&Found{s, steps, err})
+			t.Fatal(explore.Broken(s.Name, steps, err))
 		}
 	}
 	held, err := w.Settle()
 	if err != nil {
-		t.Fatal(&Found{s, steps, fmt.Errorf("%w, while settling", err)})
+		t.Fatal(explore.Broken(s.Name, steps, fmt.Errorf("%w, while settling", err)))
 	}
 	return held
 }
@@ -144,7 +145,7 @@
 	searched = 0
 	for _, c := range cases() {
 		began := time.Now()
-		n, full, err := Search(c.Setup, c.depth, 400_000)
+		n, full, err := explore.Search(c.Name, func() (*World, error) { return New(c.Setup) }, c.depth, 400_000)
 		searched += n
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fleet/proof/world.go
+++ b/internal/fleet/proof/world.go
@@ -11,6 +11,7 @@
 	"spindlehitch/internal/fleet"
 	"spindlehitch/internal/fleet/giver"
 	"spindlehitch/internal/fleet/holder"
+	"spindlehitch/internal/fleet/proof/explore"
 	"spindlehitch/internal/fleet/register"
 )
 
@@ -163,7 +164,7 @@
 	l.g.Update(scaled(w.now, l.rate), w.reg.Doc, w.reg.Members)
 	for i, x := range s.Before {
 		if err := w.Do(x); err != nil {
-			return nil, &Found{s, s.Before[:i+1], err}
+			return nil, explore.Broken(s.Name, s.Before[:i+1], err)
 		}
 	}
 	return w, nil
--- a/internal/fleet/register/register.go
+++ b/internal/fleet/register/register.go
@@ -1,4 +1,4 @@
-// Package register is what the agents' log says of the fleet: the set of budgets and who has a seat. Every agent that has applied as
+// Package register is what the agents' log says of the fleet: the set of budgets, who has a seat, the tasks and who has which lease. Every agent that has applied as
 // much of the log has the same. It does no I/O.
 package register
 
@@ -6,19 +6,24 @@
 	"slices"
 
 	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/lease"
 )
 
 // Register is the state. Its zero value has no seats.
 type Register struct {
 	Doc     fleet.Doc      `json:"doc"`
 	Members []fleet.Member `json:"members,omitempty"` // in order of incarnation
+	Tasks   lease.Doc      `json:"tasks"`
+	Leases  []lease.Lease  `json:"leases,omitempty"` // in order of their keys
+	Token   uint64         `json:"token,omitempty"`  // the newest given
 }
 
 // Clone returns a copy that shares nothing.
 func (r *Register) Clone() Register {
 	c := *r
 	c.Doc.Budgets = slices.Clone(r.Doc.Budgets)
-	c.Members = slices.Clone(r.Members)
+	c.Members, c.Leases = slices.Clone(r.Members), slices.Clone(r.Leases)
+	c.Tasks.Tasks = slices.Clone(r.Tasks.Tasks)
 	return c
 }
 
@@ -32,6 +37,9 @@
 			return err
 		}
 	}
+	if err := r.Tasks.Check(&d); err != nil { // a copy's tasks are checked, and stay as they are
+		return err
+	}
 	d.Version = index
 	r.Doc = d
 	return nil
@@ -53,8 +61,9 @@
 	return m, nil
 }
 
-// Leave takes seats back. Ids that have none are passed over.
+// Leave takes seats back, and leases with them. Ids that have none are passed over.
 func (r *Register) Leave(ids ...string) {
+	r.vacate(ids)
 	r.Members = slices.DeleteFunc(r.Members, func(m fleet.Member) bool { return slices.Contains(ids, m.ID) })
 }
 
--- /dev/null
+++ b/internal/fleet/spread/spread.go
@@ -0,0 +1,92 @@
+// Package spread divides shards among members: evenly, with as few moves as can be, and only so many at a time. It does no I/O.
+package spread
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Shard is one as it is now.
+type Shard struct {
+	ID     int
+	Holder string // empty: nobody's
+	Fixed  bool   // it is on its way already, or an operator wants it there
+	Not    string // of one that is nobody's: who is to have it only where there is no other
+}
+
+// Move has a shard go to a member.
+type Move struct {
+	Shard int
+	To    string
+}
+
+// Plan gives shards that are nobody's, or whose holder is not among the members, to whoever has least; and where somebody has two more
+// than another, moves the difference, most shards at a time. Equal inputs give equal plans, whatever the members' order. Ties
+// go by rendezvous hashing of member and shard (Thaler and Ravishankar, 1998), so that tasks of one shard each don't all meet at
+// one member.
+func Plan(task string, shards []Shard, members []string, most int) (given, moved []Move) {
+	if len(members) == 0 {
+		return nil, nil
+	}
+	members = slices.Sorted(slices.Values(members))
+	has := make(map[string][]int, len(members))
+	for _, m := range members {
+		has[m] = nil
+	}
+	var orphans []Shard
+	fixed := map[int]bool{}
+	for _, s := range shards {
+		if _, there := has[s.Holder]; !there {
+			orphans = append(orphans, s)
+			continue
+		}
+		fixed[s.ID] = s.Fixed
+		has[s.Holder] = append(has[s.Holder], s.ID)
+	}
+	least := func(shard int, not string) (best string) {
+		for _, m := range members {
+			if m == not && len(members) > 1 {
+				continue
+			}
+			if best == "" || len(has[m]) < len(has[best]) || len(has[m]) == len(has[best]) && score(task, shard, m) > score(task, shard, best) {
+				best = m
+			}
+		}
+		return best
+	}
+	for _, s := range orphans {
+		to := least(s.ID, s.Not)
+		has[to] = append(has[to], s.ID)
+		fixed[s.ID] = true
+		given = append(given, Move{s.ID, to})
+	}
+	for len(moved) < most {
+		from, shard := "", 0
+		for _, m := range members {
+			if from != "" && len(has[m]) <= len(has[from]) {
+				continue
+			}
+			if at := slices.IndexFunc(has[m], func(s int) bool { return !fixed[s] }); at >= 0 {
+				from, shard = m, has[m][at]
+			}
+		}
+		if from == "" {
+			break
+		}
+		to := least(shard, "")
+		if len(has[from])-len(has[to]) < 2 {
+			break
+		}
+		has[from] = slices.DeleteFunc(has[from], func(s int) bool { return s == shard })
+		has[to] = append(has[to], shard)
+		fixed[shard] = true
+		moved = append(moved, Move{shard, to})
+	}
+	return given, moved
+}
+
+func score(task string, shard int, member string) uint64 {
+	return xxhash.Sum64String(task + "\x00" + strconv.Itoa(shard) + "\x00" + member)
+}
