--- a/cmd/spindlehitch/accounts.go
+++ b/cmd/spindlehitch/accounts.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"spindlehitch/internal/accounts"
@@ -23,6 +26,16 @@
 	log  *slog.Logger
 	core *core.Core
 	from time.Time
+	kept int // windows for the fleet's account; 0: none is kept
+
+	mu      sync.Mutex
+	windows []keptWindow
+}
+
+// keptWindow is a window that is over, of the same beginning at every instance: a whole number of windows since 1970.
+type keptWindow struct {
+	start time.Time
+	s     accounts.Snapshot
 }
 
 func newLedger(opt config.Accounts, name string, log *slog.Logger) *ledger {
@@ -50,26 +63,38 @@
 	}
 }
 
-// run writes each window's accounts until the context ends; serve saves the last.
+// run writes each window's accounts, and keeps them for the fleet's, until the context ends; serve saves the last.
 func (l *ledger) run(ctx context.Context) {
-	if l.opt.Dir == "" {
+	if l.opt.Dir == "" && l.kept == 0 {
 		return
 	}
-	tick := time.NewTicker(time.Duration(l.opt.WindowS) * time.Second)
-	defer tick.Stop()
+	window := time.Duration(l.opt.WindowS) * time.Second
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			l.save(ctx)
+		end := time.Now().Truncate(window).Add(window)
+		for time.Now().Before(end) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(end)):
+			}
 		}
+		l.save(ctx, end.Add(-window))
 	}
 }
 
-func (l *ledger) save(ctx context.Context) {
+// save ends the window that began at start.
+func (l *ledger) save(ctx context.Context, start time.Time) {
 	s, ok := l.take(ctx, true)
-	if !ok || l.opt.Dir == "" {
+	if !ok {
+		return
+	}
+	if l.kept > 0 {
+		l.mu.Lock()
+		l.windows = append(l.windows, keptWindow{start, s})
+		l.windows = l.windows[max(0, len(l.windows)-l.kept):]
+		l.mu.Unlock()
+	}
+	if l.opt.Dir == "" {
 		return
 	}
 	if err := disk.Write(l.opt.Dir, s, l.opt.Keep); err != nil {
@@ -88,6 +113,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /accounts", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("window") {
+			l.window(w, r)
+			return
+		}
 		if s, ok := l.take(r.Context(), false); ok {
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(s)
@@ -102,6 +131,25 @@
 	return nil
 }
 
+// window tells one window that is over.
+func (l *ledger) window(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if q.Get("window_s") != strconv.Itoa(l.opt.WindowS) {
+		http.Error(w, fmt.Sprintf("windows of %d s here", l.opt.WindowS), http.StatusConflict)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := len(l.windows) - 1; i >= 0; i-- {
+		if k := l.windows[i]; strconv.FormatInt(k.start.Unix(), 10) == q.Get("window") {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(k.s)
+			return
+		}
+	}
+	http.Error(w, "no such window is kept here", http.StatusNotFound)
+}
+
 // forget drops what is known of targets that a whole list does not have.
 func (l *ledger) forget(list *discovery.List) {
 	if !list.Full {
--- /dev/null
+++ b/cmd/spindlehitch/duty.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/discovery"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/tasks"
+)
+
+// duty is what an instance does for the whole fleet.
+type duty struct {
+	runner *tasks.Runner
+	probe  *tasks.Probe
+}
+
+// probeWithin is how long a target that is tried may take to answer.
+const probeWithin = 400 * time.Millisecond
+
+func newDuty(cfg *config.Config, op *config.Operator, log *slog.Logger, hurry func()) *duty {
+	d := &duty{probe: &tasks.Probe{Dial: cfg.Dial, Within: probeWithin}}
+	jobs := map[lease.Kind]tasks.Job{lease.Drill: &tasks.Drill{Name: cfg.Name},
+		lease.Account: &tasks.Account{Name: cfg.Name, Agents: &agent.Client{Addrs: op.Fleet.Agents}}}
+	if cfg.Probes && op.NVMe == nil {
+		jobs[lease.Watch] = d.probe // else such a task fails here, and goes to another member
+	}
+	d.runner = tasks.New(tasks.Options{Runs: op.Fleet.Tasks, Jobs: jobs, Hurry: hurry, Log: log})
+	d.probe.For(d.runner)
+	return d
+}
+
+// run acts until the context ends, and tells the module what others found out.
+func (d *duty) run(ctx context.Context, c *core.Core) {
+	d.runner.OnNews(func(news []lease.Result, way time.Duration) {
+		for _, x := range news {
+			c.Watched(spindlehitch.Watched{Node: x.Target, Well: x.Well, Ago: time.Duration(x.AgoMs)*time.Millisecond + way, Next: d.runner.Every(x.Task)})
+		}
+	})
+	go d.runner.Run(ctx)
+}
+
+func (d *duty) listed(l *discovery.List) {
+	addrs := make(map[string]string, len(l.Servers))
+	for _, e := range l.Servers {
+		addrs[e.ID] = e.Addr
+		if e.Node().State == spindlehitch.Removed {
+			addrs[e.ID] = ""
+		}
+	}
+	d.probe.Listed(addrs, l.Full)
+}
--- a/cmd/spindlehitch/fleet.go
+++ b/cmd/spindlehitch/fleet.go
@@ -128,11 +128,11 @@
 			}
 			d, err = f.client.SetBudgets(cmd.Context(), d)
 			var no *agent.Refusal
-			switch {
-			case errors.As(err, &no):
+			if errors.As(err, &no) {
 				return fmt.Errorf("%s: %w", args[0], err)
-			case err != nil:
-				return &exit{exitSilent, err}
+			}
+			if err := f.change(err); err != nil {
+				return err
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "version %d\n", d.Version)
 			return nil
--- /dev/null
+++ b/cmd/spindlehitch/lease.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/keeper"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/fleet/watch"
+)
+
+// taskLine is one task as lease list has it.
+type taskLine struct {
+	lease.Task
+	Held    int    `json:"held"`
+	Members int    `json:"members"` // that hold some of it
+	Acts    uint64 `json:"acts"`
+	Refused uint64 `json:"refused"`
+	Failed  uint64 `json:"failed"`
+}
+
+// taskShown is one task as lease show has it.
+type taskShown struct {
+	lease.Task
+	Agent  string        `json:"agent"`
+	Leads  bool          `json:"leads"`
+	AgeMs  int64         `json:"age_ms"`
+	Leases []keeper.Seen `json:"leases"`
+	Board  []watch.Line  `json:"board,omitempty"`
+}
+
+func leaseCommand() *cobra.Command {
+	var f fleetFlags
+	cmd := &cobra.Command{Use: "lease", Short: "Leases for tasks that are done once for the whole fleet"}
+	f.add(cmd)
+	list := &cobra.Command{Use: "list", Short: "List the tasks and how much of each is held", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.show(cmd, func(v agent.View) (any, error) { return taskLines(v), nil }, func(w io.Writer, v agent.View) {
+				fmt.Fprintln(w, "TASK\tKIND\tSHARDS\tHELD\tMEMBERS\tLEASE\tACT\tEVERY\tACTS\tREFUSED\tFAILED")
+				for _, t := range taskLines(v) {
+					fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\t%d\t%d\t%d\n", t.Name, t.Kind, t.Shards, t.Held, t.Members, ms(t.LeaseMs), ms(t.ActMs),
+						ms(t.EveryMs), t.Acts, t.Refused, t.Failed)
+				}
+				fmt.Fprintf(w, "version %d, by %s\n", v.Tasks.Version, v.Agent)
+			})
+		}}
+	show := &cobra.Command{Use: "show TASK", Short: "Show who holds each shard of a task, since when and until when", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return f.show(cmd, func(v agent.View) (any, error) { return showTask(v, args[0]) }, func(w io.Writer, v agent.View) {
+				if s, err := showTask(v, args[0]); err == nil {
+					s.table(w)
+				}
+			})
+		}}
+	move := func(cmd *cobra.Command, args []string, to, done string) error {
+		shard, err := strconv.Atoi(args[1])
+		if err != nil || shard < 0 {
+			return fmt.Errorf("shard: %q is not a number from 0 on", args[1])
+		}
+		k := lease.Key{Task: args[0], Shard: shard}
+		if err := f.change(f.client.MoveLease(cmd.Context(), k, to)); err != nil {
+			return fmt.Errorf("lease %s: %w", k, err)
+		}
+		fmt.Fprintf(cmd.OutOrStdout(), "%s %s\n", k, done)
+		return nil
+	}
+	release := &cobra.Command{Use: "release TASK SHARD", Short: "Have a shard's holder give it back, for another member", Args: cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error { return move(cmd, args, lease.Anyone, "is recalled") }}
+	to := &cobra.Command{Use: "move TASK SHARD MEMBER", Short: "Have a shard go to a member, by its id or its instance's name, and stay there", Args: cobra.ExactArgs(3),
+		RunE: func(cmd *cobra.Command, args []string) error { return move(cmd, args, args[2], "goes to "+args[2]) }}
+	check := &cobra.Command{Use: "check FILE", Short: "Check a file of tasks and change nothing", Args: cobra.ExactArgs(1)}
+	against := check.Flags().String("budgets", "", "the fleet's file of budgets, whose renewals, seats and clocks the tasks' times have to fit")
+	check.RunE = func(cmd *cobra.Command, args []string) error {
+		var doc *fleet.Doc
+		if *against != "" {
+			d, err := config.ReadBudgets(*against, nil)
+			if err != nil {
+				return err
+			}
+			doc = &d
+		}
+		d, err := config.ReadTasks(args[0], doc)
+		if err == nil {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d tasks\n", args[0], len(d.Tasks))
+		}
+		return err
+	}
+	set := &cobra.Command{Use: "set FILE", Short: "Have the fleet go by a file of tasks", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			d, err := config.ReadTasks(args[0], nil)
+			if err != nil {
+				return err
+			}
+			d, err = f.client.SetTasks(cmd.Context(), d)
+			var no *agent.Refusal
+			if errors.As(err, &no) {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			if err := f.change(err); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "version %d\n", d.Version)
+			return nil
+		}}
+	cmd.AddCommand(list, show, release, to, set, check)
+	return cmd
+}
+
+// change is the error of a change, with the exit code that tells whether it may have been made.
+func (f *fleetFlags) change(err error) error {
+	var refused *agent.Refusal
+	var why fleet.Reason
+	if err == nil || errors.As(err, &refused) || errors.As(err, &why) {
+		return err
+	}
+	return &exit{exitSilent, err}
+}
+
+func taskLines(v agent.View) []taskLine {
+	all := []taskLine{}
+	for _, t := range v.Tasks.Tasks {
+		x := taskLine{Task: t}
+		by := map[string]bool{}
+		for _, l := range v.Leases {
+			if l.Task == t.Name && l.Holder != "" {
+				x.Held++
+				by[l.Holder] = true
+				x.Acts, x.Refused, x.Failed = x.Acts+l.Acts, x.Refused+l.Refused, x.Failed+l.Failed
+			}
+		}
+		x.Members = len(by)
+		all = append(all, x)
+	}
+	return all
+}
+
+func showTask(v agent.View, name string) (*taskShown, error) {
+	t := v.Tasks.Task(name)
+	if t == nil {
+		return nil, fmt.Errorf("task: no task %q", name)
+	}
+	s := &taskShown{Task: *t, Agent: v.Agent, Leads: v.Leads, AgeMs: v.AgeMs, Leases: []keeper.Seen{}}
+	for _, l := range v.Leases {
+		if l.Task == name {
+			s.Leases = append(s.Leases, l)
+		}
+	}
+	if t.Kind == lease.Watch {
+		s.Board = v.Board
+	}
+	return s, nil
+}
+
+func (s *taskShown) table(w io.Writer) {
+	ago := func(n int64) string {
+		if n < 0 {
+			return "unknown"
+		}
+		return ms(n)
+	}
+	fmt.Fprintln(w, "SHARD\tSTATE\tHOLDER\tTOKEN\tSINCE\tENDS IN\tPROGRESS\tACTS\tREFUSED\tFAILED\tNEXT\tMEMBER")
+	for _, l := range s.Leases {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", l.Shard, l.State, l.Name, l.Token, ago(l.SinceMs), ago(l.UntilMs), ago(l.ProgressMs),
+			l.Acts, l.Refused, l.Failed, l.Next, l.Holder)
+	}
+	fmt.Fprintf(w, "by %s\n", s.Agent)
+	if len(s.Board) > 0 {
+		fmt.Fprintln(w, "TARGET\tAVOIDED BY\tFOUND\tAGO\tTOOK\tTOKEN")
+	}
+	for _, b := range s.Board {
+		found, when, took, token := "not yet", "", "", ""
+		if b.Found != nil {
+			found, when, took, token = "not well", ms(b.Found.AgoMs), fmt.Sprintf("%d us", b.Found.TookUs), fmt.Sprint(b.Found.Token)
+			if b.Found.Well {
+				found = "well"
+			}
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\n", b.Target, b.By, found, when, took, token)
+	}
+}
--- a/cmd/spindlehitch/report.go
+++ b/cmd/spindlehitch/report.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -14,16 +16,20 @@
 
 	"spindlehitch/internal/accounts"
 	"spindlehitch/internal/accounts/disk"
+	"spindlehitch/internal/tasks"
 )
 
 func reportCommand() *cobra.Command {
 	var files, instances []string
-	var since, until, volume, form, out string
+	var since, until, volume, form, out, folder string
 	cmd := &cobra.Command{
 		Use:   "report",
 		Short: "Tell where the time of each volume's requests went, and what they waited behind",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if folder != "" {
+				return fleetReports(cmd.OutOrStdout(), folder, form)
+			}
 			from, to, err := window(since, until)
 			if err != nil {
 				return err
@@ -63,6 +69,7 @@
 	f := cmd.Flags()
 	f.StringSliceVar(&files, "from", nil, "files of accounts, or folders of them")
 	f.StringSliceVar(&instances, "instances", nil, "addresses at which running instances tell theirs")
+	f.StringVar(&folder, "fleet", "", "list the reports in the folder of the fleet's account, and nothing else")
 	f.StringVar(&since, "since", "", "only files that go past this time (RFC 3339)")
 	f.StringVar(&until, "until", "", "only files that begin before this time")
 	f.StringVar(&volume, "volume", "", "only this volume")
@@ -89,6 +96,26 @@
 	return from, to, nil
 }
 
+// fleetReports lists the windows of the fleet's account.
+func fleetReports(w io.Writer, dir, form string) error {
+	all, err := tasks.Reports(dir)
+	if err != nil {
+		return fmt.Errorf("report: --fleet: %w", err)
+	}
+	if form == "json" {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(all)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "WINDOW\tLENGTH\tINSTANCES\tMISSING\tBY\tTOKEN\tFILE")
+	for _, x := range all {
+		missing := strings.Join(x.Missing, "; ")
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%d\t%s\n", time.Unix(x.Start, 0).UTC().Format(time.RFC3339), time.Duration(x.WindowS)*time.Second, len(x.Instances), missing, x.Member, x.Token, x.File)
+	}
+	return t.Flush()
+}
+
 const askWithin, mostAccounts = 5 * time.Second, 64 << 20
 
 // ask has a running instance tell its accounts.
--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -30,6 +30,7 @@
 	"spindlehitch/internal/listen"
 	"spindlehitch/internal/nvme"
 	"spindlehitch/internal/ration"
+	"spindlehitch/internal/tasks"
 	"spindlehitch/internal/upstream"
 )
 
@@ -132,11 +133,22 @@
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
 
 	var part *ration.Ration
+	var duties *duty
 	settings := cfg.Module
 	if op.Fleet != nil {
-		part = ration.New(ration.Options{Name: cfg.Name, Addr: cfg.Listen, Agents: op.Fleet.Agents, Weight: op.Fleet.Weight,
-			Uses: op.Fleet.Uses, Log: log})
+		about := ration.Options{Name: cfg.Name, Addr: cfg.Listen, Agents: op.Fleet.Agents, Weight: op.Fleet.Weight, Uses: op.Fleet.Uses, Log: log}
+		if op.Accounts != nil {
+			about.Tells = op.Accounts.Listen
+		}
+		if len(op.Fleet.Tasks) > 0 {
+			duties = newDuty(cfg, op, log, func() { part.Hurry() })
+			about.Duties = duties.runner
+		}
+		part = ration.New(about)
 		settings.Ration = part
+		if duties != nil {
+			duties.probe.Stock = part
+		}
 	}
 	module, err := spindlehitch.New(settings, cfg.Seed)
 	if err != nil {
@@ -166,6 +178,9 @@
 	up := upstream.NewRegistry(out, func(r core.Result) { c.Report(r) })
 	leave := core.LeaveWithin(longest(cfg))
 	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
+	if duties != nil {
+		bounds.Avoids = duties.runner.Avoid
+	}
 	var book *ledger
 	if op.Accounts != nil {
 		book = newLedger(*op.Accounts, cfg.Name, log)
@@ -175,6 +190,9 @@
 	shared := listening != nil || cfg.Inherited != "" // all other addresses: a predecessor may still listen at each
 	if book != nil {
 		book.core = c
+		if duties != nil {
+			book.kept = tasks.Kept
+		}
 		if err := book.serve(work, shared); err != nil {
 			return fmt.Errorf("operator's file: accounts.listen: %w", err)
 		}
@@ -197,8 +215,14 @@
 		if book != nil {
 			book.forget(l)
 		}
+		if duties != nil {
+			duties.listed(l)
+		}
 	}
 	go c.Run(work)
+	if duties != nil {
+		duties.run(work, c)
+	}
 	leaveFleet := func(context.Context) {}
 	if part != nil {
 		leaveFleet = joinFleet(work, part, c, up)
@@ -267,6 +291,9 @@
 		figures := numbers.Render
 		if part != nil {
 			figures = func() []byte { return append(numbers.Render(), part.Render()...) }
+			if duties != nil {
+				figures = func() []byte { return slices.Concat(numbers.Render(), part.Render(), duties.runner.Render()) }
+			}
 		}
 		pages := control.New(control.Options{Ready: clients.Ready, Figures: figures, Log: log})
 		defer pages.Close()
@@ -312,7 +339,8 @@
 		err = errors.Join(err, <-ended)
 	}
 	if book != nil {
-		book.save(bound)
+		window := time.Duration(op.Accounts.WindowS) * time.Second
+		book.save(bound, time.Now().Truncate(window))
 	}
 	leaveFleet(bound)
 	log.Info("left", slog.Int("open", c.Open()))
--- a/internal/accounts/render.go
+++ b/internal/accounts/render.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -112,8 +114,15 @@
 }
 
 // Parquet writes the volumes as a columnar file.
-func (r Report) Parquet(w io.Writer) error {
-	p := parquet.NewGenericWriter[Row](w, parquet.Compression(&zstd.Codec{}))
+func (r Report) Parquet(w io.Writer) error { return r.ParquetAbout(w, nil) }
+
+// ParquetAbout is Parquet with key-value metadata.
+func (r Report) ParquetAbout(w io.Writer, about map[string]string) error {
+	options := []parquet.WriterOption{parquet.Compression(&zstd.Codec{})}
+	for _, key := range slices.Sorted(maps.Keys(about)) {
+		options = append(options, parquet.KeyValueMetadata(key, about[key]))
+	}
+	p := parquet.NewGenericWriter[Row](w, options...)
 	if _, err := p.Write(r.Volumes); err != nil {
 		return err
 	}
--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/lease"
 )
 
 // Client speaks to the agents: any of them that answers, and through it the leader.
@@ -263,9 +264,34 @@
 	return j.Member, j.Doc, err
 }
 
-// Renew sends a renewal and brings its answer.
-func (c *Client) Renew(ctx context.Context, r fleet.Renewal) (fleet.Answer, error) {
-	return send[fleet.Answer](ctx, c, http.MethodPost, "/v1/fleet/renew", r)
+// Renew sends a renewal, with a claim where the member runs tasks, and brings the answers; the award is nil where there is none.
+func (c *Client) Renew(ctx context.Context, r fleet.Renewal, claim *lease.Claim) (fleet.Answer, *lease.Award, error) {
+	a, err := send[renewed](ctx, c, http.MethodPost, "/v1/fleet/renew", renewal{r, claim})
+	return a.Answer, a.Award, err
+}
+
+// Changed waits until a lease that a member has was changed after the log's index after, and returns the index; or until it has waited
+// for long enough, or no agent answers.
+func (c *Client) Changed(ctx context.Context, id string, after uint64) (uint64, error) {
+	at := "/v1/leases/changed/" + url.PathEscape(id) + "?wait_ms=" + strconv.FormatInt(watchFor.Milliseconds(), 10) + "&after=" + strconv.FormatUint(after, 10)
+	turn := int(c.first.Load())
+	_, answer, err := c.once(ctx, c.Addrs[turn%len(c.Addrs)], call{method: http.MethodGet, path: at}, watchFor+tryWithin)
+	return decode[uint64](answer, err)
+}
+
+// SetTasks has the fleet go by another set of tasks.
+func (c *Client) SetTasks(ctx context.Context, d lease.Doc) (lease.Doc, error) {
+	ctx, done := bounded(ctx)
+	defer done()
+	return send[lease.Doc](ctx, c, http.MethodPut, "/v1/leases", d)
+}
+
+// MoveLease has a shard go to a member, by its id or its instance's name; with lease.Anyone, away from its holder.
+func (c *Client) MoveLease(ctx context.Context, k lease.Key, to string) error {
+	ctx, done := bounded(ctx)
+	defer done()
+	_, err := send[[]lease.Order](ctx, c, http.MethodPost, "/v1/leases/move", moved{k, to})
+	return err
 }
 
 // Leave gives a seat back, of a member that uses nothing any more.
--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -8,13 +8,18 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
 
+	"spindlehitch/internal/failpoint"
 	"spindlehitch/internal/fleet"
 	"spindlehitch/internal/fleet/giver"
+	"spindlehitch/internal/fleet/keeper"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/fleet/watch"
 	"spindlehitch/internal/monotone"
 )
 
@@ -22,10 +27,11 @@
 	maxRenewal = 1 << 20
 	askWithin  = 500 * time.Millisecond // for another agent to tell its term
 	sweepEvery = 250 * time.Millisecond
+	boardFor   = 10 * time.Minute // what was found out about a target is kept
 )
 
-// fleetDesk is the edge of the fleet's giver at an agent: it begins a giver for each term that this agent leads, brings it
-// renewals, and lets its answers go once a majority of the agents has told that no later term has begun.
+// fleetDesk is the edge of the fleet's giver and keeper at an agent: it begins them for each term that this agent leads, brings them
+// renewals with their claims, and lets answers go once a majority of the agents has told that no later term has begun.
 type fleetDesk struct {
 	a      *Agent
 	client http.Client
@@ -33,16 +39,19 @@
 	end    context.CancelFunc
 	work   sync.WaitGroup
 	wake   chan struct{} // something waits to be asked for
+	nudge  chan struct{} // leases may be granted
 
-	mu    sync.Mutex
-	term  uint64 // of the giver; 0: this agent does not lead
-	giver *giver.Giver
-	desk  giver.Desk[chan<- bool]
-	led   time.Duration // when this agent last led; 0: never
+	mu     sync.Mutex
+	term   uint64 // of the giver; 0: this agent does not lead
+	giver  *giver.Giver
+	keeper *keeper.Keeper // as long as there is a giver
+	board  *watch.Board
+	desk   giver.Desk[chan<- bool]
+	led    time.Duration // when this agent last led; 0: never
 }
 
 func newFleetDesk(a *Agent) *fleetDesk {
-	d := &fleetDesk{a: a, wake: make(chan struct{}, 1)}
+	d := &fleetDesk{a: a, wake: make(chan struct{}, 1), nudge: make(chan struct{}, 1)}
 	d.client.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	d.work.Go(d.lead)
@@ -63,6 +72,9 @@
 	mux.HandleFunc("DELETE /v1/fleet/members/{id}", d.leave)
 	mux.HandleFunc("GET /v1/fleet", d.show)
 	mux.HandleFunc("PUT /v1/fleet", d.set)
+	mux.HandleFunc("PUT /v1/leases", d.setTasks)
+	mux.HandleFunc("POST /v1/leases/move", d.move)
+	mux.HandleFunc("GET /v1/leases/changed/{id}", d.changed)
 }
 
 // lead follows who leads and keeps the giver to the log.
@@ -72,16 +84,46 @@
 	for {
 		_, changed := d.a.store.register()
 		d.follow()
+		if d.order() {
+			continue // what was changed is known before anything else is
+		}
 		select {
 		case <-d.ctx.Done():
 			return
 		case <-d.a.raft.LeaderCh():
 		case <-changed:
+		case <-d.nudge:
 		case <-tick.C:
 		}
 	}
 }
 
+// order has the log changed as the keeper wants it; true where it was.
+func (d *fleetDesk) order() bool {
+	d.mu.Lock()
+	var orders []lease.Order
+	var seen uint64
+	if d.keeper != nil {
+		orders, seen = d.keeper.Orders(monotone.Now())
+	}
+	d.mu.Unlock()
+	if len(orders) == 0 && seen == 0 {
+		return false
+	}
+	failpoint.Hit("agent.orders")
+	v, err := d.a.apply(change{Orders: orders, Seen: seen})
+	failpoint.Hit("agent.ordered")
+	if err != nil {
+		return false // whether they are in the log is not known: they are asked for again
+	}
+	done, _ := v.([]lease.Order)
+	for _, o := range done {
+		d.a.opt.Log.Info("lease changed", slog.String("reason", "LEASE_"+strings.ToUpper(string(o.Do))), slog.String("lease", o.Key.String()),
+			slog.String("member", o.To), slog.Uint64("over", o.Over))
+	}
+	return true
+}
+
 // follow begins a giver where this agent has begun to lead, ends it where it does not any more, tells it what the log says,
 // and has seats taken back that have ended.
 func (d *fleetDesk) follow() {
@@ -89,7 +131,7 @@
 	d.mu.Lock()
 	had := d.term
 	if had != 0 && (!leads || term != had) {
-		d.term, d.giver = 0, nil
+		d.term, d.giver, d.keeper, d.board = 0, nil, nil, nil
 		had = 0
 	}
 	d.mu.Unlock()
@@ -107,9 +149,12 @@
 	now := monotone.Now()
 	if had == 0 {
 		d.giver, d.term = giver.New(now, reg.Doc, reg.Members), term
+		d.keeper, d.board = keeper.New(now, &reg), &watch.Board{}
 		d.a.opt.Log.Info("giving begins", slog.String("reason", "FLEET_GIVER"), slog.Uint64("term", term), slog.Int("members", len(reg.Members)))
 	} else {
 		d.giver.Update(now, reg.Doc, reg.Members)
+		d.keeper.Update(now, &reg)
+		d.board.Keep(now, boardFor, d.keeper.Known)
 	}
 	d.led = now
 	gone := d.giver.Gone(now)
@@ -269,7 +314,7 @@
 	if d.elsewhere(w, r) {
 		return
 	}
-	ren, ok := read[fleet.Renewal](w, r)
+	ren, ok := read[renewal](w, r)
 	if !ok {
 		return
 	}
@@ -279,7 +324,12 @@
 		refuse(w, errNoGiver)
 		return
 	}
-	a, err := d.giver.Renew(monotone.Now(), ren)
+	now := monotone.Now()
+	a, err := d.giver.Renew(now, ren.Renewal)
+	answer := renewed{Answer: a}
+	if err == nil && ren.Claim != nil {
+		answer.Award = d.claim(now, ren.ID, ren.Claim)
+	}
 	if errors.Is(err, fleet.UnknownMember) || err == nil {
 		// Also the word that a seat is gone must be that of an agent which really leads.
 		if !d.agree(r.Context()) {
@@ -293,7 +343,44 @@
 		refuse(w, err)
 		return
 	}
-	reply(w, http.StatusOK, a)
+	failpoint.Hit("agent.awarded")
+	reply(w, http.StatusOK, answer)
+}
+
+// claim has the keeper and the board answer a claim; nil where it is too old. Its caller holds mu.
+func (d *fleetDesk) claim(now time.Duration, id string, c *lease.Claim) *lease.Award {
+	a, err := d.keeper.Claim(now, id, *c)
+	if err != nil {
+		return nil
+	}
+	tasks := d.keeper.Tasks()
+	d.board.Note(id, c.Avoids)
+	for i := range tasks.Tasks {
+		t := &tasks.Tasks[i]
+		if t.Kind != lease.Watch {
+			continue
+		}
+		for _, r := range c.Results {
+			if r.Task == t.Name && d.keeper.Current(lease.Key{Task: t.Name, Shard: t.ShardOf(r.Target)}, id, r.Token) {
+				d.board.Take(now, r)
+			}
+		}
+		mine := map[int]bool{}
+		for _, b := range a.Leases {
+			if b.Task == t.Name {
+				mine[b.Shard] = true
+			}
+		}
+		a.Work = append(a.Work, d.board.Work(func(target string) bool { return mine[t.ShardOf(target)] })...)
+	}
+	a.News = d.board.News(now, id)
+	if len(c.Gives) > 0 || len(c.Holds) == 0 {
+		select {
+		case d.nudge <- struct{}{}:
+		default:
+		}
+	}
+	return &a
 }
 
 func (d *fleetDesk) join(w http.ResponseWriter, r *http.Request) {
@@ -359,15 +446,98 @@
 	d.change(w, change{Set: &doc})
 }
 
+func (d *fleetDesk) setTasks(w http.ResponseWriter, r *http.Request) {
+	if d.elsewhere(w, r) {
+		return
+	}
+	doc, ok := read[lease.Doc](w, r)
+	if !ok {
+		return
+	}
+	d.change(w, change{Tasks: &doc})
+}
+
+// move has a lease go to a member, or to anyone: the plan for it goes through the log, the hand-over comes after that.
+func (d *fleetDesk) move(w http.ResponseWriter, r *http.Request) {
+	if d.elsewhere(w, r) {
+		return
+	}
+	m, ok := read[moved](w, r)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	var o lease.Order
+	err := error(errNoGiver)
+	if d.keeper != nil {
+		o, err = d.keeper.Move(monotone.Now(), m.Key, m.To)
+	}
+	d.mu.Unlock()
+	var no lease.Reason
+	switch {
+	case errors.As(err, &no):
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
+	case err != nil:
+		refuse(w, err)
+	default:
+		d.change(w, change{Orders: []lease.Order{o}})
+	}
+}
+
+// changed answers once a lease that a member has was changed after the index that it knows, or the time is over. Any agent may be asked: it
+// is a reason to renew, and no more.
+func (d *fleetDesk) changed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	ms, _ := strconv.Atoi(q.Get("wait_ms"))
+	end := time.NewTimer(min(time.Duration(max(ms, 0))*time.Millisecond, maxWait))
+	defer end.Stop()
+	for {
+		index, changed := d.a.store.changedFor(r.PathValue("id"))
+		if index <= after {
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			case <-d.ctx.Done():
+			case <-end.C:
+			}
+		}
+		reply(w, http.StatusOK, index)
+		return
+	}
+}
+
 // View is the fleet as an agent sees it.
 type View struct {
-	Agent   string       `json:"agent"`
-	Leads   bool         `json:"leads"`  // and a majority has just agreed
-	AgeMs   int64        `json:"age_ms"` // since it heard of the leader last; how old this may be
-	Doc     fleet.Doc    `json:"doc"`
-	Members []giver.Seen `json:"members"`
-	Lines   []giver.Line `json:"lines,omitempty"` // only where it leads
-	WaitMs  int64        `json:"wait_ms"`         // until a new giver gives anything new
+	Agent   string        `json:"agent"`
+	Leads   bool          `json:"leads"`  // and a majority has just agreed
+	AgeMs   int64         `json:"age_ms"` // since it heard of the leader last; how old this may be
+	Doc     fleet.Doc     `json:"doc"`
+	Members []giver.Seen  `json:"members"`
+	Lines   []giver.Line  `json:"lines,omitempty"` // only where it leads
+	WaitMs  int64         `json:"wait_ms"`         // until a new giver gives anything new
+	Tasks   lease.Doc     `json:"tasks"`
+	Leases  []keeper.Seen `json:"leases,omitempty"`
+	Board   []watch.Line  `json:"board,omitempty"` // only where it leads
+}
+
+// renewal is a renewal with the claim of a member that runs tasks; renewed answers both.
+type renewal struct {
+	fleet.Renewal
+	Claim *lease.Claim `json:"claim,omitempty"`
+}
+
+type renewed struct {
+	fleet.Answer
+	Award *lease.Award `json:"award,omitempty"`
+}
+
+// moved asks for a move.
+type moved struct {
+	lease.Key
+	To string `json:"to"`
 }
 
 // age is how many milliseconds ago this agent last led or heard of the one that does; -1: never.
@@ -394,11 +564,12 @@
 		return
 	}
 	reg, _ := d.a.store.register()
-	v := View{Agent: d.a.opt.ID, Doc: reg.Doc}
+	v := View{Agent: d.a.opt.ID, Doc: reg.Doc, Tasks: reg.Tasks}
 	d.mu.Lock()
 	if d.giver != nil {
 		now := monotone.Now()
 		v.Members, v.Lines = d.giver.Members(now), d.giver.Lines(now, "")
+		v.Leases, v.Board = d.keeper.Leases(now), d.board.Lines(now)
 		for i := range reg.Doc.Budgets {
 			v.WaitMs = max(v.WaitMs, d.giver.Waits(now, &reg.Doc.Budgets[i]).Milliseconds())
 		}
@@ -411,10 +582,13 @@
 			refuse(w, errNoGiver)
 			return
 		}
-		v.Members, v.Lines = nil, nil
+		v.Members, v.Lines, v.Leases, v.Board = nil, nil, nil, nil
 		for _, m := range reg.Members {
 			v.Members = append(v.Members, giver.Seen{Member: m, State: unknown, AgoMs: -1})
 		}
+		for _, l := range reg.Leases {
+			v.Leases = append(v.Leases, keeper.Seen{Lease: l, State: string(unknown), SinceMs: -1, UntilMs: -1, ProgressMs: -1})
+		}
 		v.AgeMs = d.age()
 	}
 	reply(w, http.StatusOK, v)
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/raft"
 
 	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/lease"
 	"spindlehitch/internal/fleet/register"
 )
 
@@ -35,6 +36,9 @@
 	Set    *fleet.Doc      `json:"set,omitempty"`    // the fleet's budgets
 	Join   *fleet.Member   `json:"join,omitempty"`   // a seat is asked for
 	Leave  []string        `json:"leave,omitempty"`  // seats are given back
+	Tasks  *lease.Doc      `json:"tasks,omitempty"`  // the fleet's tasks
+	Orders []lease.Order   `json:"orders,omitempty"` // leases are granted, planned to move, or freed
+	Seen   uint64          `json:"seen,omitempty"`   // with orders, or alone: a token that a place was shown
 }
 
 // mostRecent is how many changes are known by their ids.
@@ -95,6 +99,17 @@
 		defer s.announce()
 		s.fleet.Leave(c.Leave...)
 		return struct{}{}
+	case c.Tasks != nil:
+		defer s.announce()
+		if err := s.fleet.SetTasks(l.Index, *c.Tasks); errors.Is(err, fleet.NoBudgets) {
+			return err
+		} else if err != nil {
+			return &Refusal{http.StatusUnprocessableEntity, err.Error()}
+		}
+		return s.fleet.Tasks
+	case len(c.Orders) > 0 || c.Seen > 0:
+		defer s.announce()
+		return s.fleet.Order(l.Index, c.Seen, c.Orders)
 	}
 	if had := s.entries[c.Name]; c.If != nil && had.Version != *c.If {
 		return fmt.Errorf("%s: %w: %d", c.Name, errConflict, had.Version)
@@ -147,6 +162,13 @@
 	return s.fleet.Clone(), s.changed
 }
 
+// changedFor returns when a lease that a member has was last changed, and what is closed at the next change of anything.
+func (s *store) changedFor(id string) (uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.ChangedFor(id), s.changed
+}
+
 // snapshot is the store at one moment. Snapshots from before there were formats are the entries alone.
 type snapshot struct {
 	Format  int               `json:"format"`
@@ -155,7 +177,7 @@
 	Fleet   register.Register `json:"fleet"`
 }
 
-const format = 2
+const format = 3 // 2 had no leases: a program that knows no more would lose their tokens
 
 // Snapshot implements raft.FSM.
 func (s *store) Snapshot() (raft.FSMSnapshot, error) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,7 @@
 	MostHeld  int
 	ConnIdle  time.Duration
 	Dial      time.Duration
+	Probes    bool // targets may be asked for their health
 }
 
 // file is the platform's JSON.
@@ -136,6 +137,7 @@
 	c.MostHeld = atMost(l.MostHeld, mostHeld)
 	c.Dial = min(orElse(Us(l.DialTimeoutUs), maxDial), maxDial)
 	c.ConnIdle = orElse(Us(l.ConnIdleUs), 30*time.Second)
+	c.Probes = f.Settings.Limits.Probes
 	return c, nil
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -12,6 +12,7 @@
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/control"
 	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/lease"
 	"spindlehitch/internal/keys"
 	"spindlehitch/internal/nvme"
 )
@@ -30,6 +31,7 @@
 	Agents []string    `toml:"agents"`
 	Weight float64     `toml:"weight"` // in divisions, 1 where it is not told
 	Uses   []fleet.Use `toml:"uses"`   // nothing of these is used before the budgets are known; all where it is not told
+	Tasks  []string    `toml:"tasks"`  // of the fleet, that this instance can do; none where it is not told
 }
 
 func (f *Fleet) check() error {
@@ -55,21 +57,29 @@
 			return fmt.Errorf("uses[%d]: unknown use %q", i, u)
 		}
 	}
+	if len(f.Tasks) > lease.MostTasks {
+		return fmt.Errorf("tasks: %d are too many, %d at most", len(f.Tasks), lease.MostTasks)
+	}
+	for i, t := range f.Tasks {
+		switch {
+		case t == "" || len(t) > fleet.MostName:
+			return fmt.Errorf("tasks[%d]: wanted 1 to %d bytes", i, fleet.MostName)
+		case slices.Contains(f.Tasks[:i], t):
+			return fmt.Errorf("tasks[%d]: %q is there twice", i, t)
+		}
+	}
 	return nil
 }
 
-// ReadBudgets reads a set of budgets and checks it, against an instance's configuration where one is given.
-func ReadBudgets(path string, c *Config) (fleet.Doc, error) {
-	var d fleet.Doc
+// readFile reads a file of its own, and has it checked; errors name file and field.
+func readFile[D any](path string, check func(*D) error) (d D, err error) {
 	meta, err := toml.DecodeFile(path, &d)
 	switch {
 	case err != nil:
-		return d, fmt.Errorf("%s: %w", path, err)
 	case len(meta.Undecoded()) > 0:
-		return d, fmt.Errorf("%s: %s: unknown field", path, meta.Undecoded()[0])
-	}
-	if err = d.Check(); err == nil && c != nil {
-		err = d.CheckNames(c.Plans(), c.Classes())
+		err = fmt.Errorf("%s: unknown field", meta.Undecoded()[0])
+	default:
+		err = check(&d)
 	}
 	if err != nil {
 		return d, fmt.Errorf("%s: %w", path, err)
@@ -77,6 +87,21 @@
 	return d, nil
 }
 
+// ReadBudgets reads a set of budgets and checks it, against an instance's configuration where one is given.
+func ReadBudgets(path string, c *Config) (fleet.Doc, error) {
+	return readFile(path, func(d *fleet.Doc) error {
+		if err := d.Check(); err != nil || c == nil {
+			return err
+		}
+		return d.CheckNames(c.Plans(), c.Classes())
+	})
+}
+
+// ReadTasks reads a set of tasks and checks it, against the fleet's renewals and seats where they are given.
+func ReadTasks(path string, f *fleet.Doc) (lease.Doc, error) {
+	return readFile(path, func(d *lease.Doc) error { return d.Check(f) })
+}
+
 // Accounts has latency accounts kept by volume.
 type Accounts struct {
 	Listen  string `toml:"listen"`   // where they are told; empty: nowhere
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -46,6 +46,7 @@
 		MostHeld      int   `json:"mostHeld"`
 		ConnIdleUs    int64 `json:"connIdleUs"`
 		DialTimeoutUs int64 `json:"dialTimeoutUs"`
+		Probes        bool  `json:"probes"`
 	} `json:"limits"`
 	Prices struct {
 		Handshake float64 `json:"handshake"`
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -161,10 +161,11 @@
 
 // Options are the core's bounds.
 type Options struct {
-	MostHeld int           // requests open at a time
-	Margin   time.Duration // an answer must be written this long before the client leaves
-	Observer Observer      // nil: none
-	Avoided  func(int)     // told now and then how many listed targets the module avoids; nil: nobody asks
+	MostHeld int            // requests open at a time
+	Margin   time.Duration  // an answer must be written this long before the client leaves
+	Observer Observer       // nil: none
+	Avoided  func(int)      // told now and then how many listed targets the module avoids; nil: nobody asks
+	Avoids   func([]string) // told with it which those are that are listed as up; nil: nobody asks
 }
 
 // Core is the module's actor.
@@ -256,6 +257,9 @@
 // Rationed tells the module that its part of the fleet's wholes has changed.
 func (c *Core) Rationed() { c.box.Put(spindlehitch.Rationed{}) }
 
+// Watched tells the module what another member of the fleet found out about a node.
+func (c *Core) Watched(w spindlehitch.Watched) { c.box.Put(w) }
+
 // Inspect has f called from the core's goroutine, between two steps.
 func (c *Core) Inspect(f func()) { c.box.Put(f) }
 
@@ -305,6 +309,9 @@
 	if c.opt.Avoided != nil && now.Sub(c.toldAt) >= tellEvery {
 		c.toldAt = now
 		c.opt.Avoided(c.module.Avoided())
+		if c.opt.Avoids != nil {
+			c.opt.Avoids(c.module.AvoidedNodes())
+		}
 	}
 }
 
@@ -321,7 +328,7 @@
 			c.result(now, m)
 		case written:
 			c.opt.Observer.End(c.observed(m.at), m.id)
-		case spindlehitch.Shared, spindlehitch.Rationed:
+		case spindlehitch.Shared, spindlehitch.Rationed, spindlehitch.Watched:
 			c.events = append(c.events, m.(spindlehitch.Event))
 		case routed:
 			c.routes = append(c.routes, m)
--- /dev/null
+++ b/internal/failpoint/on.go
@@ -0,0 +1,40 @@
+//go:build faults
+
+// Package failpoint lets fault runs stop a process at a named step, aimed and not left to luck. A program that is built without the tag
+// faults has none of it.
+package failpoint
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+var dir = os.Getenv("SPINDLEHITCH_FAILPOINTS")
+
+// Hit does what a file of that name in the folder SPINDLEHITCH_FAILPOINTS says, and takes it away: stop (the process, until it is
+// told to go on), kill, or hang (the caller, until the process ends). What happened is noted in a file with the ending .hit.
+func Hit(name string) {
+	if dir == "" {
+		return
+	}
+	path := filepath.Join(dir, name)
+	b, err := os.ReadFile(path)
+	if err != nil || os.Remove(path) != nil {
+		return // not armed, or another got there first
+	}
+	os.WriteFile(path+".hit", b, 0o600)
+	switch string(b) {
+	case "stop":
+		unix.Kill(os.Getpid(), unix.SIGSTOP)
+		// The signal is the process's: this thread may run on for a moment until it is taken.
+		time.Sleep(20 * time.Millisecond)
+	case "kill":
+		unix.Kill(os.Getpid(), unix.SIGKILL)
+		select {}
+	case "hang":
+		select {}
+	}
+}
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -48,7 +48,7 @@
 	file := r.File(name+".json", fmt.Sprintf(`{"name":%q,"listen":%q,"control":%q,"discovery":%q,"limits":{"sockets":256},"settings":{"peersTotal":%d,"tickUs":2000,
  "classes":[{"name":"position-read","promiseUs":1000000,"deadlineUs":2000000,"effect":"pure","worth":1}],
  "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],
- "extra":{"meanUnits":1,"largest":8,"coldBears":40},"limits":{"sendCap":3},"rules":%s}}`, name, n.Listen, n.Control, o.Targets.Discovery, o.Peers, rules))
+ "extra":{"meanUnits":1,"largest":8,"coldBears":40},"limits":{"sendCap":3,"probes":true},"rules":%s}}`, name, n.Listen, n.Control, o.Targets.Discovery, o.Peers, rules))
 	args := []string{"serve"}
 	if o.Agents != nil {
 		var agents []string
--- a/internal/faults/judge.go
+++ b/internal/faults/judge.go
@@ -50,6 +50,8 @@
 	Started  atomic.Int64 // Unix ms; 0: long ago
 	Spoils   atomic.Int64 // answers each so manieth with an error; 0: none
 	Takes    atomic.Int64 // ns for each request
+	Ill      atomic.Bool  // asked for its health, it says that it is not well
+	Probed   atomic.Int64 // how often it was asked for it
 	asked    atomic.Int64
 	conns    atomic.Int64
 	most     atomic.Int64
@@ -129,6 +131,13 @@
 
 func (g *Targets) serve(t *Target, w http.ResponseWriter, q *http.Request) {
 	now, j := time.Now(), g.Judge
+	if q.URL.Path == "/-/healthy" {
+		t.Probed.Add(1)
+		if t.Ill.Load() {
+			http.Error(w, "not well", http.StatusServiceUnavailable)
+		}
+		return
+	}
 	cold := t.Started.Load() > 0
 	j.mu.Lock()
 	id := q.Header.Get("Request-Id")
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -67,6 +67,7 @@
 	env  []string
 	args []string
 	pass []*os.File // from descriptor 3 on
+	aims string     // the folder of its failpoints
 	out  *tail
 	cmd  *exec.Cmd
 	done chan struct{} // closed once it has ended
@@ -116,7 +117,10 @@
 // StartWith is Start with open files for the process, from descriptor 3 on.
 func (r *Rig) StartWith(name string, pass []*os.File, env []string, args ...string) *Proc {
 	r.T.Helper()
-	p := &Proc{Name: name, rig: r, env: env, args: args, pass: pass, out: &tail{}}
+	p := &Proc{Name: name, rig: r, env: env, args: args, pass: pass, aims: filepath.Join(r.Dir, "aims", name), out: &tail{}}
+	if err := os.MkdirAll(p.aims, 0o700); err != nil {
+		r.T.Fatal(err)
+	}
 	p.start()
 	r.T.Cleanup(func() {
 		p.Kill()
@@ -131,7 +135,7 @@
 func (p *Proc) start() {
 	p.rig.T.Helper()
 	p.cmd = exec.Command(p.rig.bin, p.args...)
-	p.cmd.Env = append([]string{"TMPDIR=" + p.rig.Dir, "PATH=" + os.Getenv("PATH")}, p.env...)
+	p.cmd.Env = append([]string{"TMPDIR=" + p.rig.Dir, "PATH=" + os.Getenv("PATH"), "SPINDLEHITCH_FAILPOINTS=" + p.aims}, p.env...)
 	p.cmd.Stdout, p.cmd.Stderr, p.cmd.ExtraFiles = p.out, p.out, p.pass
 	p.cmd.Dir = p.rig.Dir
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -177,6 +181,29 @@
 	}
 }
 
+// Aim has the process stop, die or hang (stop, kill, hang) the next time that it comes to the step of that name (internal/failpoint).
+func (p *Proc) Aim(step, what string) {
+	p.rig.T.Helper()
+	os.Remove(filepath.Join(p.aims, step+".hit"))
+	// Written elsewhere first: the process must not read half of it.
+	from := filepath.Join(p.aims, "aiming")
+	if err := os.WriteFile(from, []byte(what), 0o600); err != nil {
+		p.rig.T.Fatal(err)
+	}
+	if err := os.Rename(from, filepath.Join(p.aims, step)); err != nil {
+		p.rig.T.Fatal(err)
+	}
+}
+
+// Struck tells whether the process has come to a step that was aimed at.
+func (p *Proc) Struck(step string) bool {
+	_, err := os.Stat(filepath.Join(p.aims, step+".hit"))
+	return err == nil
+}
+
+// Unaim takes an aim back, and tells whether the process has not come to the step.
+func (p *Proc) Unaim(step string) bool { return os.Remove(filepath.Join(p.aims, step)) == nil }
+
 // Pause stops it where it stands, and returns once the kernel has.
 func (p *Proc) Pause() {
 	p.signal(syscall.SIGSTOP)
--- /dev/null
+++ b/internal/faults/witness.go
@@ -0,0 +1,197 @@
+package faults
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"spindlehitch/internal/fleet/guard"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/place"
+	"spindlehitch/internal/tasks"
+)
+
+// Witness is told by members of each call of a drill's place, before it is made and after it has returned, and knows nothing of leases. It
+// goes by its own clock.
+type Witness struct {
+	Addr  string
+	began time.Time
+	mu    sync.Mutex
+	calls map[string]*witnessed
+}
+
+type witnessed struct {
+	tasks.DrillNotice
+	call, end time.Duration // end 0: it has not returned
+}
+
+// Witness starts one.
+func (r *Rig) Witness() *Witness {
+	w := &Witness{began: time.Now(), calls: map[string]*witnessed{}}
+	s := httptest.NewServer(http.HandlerFunc(w.note))
+	r.T.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	w.Addr = strings.TrimPrefix(s.URL, "http://")
+	return w
+}
+
+func (w *Witness) note(_ http.ResponseWriter, q *http.Request) {
+	at := time.Since(w.began)
+	var n tasks.DrillNotice
+	if json.NewDecoder(q.Body).Decode(&n) != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A process that is started again counts its calls from one; a token is never given twice.
+	id := fmt.Sprintf("%s/%d", n.ID, n.Token)
+	switch c := w.calls[id]; {
+	case c == nil && !n.Return:
+		w.calls[id] = &witnessed{DrillNotice: n, call: at}
+	case c != nil && n.Return:
+		c.DrillNotice, c.end = n, at
+	}
+}
+
+// Seen is what a witness and the places together have of a run.
+type Seen struct {
+	Calls, Taken, Refused, Unknown int
+	Tokens                         int // that acts began under: hand-overs, and the first of each shard
+	Acts                           int // whose end was taken
+}
+
+func (s Seen) String() string {
+	return fmt.Sprintf("%d calls of places, %d taken, %d refused, %d of which nobody heard; %d acts ended under %d tokens", s.Calls, s.Taken, s.Refused, s.Unknown, s.Acts, s.Tokens)
+}
+
+// input and output of a call, for the model of a place.
+type input struct {
+	op         string
+	token, act uint64
+}
+
+// placeModel is a guarded place as it has to be: acts one after the other, in the order of their tokens. It is written from
+// the promise, not from the code that keeps it.
+var placeModel = porcupine.Model{
+	Init: func() any { return [3]uint64{} }, // the newest token and act begun; 1 while the act is under way
+	Step: func(state, in, out any) (bool, any) {
+		s, i := state.([3]uint64), in.(input)
+		mine := s[0] == i.token && s[1] == i.act && s[2] == 1
+		newer := i.token > s[0] || i.token == s[0] && i.act > s[1]
+		can := mine
+		if i.op == "begin" {
+			can = newer
+		}
+		next := s
+		switch {
+		case !can:
+		case i.op == "begin":
+			next = [3]uint64{i.token, i.act, 1}
+		case i.op == "end":
+			next[2] = 0
+		}
+		switch out.(string) {
+		case "taken":
+			return can, next
+		case "refused":
+			return !can, s
+		}
+		return true, next // nobody heard: it was taken if it could be, now or later
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(in, out any) string {
+		i := in.(input)
+		return fmt.Sprintf("%s %d.%d %v", i.op, i.token, i.act, out)
+	},
+}
+
+// Judge holds all that was witnessed of a task against the promise: for each shard the calls have to be linearizable as a guarded place, and
+// what the place itself wrote down has to be in order. What is wrong is an error that names the shard.
+func (w *Witness) Judge(task lease.Task) (seen Seen, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	shards := map[int][]porcupine.Operation{}
+	tokens := map[uint64]bool{}
+	members := map[string]int{}
+	last := time.Since(w.began)
+	for _, id := range slices.Sorted(func(yield func(string) bool) {
+		for id := range w.calls {
+			if !yield(id) {
+				return
+			}
+		}
+	}) {
+		c := w.calls[id]
+		if c.Task != task.Name {
+			continue
+		}
+		if _, known := members[c.Member]; !known {
+			members[c.Member] = len(members)
+		}
+		seen.Calls++
+		out, end := "unknown", last
+		if c.end > 0 && c.Error == "" {
+			out, end = "refused", c.end
+			if c.Taken {
+				out = "taken"
+			}
+		}
+		switch {
+		case out == "unknown":
+			seen.Unknown++
+		case c.Taken:
+			seen.Taken++
+			if tokens[c.Token] = true; c.Op == "end" {
+				seen.Acts++
+			}
+		default:
+			seen.Refused++
+		}
+		shards[c.Shard] = append(shards[c.Shard], porcupine.Operation{ClientId: members[c.Member], Input: input{c.Op, c.Token, c.Act}, Call: int64(c.call), Output: out, Return: int64(end)})
+	}
+	seen.Tokens = len(tokens)
+	for shard, history := range shards {
+		slices.SortFunc(history, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+		if got := porcupine.CheckOperationsTimeout(placeModel, history, time.Minute); got != porcupine.Ok {
+			return seen, fmt.Errorf("shard %d: %d calls are not those of acts one after the other: %s", shard, len(history), got)
+		}
+	}
+	for shard := range task.Shards {
+		s, _, err := place.Read[tasks.DrillState](filepath.Join(task.Dir, fmt.Sprintf("%s-%d", task.Name, shard)))
+		if err != nil {
+			return seen, err
+		}
+		if err := inOrder(s.Last); err != nil {
+			return seen, fmt.Errorf("shard %d, by its own word: %w", shard, err)
+		}
+	}
+	return seen, nil
+}
+
+// inOrder holds what a place wrote down against the promise.
+func inOrder(all []tasks.DrillEntry) error {
+	var p guard.Place
+	for i, e := range all {
+		if !e.Taken {
+			continue
+		}
+		mine := e.Token == p.Token && e.Act == p.Act && p.Open
+		newer := e.Token > p.Token || e.Token == p.Token && e.Act > p.Act
+		if i > 0 && p.Token > 0 && (e.Op == "begin" && !newer || e.Op != "begin" && !mine) {
+			return fmt.Errorf("entry %d, %+v, was taken after act %d under token %d", i, e, p.Act, p.Token)
+		}
+		p = guard.Place{Token: e.Token, Act: e.Act, Open: e.Op != "end"}
+	}
+	return nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -303,11 +303,12 @@
 
 // Member is one process that has a seat.
 type Member struct {
-	ID          string  `json:"id"`          // drawn by the process at its start
-	Name        string  `json:"name"`        // the instance's
-	Addr        string  `json:"addr"`        // where it takes clients
-	Weight      float64 `json:"weight"`      // in divisions
-	Incarnation uint64  `json:"incarnation"` // the log's index of its join: a later one is greater
+	ID          string  `json:"id"`                 // drawn by the process at its start
+	Name        string  `json:"name"`               // the instance's
+	Addr        string  `json:"addr"`               // where it takes clients
+	Weight      float64 `json:"weight"`             // in divisions
+	Incarnation uint64  `json:"incarnation"`        // the log's index of its join: a later one is greater
+	Accounts    string  `json:"accounts,omitempty"` // where it tells its latency accounts; empty: nowhere
 }
 
 // Check names the first field of a join that can't be served.
@@ -319,6 +320,8 @@
 		return fmt.Errorf("name: wanted 1 to %d bytes", MostName)
 	case len(m.Addr) > MostName:
 		return fmt.Errorf("addr: %d bytes at most", MostName)
+	case len(m.Accounts) > MostName:
+		return fmt.Errorf("accounts: %d bytes at most", MostName)
 	case !(m.Weight > 0 && m.Weight <= 1000):
 		return fmt.Errorf("weight: %v is not over 0 and up to 1000", m.Weight)
 	}
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -337,6 +337,12 @@
 	return x != nil && x.Holder == id && x.Token == token && !x.given && !x.taken
 }
 
+// Known tells whether there is such a member.
+func (k *Keeper) Known(id string) bool {
+	_, known := k.members[id]
+	return known
+}
+
 // Tasks is the set of tasks gone by.
 func (k *Keeper) Tasks() *lease.Doc { return &k.tasks }
 
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -264,6 +264,7 @@
 
 // Result is what a holder found out about a target.
 type Result struct {
+	Task   string `json:"task"`
 	Target string `json:"target"`
 	Token  uint64 `json:"token"` // of the target's shard
 	Well   bool   `json:"well"`
--- a/internal/ration/ration.go
+++ b/internal/ration/ration.go
@@ -16,6 +16,7 @@
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/fleet"
 	"spindlehitch/internal/fleet/holder"
+	"spindlehitch/internal/fleet/lease"
 	"spindlehitch/internal/monotone"
 )
 
@@ -27,6 +28,16 @@
 	Weight float64
 	Uses   []fleet.Use // nothing of these is used before the fleet's budgets are known
 	Log    *slog.Logger
+	Duties Duties // nil: the instance runs no tasks
+	Tells  string // where it tells its latency accounts; empty: nowhere
+}
+
+// Duties is what an instance does for the whole fleet (internal/tasks): its claims go with the renewals of its seat.
+type Duties interface {
+	Claim(now time.Duration) *lease.Claim
+	Accept(now time.Duration, a *lease.Award)
+	Drop()                          // the seat is lost
+	Stop(within time.Duration) bool // gives everything back; whether nothing is done any more
 }
 
 // Ration is an instance's. All of it is safe for concurrent use.
@@ -38,6 +49,7 @@
 
 	mu     sync.Mutex
 	h      *holder.Holder
+	hurry  bool   // the next renewal is due at once
 	why    string // why there is no seat, or nothing beyond the floor; empty: there is
 	counts struct{ renewed, failed, lapsed, denied int64 }
 }
@@ -79,6 +91,17 @@
 	}
 }
 
+// Hurry has the next renewal sent at once.
+func (r *Ration) Hurry() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hurry = true
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Take implements spindlehitch.Ration. The permit is good while the part that it is from lasts.
 func (r *Ration) Take(draws []spindlehitch.Draw) spindlehitch.Permit {
 	r.mu.Lock()
@@ -153,7 +176,7 @@
 	id := rand.Text()
 	for pause := joinAgain; ; pause = min(2*pause, mostJoin) {
 		began := monotone.Now()
-		m, doc, err := r.client.Join(ctx, fleet.Member{ID: id, Name: r.opt.Name, Addr: r.opt.Addr, Weight: r.opt.Weight})
+		m, doc, err := r.client.Join(ctx, fleet.Member{ID: id, Name: r.opt.Name, Addr: r.opt.Addr, Weight: r.opt.Weight, Accounts: r.opt.Tells})
 		if err == nil {
 			r.mu.Lock()
 			r.h.Seat(began, m.ID, doc)
@@ -190,12 +213,42 @@
 	}
 }
 
+// heed has a renewal sent whenever the agents' log has changed something for this member's tasks.
+func (r *Ration) heed(ctx context.Context, id string) {
+	var known uint64
+	for ctx.Err() == nil {
+		index, err := r.client.Changed(ctx, id, known)
+		if err == nil && index > known {
+			known = index
+			r.Hurry()
+			continue
+		}
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(joinAgain):
+			}
+		}
+	}
+}
+
 // keep renews until the seat is lost or ctx ends.
 func (r *Ration) keep(ctx context.Context) {
+	if r.opt.Duties != nil {
+		heeding, stop := context.WithCancel(ctx)
+		defer stop()
+		r.mu.Lock()
+		id := r.h.ID()
+		r.mu.Unlock()
+		go r.heed(heeding, id)
+	}
 	cut := false
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		due := r.h.Next() - monotone.Now()
+		if r.hurry {
+			due = 0
+		}
 		r.mu.Unlock()
 		if due > 0 {
 			select {
@@ -213,12 +266,21 @@
 			r.moved()
 			return
 		}
-		ren := r.h.Renew(monotone.Now()) // before it goes out: its part's end is reckoned from here
+		began := monotone.Now() // before it goes out: its part's end is reckoned from here
+		ren := r.h.Renew(began)
 		within := r.h.Patience()
+		r.hurry = false
 		r.mu.Unlock()
+		var claim *lease.Claim
+		if r.opt.Duties != nil {
+			claim = r.opt.Duties.Claim(began)
+		}
 		call, done := context.WithTimeout(ctx, within)
-		a, err := r.client.Renew(call, ren)
+		a, award, err := r.client.Renew(call, ren, claim)
 		done()
+		if err == nil && award != nil && r.opt.Duties != nil {
+			r.opt.Duties.Accept(monotone.Now(), award)
+		}
 		r.mu.Lock()
 		switch {
 		case errors.Is(err, fleet.UnknownMember):
@@ -248,6 +310,9 @@
 func (r *Ration) lost(why string) {
 	r.why = why
 	r.h.Unseat()
+	if r.opt.Duties != nil {
+		r.opt.Duties.Drop()
+	}
 	r.opt.Log.Warn("seat lost", slog.String("reason", "FLEET_SEAT_LOST"), slog.String("why", why))
 }
 
@@ -258,6 +323,10 @@
 	seated, id := r.h.Seated(monotone.Now()), r.h.ID()
 	r.h.Leave()
 	r.mu.Unlock()
+	if r.opt.Duties != nil && !r.opt.Duties.Stop(leaveAfter) {
+		r.opt.Log.Warn("seat not given back", slog.String("reason", "FLEET_NOT_LEFT"), slog.String("why", "an act is under way"))
+		return
+	}
 	for end := time.Now().Add(leaveAfter); ; time.Sleep(10 * time.Millisecond) {
 		r.mu.Lock()
 		out := r.h.Out()
--- /dev/null
+++ b/internal/tasks/account.go
@@ -0,0 +1,236 @@
+package tasks
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"spindlehitch/internal/accounts"
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/failpoint"
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/guard"
+	"spindlehitch/internal/place"
+)
+
+const (
+	// Kept is how many windows an instance keeps for the fleet's account: a window is asked for while it is one of these.
+	Kept = 4
+	// settle is how long after a window's end its accounts are asked for: instances cut by their own clocks.
+	settle = 2 * time.Second
+	// askAtOnce bounds how many instances are asked at a time.
+	askAtOnce    = 16
+	mostAccounts = 64 << 20
+)
+
+// ReportState is what the folder of the fleet's account holds.
+type ReportState struct {
+	guard.Place
+	Windows []ReportWindow `json:"windows"` // written, in order of time
+}
+
+// ReportWindow is one report. Its file is whole, and no other of that window is written.
+type ReportWindow struct {
+	Start     int64    `json:"start"` // Unix seconds
+	WindowS   int64    `json:"window_s"`
+	File      string   `json:"file"`
+	Token     uint64   `json:"token"`
+	Member    string   `json:"member"`    // the instance that wrote it
+	Instances []string `json:"instances"` // that told their accounts
+	Missing   []string `json:"missing"`   // that could not be asked, each with the reason
+}
+
+// Reports reads which reports a folder has.
+func Reports(dir string) ([]ReportWindow, error) {
+	s, n, err := place.Read[ReportState](dir)
+	if err == nil && n == 0 {
+		err = fmt.Errorf("%s: no report was ever written there", dir)
+	}
+	return s.Windows, err
+}
+
+// Account collects the latency accounts of all instances by window and writes one report for the fleet.
+type Account struct {
+	Name   string // the instance's
+	Agents *agent.Client
+	client http.Client
+}
+
+// Act implements Job: one window at most, the oldest that is over and not written.
+func (j *Account) Act(ctx context.Context, a *Act) error {
+	dir := a.Task.Dir
+	state, err := place.Update(dir, func(s *ReportState) error { return s.Begin(a.Token, a.N) })
+	if err != nil {
+		return err
+	}
+	failpoint.Hit("account.begun")
+	if start, due := nextWindow(state.Windows, a.Task.Window(), time.Now()); due {
+		if err := j.write(ctx, a, dir, start); err != nil {
+			return err
+		}
+	}
+	_, err = place.Update(dir, func(s *ReportState) error { return s.End(a.Token, a.N) })
+	return err
+}
+
+// nextWindow is the beginning of the oldest window that is over, is kept by instances still, and comes after all that were written. The
+// wall clock names windows; what is written at most once is a matter of the place.
+func nextWindow(written []ReportWindow, window time.Duration, now time.Time) (start time.Time, due bool) {
+	end := now.Add(-settle).Truncate(window)
+	start = end.Add(-(Kept - 1) * window)
+	if n := len(written); n > 0 {
+		if after := time.Unix(written[n-1].Start, 0).Add(window); after.After(start) {
+			start = after
+		}
+	} else {
+		start = end.Add(-window) // the first: nobody counted before
+	}
+	return start, !start.Add(window).After(end)
+}
+
+// write asks all instances for a window and writes its report: whole under a name of its own first, and by one step of the place the
+// window's.
+func (j *Account) write(ctx context.Context, a *Act, dir string, start time.Time) error {
+	v, err := j.Agents.Fleet(ctx)
+	if err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	w := ReportWindow{Start: start.Unix(), WindowS: a.Task.WindowS, Token: a.Token, Member: j.Name, Instances: []string{}, Missing: []string{}}
+	var all []accounts.Snapshot
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	gate := make(chan struct{}, askAtOnce)
+	for _, m := range v.Members {
+		asking.Go(func() {
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			s, err := j.ask(ctx, m.Member, start, a.Task.Window())
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				w.Missing = append(w.Missing, fmt.Sprintf("%s: %v", m.Name, err))
+				return
+			}
+			w.Instances = append(w.Instances, m.Name)
+			all = append(all, s)
+		})
+	}
+	asking.Wait()
+	failpoint.Hit("account.asked")
+	slices.Sort(w.Instances)
+	slices.Sort(w.Missing)
+	if ctx.Err() != nil {
+		return errOver
+	}
+	merged, err := accounts.Merge(all...)
+	if err != nil {
+		return err
+	}
+	if len(all) == 0 {
+		merged.From, merged.To = start, start.Add(a.Task.Window())
+	}
+	report, err := accounts.Tell(merged, "")
+	if err != nil {
+		return err
+	}
+	about := map[string]string{"instances": strings.Join(w.Instances, ","), "window": start.UTC().Format(time.RFC3339), "token": fmt.Sprint(a.Token)}
+	missing, err := json.Marshal(w.Missing)
+	if err != nil {
+		return err
+	}
+	about["missing"] = string(missing)
+	w.File = fmt.Sprintf("fleet-%s-%d.parquet", start.UTC().Format("20060102T150405Z"), a.Token)
+	if !a.Good() {
+		return errOver
+	}
+	f, err := os.Create(filepath.Join(dir, w.File))
+	if err != nil {
+		return err
+	}
+	err = report.ParquetAbout(f, about)
+	failpoint.Hit("account.written")
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	failpoint.Hit("account.synced")
+	if !a.Good() {
+		return errOver
+	}
+	state, err := place.Update(dir, func(s *ReportState) error {
+		if err := s.Take(a.Token, a.N); err != nil {
+			return err
+		}
+		if n := len(s.Windows); n > 0 && s.Windows[n-1].Start >= w.Start {
+			return nil // this act's, made and not heard of
+		}
+		s.Windows = append(s.Windows, w)
+		s.Windows = s.Windows[max(0, len(s.Windows)-a.Task.Keep):]
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	failpoint.Hit("account.committed")
+	sweep(dir, state, a.Token)
+	return nil
+}
+
+// sweep takes away files that no window has, of tokens that nothing is taken under any more, or of windows no longer kept.
+func sweep(dir string, s ReportState, token uint64) {
+	has := map[string]bool{}
+	for _, w := range s.Windows {
+		has[w.File] = true
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "fleet-*.parquet"))
+	for _, path := range files {
+		var of uint64
+		name := filepath.Base(path)
+		if _, after, found := strings.Cut(strings.TrimPrefix(name, "fleet-"), "-"); found {
+			fmt.Sscanf(after, "%d.parquet", &of)
+		}
+		if !has[name] && of > 0 && of <= token {
+			os.Remove(path)
+		}
+	}
+}
+
+// ask has one instance tell its accounts of a window.
+func (j *Account) ask(ctx context.Context, m fleet.Member, start time.Time, window time.Duration) (s accounts.Snapshot, err error) {
+	if m.Accounts == "" {
+		return s, errors.New("it keeps no accounts")
+	}
+	// One that stands still must leave time for the report.
+	if end, bounded := ctx.Deadline(); bounded {
+		var done context.CancelFunc
+		ctx, done = context.WithTimeout(ctx, time.Until(end)/2)
+		defer done()
+	}
+	url := fmt.Sprintf("http://%s/accounts?window=%d&window_s=%d", m.Accounts, start.Unix(), int64(window.Seconds()))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := j.client.Do(req)
+	if err != nil {
+		return s, errors.Unwrap(err)
+	}
+	defer resp.Body.Close()
+	body := io.LimitReader(resp.Body, mostAccounts)
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(body, 200))
+		return s, fmt.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
+	}
+	if err := json.NewDecoder(body).Decode(&s); err != nil {
+		return s, err
+	}
+	return s, s.Check()
+}
--- /dev/null
+++ b/internal/tasks/drill.go
@@ -0,0 +1,134 @@
+package tasks
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"spindlehitch/internal/failpoint"
+	"spindlehitch/internal/fleet/guard"
+	"spindlehitch/internal/place"
+)
+
+// Drill acts at a guarded folder that holds nothing but what was done there: whether leases hold on these machines, on this file
+// system, is seen without a task that matters.
+type Drill struct {
+	Name   string // the instance's
+	client http.Client
+	notice atomic.Uint64
+}
+
+// DrillState is what a drill's folder holds for one shard.
+type DrillState struct {
+	guard.Place
+	Count   uint64       `json:"count"`   // changes taken
+	Refused uint64       `json:"refused"` // acts turned away
+	Last    []DrillEntry `json:"last"`    // the newest of what was done
+}
+
+// DrillEntry is one thing that was done, or refused, at a drill's place.
+type DrillEntry struct {
+	Token  uint64 `json:"token"`
+	Act    uint64 `json:"act"`
+	Op     string `json:"op"` // begin, take, end
+	Member string `json:"member"`
+	Taken  bool   `json:"taken"`
+}
+
+// mostEntries bounds what a drill's place writes down.
+const mostEntries = 256
+
+func (s *DrillState) note(e DrillEntry) {
+	s.Last = append(s.Last, e)
+	s.Last = s.Last[max(0, len(s.Last)-mostEntries):]
+}
+
+// DrillNotice is what a witness is told of a call of the place, before it is made and after it has returned.
+type DrillNotice struct {
+	DrillEntry
+	ID     string `json:"id"` // of the call
+	Task   string `json:"task"`
+	Shard  int    `json:"shard"`
+	Return bool   `json:"return"`
+	Error  string `json:"error,omitempty"` // of a call of which it is not known whether it was taken
+}
+
+// takes is how many changes an act of a drill makes.
+const takes = 2
+
+// Act implements Job: begin, a few changes, end, each one atomic step of the folder.
+func (d *Drill) Act(ctx context.Context, a *Act) error {
+	dir := filepath.Join(a.Task.Dir, fmt.Sprintf("%s-%d", a.Task.Name, a.Shard))
+	step := func(op string, do func(*guard.Place) error) error {
+		if !a.Good() {
+			return errOver
+		}
+		failpoint.Hit("act.checked")
+		e := DrillEntry{Token: a.Token, Act: a.N, Op: op, Member: d.Name}
+		n := DrillNotice{DrillEntry: e, ID: fmt.Sprintf("%s-%d", d.Name, d.notice.Add(1)), Task: a.Task.Name, Shard: a.Shard}
+		d.tell(ctx, a, n)
+		_, err := place.Update(dir, func(s *DrillState) error {
+			if err := do(&s.Place); err != nil {
+				return err
+			}
+			if op == "take" {
+				s.Count++
+			}
+			e.Taken = true
+			s.note(e)
+			return nil
+		})
+		refused, is := err.(*guard.Refusal)
+		if n.Return, n.Taken = true, err == nil; err != nil && !is {
+			n.Error = err.Error()
+		}
+		d.tell(ctx, a, n)
+		if is {
+			place.Update(dir, func(s *DrillState) error {
+				s.Refused++
+				e.Taken = false
+				s.note(e)
+				return nil
+			})
+			return refused
+		}
+		return err
+	}
+	if err := step("begin", func(p *guard.Place) error { return p.Begin(a.Token, a.N) }); err != nil {
+		return err
+	}
+	failpoint.Hit("act.opened")
+	for range takes {
+		if err := step("take", func(p *guard.Place) error { return p.Take(a.Token, a.N) }); err != nil {
+			return err
+		}
+		failpoint.Hit("act.taken")
+	}
+	return step("end", func(p *guard.Place) error { return p.End(a.Token, a.N) })
+}
+
+// tell tells the witness. What can't be told is missing there, and no more.
+func (d *Drill) tell(ctx context.Context, a *Act, n DrillNotice) {
+	if a.Task.Witness == "" {
+		return
+	}
+	// A witness that stands still costs an act some of its time; the return is told whether or not the act is over.
+	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
+	defer done()
+	text, err := json.Marshal(n)
+	if err != nil {
+		return
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Task.Witness+"/", bytes.NewReader(text))
+	if err != nil {
+		return
+	}
+	if resp, err := d.client.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -158,6 +158,8 @@
 			}
 		case Shared:
 			s.crew.set(e.Parts, s.now, s.set.Rules.FallWithin)
+		case Watched:
+			s.watched(e)
 		case Timer: // also one a little early: whoever drives the module may round
 			s.timerAt = never
 		}
@@ -562,7 +564,7 @@
 // Avoided tells how many of the listed nodes get no request, or one trial at a time.
 func (s *Scheduler) Avoided() (n int) {
 	for _, x := range s.nodes {
-		if x.State == Draining || x.State == Up && (x.openAt > s.now || s.troubled(x)) {
+		if x.State == Draining || s.avoids(x) {
 			n++
 		}
 	}
