--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -222,6 +222,13 @@
 func TestSnapshot(t *testing.T) {
 	s := newStore()
 	s.Apply(&raft.Log{Index: 4, Data: []byte(`{"name":"n1","config":{"a":1}}`)})
+	for i, text := range []string{`{"set":{"seats":4}}`, `{"join":{"id":"m","name":"m","weight":1}}`,
+		`{"tasks":{"tasks":[{"name":"t","kind":"watch","shards":2,"pause_ms":100}]}}`,
+		`{"orders":[{"task":"t","shard":1,"over":0,"do":"grant","to":"m"}],"seen":70}`, `{"orders":[{"task":"t","shard":1,"over":0,"do":"free"}]}`} {
+		if err, is := s.Apply(&raft.Log{Index: uint64(5 + i), Data: []byte(text)}).(error); is {
+			t.Fatal(err)
+		}
+	}
 	snap, err := s.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -234,6 +241,9 @@
 	if err := other.Restore(io.NopCloser(&k)); err != nil {
 		t.Fatal(err)
 	}
+	if r, _ := other.register(); r.Token != 71 || len(r.Leases) != 2 || r.Leases[1].Token != 71 || r.Leases[1].Holder != "m" || r.Tasks.Task("t").Shards != 2 {
+		t.Errorf("restored %+v of the leases", r)
+	}
 	if e, found, _ := other.get("n1"); !found || e.Version != 4 || string(e.Config) != `{"a":1}` {
 		t.Errorf("restored %+v", e)
 	}
@@ -246,7 +256,7 @@
 			t.Errorf("restored %+v of the older form", e)
 		}
 	}
-	if err := other.Restore(io.NopCloser(strings.NewReader(`{"format":3}`))); err == nil {
+	if err := other.Restore(io.NopCloser(strings.NewReader(fmt.Sprintf(`{"format":%d}`, format+1)))); err == nil {
 		t.Error("a newer format was restored")
 	}
 }
