--- /dev/null
+++ b/internal/faults/lease_long_test.go
@@ -0,0 +1,216 @@
+package faults
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"spindlehitch/internal/agent"
+	terms "spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/fleet/tenant"
+	"spindlehitch/internal/monotone"
+)
+
+// steps of an act that processes are stopped at.
+var steps = []string{"act.begun", "act.opened", "act.checked", "act.taken", "place.link", "place.linked", "act.ending"}
+
+// TestLeasesScheduled plays faults at random, by a seed, and has members stop inside acts for longer than leases all the time, by aims. By
+// hand it goes on for as long as SPINDLEHITCH_FAULTS says (such as 10m), with twenty members and thirty shards; SPINDLEHITCH_SEED
+// is another seed.
+func TestLeasesScheduled(t *testing.T) {
+	length, members, shards, seed := 15*time.Second, 5, 8, uint64(1)
+	if d, err := time.ParseDuration(os.Getenv("SPINDLEHITCH_FAULTS")); err == nil {
+		length, members, shards = d, 20, 30
+	}
+	if n, err := strconv.ParseUint(os.Getenv("SPINDLEHITCH_SEED"), 10, 64); err == nil {
+		seed = n
+	}
+	d := newDrill(t, members, shards, 1.0005, 0, 0.9995)
+	// What is paused is paused inside an act here.
+	plan := slices.DeleteFunc(Schedule(seed, members, 3, length, 8*time.Second/time.Duration(members)), func(e Event) bool { return e.What == "pause" })
+	rng := rand.New(rand.NewPCG(seed, 21))
+	inside := 0
+	ctx, stop := context.WithCancel(t.Context())
+	var aiming sync.WaitGroup
+	aiming.Go(func() {
+		for ctx.Err() == nil {
+			n, step := d.all[rng.IntN(members)], steps[rng.IntN(len(steps))]
+			n.Aim(step, "stop")
+			for end := time.Now().Add(2 * time.Second); !n.Struck(step) && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+			}
+			if n.Unaim(step) || !n.Struck(step) {
+				continue // it held nothing, or was dead
+			}
+			time.Sleep(leaseFor + time.Duration(rng.Float64()*float64(leaseFor)))
+			if n.Stopped() {
+				inside++ // for all of that time
+			}
+			n.Resume()
+		}
+	})
+	counts := d.Play(plan, d.all, d.agents)
+	stop()
+	aiming.Wait()
+	d.even("once all faults have ended every shard is held, evenly", members)
+	seen := d.judge()
+	t.Logf("seed %d, %v, %d members, %d shards: %v, %d pauses inside an act for longer than a lease, no overlap", seed, length, members, shards, counts, inside)
+	if inside < int(length/(8*time.Second)) {
+		t.Errorf("only %d pauses fell inside an act", inside)
+	}
+	if seen.Tokens < shards {
+		t.Errorf("%d tokens for %d shards", seen.Tokens, shards)
+	}
+}
+
+// TestLeaseOperations has members in this process claim, give back, move and look at leases through agents that are hurt, and holds the
+// history against a register that is granted under growing tokens.
+func TestLeaseOperations(t *testing.T) {
+	r := New(t)
+	g := r.Agents(3)
+	g.Leader()
+	for _, args := range [][]string{{"budget", "set", r.File("seats.toml", leaseSeats)},
+		{"lease", "set", r.File("tasks.toml", "[[task]]\nname = \"t\"\nkind = \"watch\"\nshards = 2\nlease_ms = 1200\nact_ms = 100\npause_ms = 50\nprogress_ms = 60000\n")}} {
+		if out, code, _ := r.Run(append(args, "--agents", g.List())...); code != 0 {
+			t.Fatal(out)
+		}
+	}
+	began, length := time.Now(), 10*time.Second
+	ctx, stop := context.WithTimeout(t.Context(), length)
+	defer stop()
+	var mu sync.Mutex
+	history := map[int][]porcupine.Operation{}
+	note := func(client, shard int, in, out any, call, end time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		history[shard] = append(history[shard], porcupine.Operation{ClientId: client, Input: in, Output: out, Call: int64(call), Return: int64(end)})
+	}
+	var work sync.WaitGroup
+	grants := 0
+	for i := range 3 {
+		work.Go(func() {
+			client := &agent.Client{Addrs: g.API}
+			rng := rand.New(rand.NewPCG(uint64(i), 22))
+			id := fmt.Sprint("member-", i)
+			for {
+				if _, _, err := client.Join(ctx, terms.Member{ID: id, Name: id, Weight: 1}); err == nil || ctx.Err() != nil {
+					break
+				}
+			}
+			m := tenant.New([]string{"t"})
+			has := map[int]uint64{}
+			before := time.Since(began) // when the claim before the last was begun: what is new was granted after that was decided
+			for seq := uint64(1); ctx.Err() == nil; seq++ {
+				begun := time.Since(began)
+				c := m.Claim(monotone.Now())
+				call, done := context.WithTimeout(ctx, 400*time.Millisecond)
+				_, award, err := client.Renew(call, terms.Renewal{ID: id, Seq: seq}, &c)
+				done()
+				if err == nil && award != nil && m.Accept(monotone.Now(), *award) {
+					for _, h := range m.All() {
+						if has[h.Shard] != h.Token {
+							has[h.Shard] = h.Token
+							note(i, h.Shard, operation{"grant", h.Token}, nil, before, time.Since(began))
+							mu.Lock()
+							grants++
+							mu.Unlock()
+						}
+					}
+					before = begun
+				}
+				if held := m.Held(monotone.Now()); len(held) > 0 && rng.IntN(4) == 0 {
+					m.Release(held[rng.IntN(len(held))])
+				}
+				time.Sleep(time.Duration(rng.IntN(80)) * time.Millisecond)
+			}
+		})
+	}
+	for i := range 2 {
+		work.Go(func() {
+			client := &agent.Client{Addrs: g.API}
+			rng := rand.New(rand.NewPCG(uint64(i), 23))
+			for ctx.Err() == nil {
+				call := time.Since(began)
+				at, done := context.WithTimeout(ctx, 2*time.Second)
+				v, err := client.Fleet(at)
+				done()
+				if err == nil && v.Leads {
+					for _, l := range v.Leases {
+						note(10+i, l.Shard, operation{"read", 0}, l.Token, call, time.Since(began))
+					}
+				}
+				if rng.IntN(3) == 0 {
+					at, done := context.WithTimeout(ctx, time.Second)
+					err := client.MoveLease(at, lease.Key{Task: "t", Shard: rng.IntN(2)}, fmt.Sprint("member-", rng.IntN(3)))
+					done()
+					var no *agent.Refusal
+					if err != nil && ctx.Err() == nil && errors.As(err, &no) && no.Status != 422 {
+						t.Error(err)
+					}
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	for turn := 0; ctx.Err() == nil; turn++ {
+		time.Sleep(1500 * time.Millisecond)
+		leader := g.Leader()
+		p := g.Procs[leader]
+		switch turn % 3 {
+		case 0:
+			p.Pause()
+			time.Sleep(1500 * time.Millisecond)
+			p.Resume()
+		case 1:
+			p.Kill()
+			time.Sleep(500 * time.Millisecond)
+			p.Restart()
+		case 2:
+			g.Isolate(leader)
+			time.Sleep(1500 * time.Millisecond)
+			g.Join(leader)
+		}
+	}
+	work.Wait()
+	// A grant is of a token greater than any before; who reads what the leader has sees the newest. A grant that nobody was told of may
+	// come between.
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{uint64(0)} },
+		Step: func(state, in, out any) []any {
+			s, o := state.(uint64), in.(operation)
+			switch {
+			case o.what == "grant" && o.token > s:
+				return []any{o.token}
+			case o.what == "read" && out.(uint64) >= s:
+				return []any{out.(uint64)}
+			}
+			return nil
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	for shard, h := range history {
+		slices.SortFunc(h, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+		if got := porcupine.CheckOperationsTimeout(model.ToModel(), h, time.Minute); got != porcupine.Ok {
+			t.Errorf("shard %d: %d grants and looks are not those of one register: %s", shard, len(h), got)
+		}
+		t.Logf("shard %d: %d grants and looks", shard, len(h))
+	}
+	if grants < 10 {
+		t.Errorf("only %d grants", grants)
+	}
+}
+
+type operation struct {
+	what  string
+	token uint64
+}
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -207,14 +207,17 @@
 // Pause stops it where it stands, and returns once the kernel has.
 func (p *Proc) Pause() {
 	p.signal(syscall.SIGSTOP)
-	for end := time.Now().Add(time.Second); p.Alive() && time.Now().Before(end); time.Sleep(time.Millisecond) {
-		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-		if _, state, found := strings.Cut(string(b), ") "); err != nil || found && state[0] == 'T' {
-			return
-		}
+	for end := time.Now().Add(time.Second); p.Alive() && !p.Stopped() && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
 }
 
+// Stopped tells whether it stands still.
+func (p *Proc) Stopped() bool {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	_, state, found := strings.Cut(string(b), ") ")
+	return err == nil && found && state[0] == 'T'
+}
+
 // Resume lets it go on.
 func (p *Proc) Resume() { p.signal(syscall.SIGCONT) }
 
