--- a/internal/faults/judge.go
+++ b/internal/faults/judge.go
@@ -52,6 +52,7 @@
 	Takes    atomic.Int64 // ns for each request
 	Ill      atomic.Bool  // asked for its health, it says that it is not well
 	Probed   atomic.Int64 // how often it was asked for it
+	all      atomic.Int64 // requests, health calls not among them
 	asked    atomic.Int64
 	conns    atomic.Int64
 	most     atomic.Int64
@@ -138,6 +139,7 @@
 		}
 		return
 	}
+	t.all.Add(1)
 	cold := t.Started.Load() > 0
 	j.mu.Lock()
 	id := q.Header.Get("Request-Id")
