--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,7 +38,7 @@
 // Bounds of what is keyed by something.
 const (
 	MostBudgets = 16
-	MostSeats   = 4096
+	MostSeats   = 16384
 	MostKeys    = 1024 // of one member
 	MostName    = 128  // bytes
 )
@@ -328,6 +328,25 @@
 	return nil
 }
 
+// Changed tells who is among the members now and was not before, and who was and is not. Both are in order of incarnation, as the
+// register has them, so that a join among ten thousand costs a look at each and no more.
+func Changed(before, now []Member) (joined, left []Member) {
+	i, j := 0, 0
+	for i < len(before) || j < len(now) {
+		switch {
+		case i < len(before) && j < len(now) && before[i].Incarnation == now[j].Incarnation && before[i].ID == now[j].ID:
+			i, j = i+1, j+1
+		case j == len(now) || i < len(before) && before[i].Incarnation <= now[j].Incarnation:
+			left = append(left, before[i])
+			i++
+		default:
+			joined = append(joined, now[j])
+			j++
+		}
+	}
+	return joined, left
+}
+
 // Key names one whole.
 type Key struct {
 	Budget string `json:"budget"`
--- a/internal/fleet/giver/giver.go
+++ b/internal/fleet/giver/giver.go
@@ -24,7 +24,8 @@
 	doc     fleet.Doc
 	since   time.Duration
 	members map[string]member
-	order   []string // ids of members
+	order   []string       // ids of members
+	known   []fleet.Member // as the log had them last
 	book    map[fleet.Key]*page
 }
 
@@ -81,26 +82,31 @@
 // Update takes over what the log says. Who has no seat any more holds nothing: it said so, or its seat outlasted all that it held (1).
 func (g *Giver) Update(now time.Duration, doc fleet.Doc, members []fleet.Member) {
 	g.doc = doc
-	in := map[string]bool{}
-	for _, m := range members {
-		in[m.ID] = true
-		x, known := g.members[m.ID]
-		if !known {
-			x.heard = now
+	joined, left := fleet.Changed(g.known, members)
+	g.known = append(g.known[:0], members...)
+	for _, m := range left {
+		delete(g.members, m.ID)
+		if at, there := slices.BinarySearch(g.order, m.ID); there {
+			g.order = slices.Delete(g.order, at, at+1)
 		}
-		x.Member = m
-		g.members[m.ID] = x
 	}
-	maps.DeleteFunc(g.members, func(id string, _ member) bool { return !in[id] })
+	for _, m := range joined {
+		g.members[m.ID] = member{Member: m, heard: now}
+		if at, there := slices.BinarySearch(g.order, m.ID); !there {
+			g.order = slices.Insert(g.order, at, m.ID)
+		}
+	}
+	if len(left) == 0 {
+		return
+	}
 	for k, p := range g.book {
 		before := len(p.rows)
-		p.rows = slices.DeleteFunc(p.rows, func(r row) bool { return !in[r.id] })
+		p.rows = slices.DeleteFunc(p.rows, func(r row) bool { _, in := g.members[r.id]; return !in })
 		p.old = p.old || len(p.rows) < before
 		if len(p.rows) == 0 {
 			delete(g.book, k)
 		}
 	}
-	g.order = slices.Sorted(maps.Keys(in))
 }
 
 // held is how long, at the giver, something lasts that was given for a renewal that has just come (Time).
--- a/internal/fleet/keeper/keeper.go
+++ b/internal/fleet/keeper/keeper.go
@@ -32,6 +32,7 @@
 	token   uint64 // the newest that the log has given
 	seen    uint64 // the newest that a place has been shown, as a member said
 	members map[string]member
+	known   []fleet.Member // as the log had them last
 	rows    []row
 	bars    map[bar]barred
 }
@@ -77,19 +78,22 @@
 
 // Update takes over what the log says.
 func (k *Keeper) Update(now time.Duration, r *register.Register) {
+	tasked := k.tasks.Version != r.Tasks.Version
 	k.doc, k.tasks, k.token = r.Doc, r.Tasks, max(k.token, r.Token)
-	in := map[string]bool{}
-	for _, m := range r.Members {
-		in[m.ID] = true
-		x, known := k.members[m.ID]
-		if !known {
-			x.heard = now
-		}
-		x.Member = m
-		k.members[m.ID] = x
+	joined, left := fleet.Changed(k.known, r.Members)
+	k.known = append(k.known[:0], r.Members...)
+	for _, m := range left {
+		delete(k.members, m.ID)
+	}
+	for _, m := range joined {
+		k.members[m.ID] = member{Member: m, heard: now}
+	}
+	if len(left) > 0 || tasked {
+		maps.DeleteFunc(k.bars, func(b bar, _ barred) bool { return !k.Known(b.id) || k.tasks.Task(b.task) == nil })
+	}
+	if slices.EqualFunc(k.rows, r.Leases, func(x row, l lease.Lease) bool { return x.Lease == l }) {
+		return
 	}
-	maps.DeleteFunc(k.members, func(id string, _ member) bool { return !in[id] })
-	maps.DeleteFunc(k.bars, func(b bar, _ barred) bool { return !in[b.id] || k.tasks.Task(b.task) == nil })
 	rows := make([]row, 0, len(r.Leases))
 	for _, l := range r.Leases {
 		x := row{Lease: l, since: now, progress: now}
--- /dev/null
+++ b/internal/model/experiment/run.go
@@ -0,0 +1,366 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/parquet-go/parquet-go"
+	"github.com/parquet-go/parquet-go/compress/zstd"
+	"gonum.org/v1/gonum/stat"
+
+	"spindlehitch/internal/model"
+)
+
+// Done is one run and what came of it, as its file has it.
+type Done struct {
+	Planned
+	Sum    uint64       `json:"spec_xxhash"`
+	Result model.Result `json:"result"`
+}
+
+// Row is a line of the results: one step of one run.
+type Row struct {
+	Run     int32  `parquet:"run"`
+	Of      string `parquet:"of,dict"` // variant and what was varied
+	Variant string `parquet:"variant,dict"`
+	Seed    uint64 `parquet:"seed"`
+	model.Point
+}
+
+func (p *Planned) sum() uint64 { return xxhash.Sum64String(p.text) }
+
+func file(dir string, n int) string { return filepath.Join(dir, "runs", fmt.Sprintf("%06d.json", n)) }
+
+// load reads a run's file; false: it is not there, not whole, or of another spec.
+func load(dir string, p Planned) (d Done, ok bool) {
+	b, err := os.ReadFile(file(dir, p.N))
+	if err != nil || json.Unmarshal(b, &d) != nil || d.Sum != p.sum() || d.Seed != p.Seed {
+		return d, false
+	}
+	d.Spec, d.text = p.Spec, p.text
+	return d, true
+}
+
+// save puts a run's file there whole.
+func save(dir string, d Done) error {
+	b, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	return whole(file(dir, d.N), func(w io.Writer) error {
+		_, err := w.Write(b)
+		return err
+	})
+}
+
+// whole writes a file under another name first.
+func whole(path string, write func(io.Writer) error) (err error) {
+	f, err := os.CreateTemp(filepath.Dir(path), "writing-*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			os.Remove(f.Name())
+		}
+	}()
+	if err = errors.Join(write(f), f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// ErrBroken says that a promise was broken in some run.
+var ErrBroken = errors.New("a promise is broken")
+
+// Run takes all runs that the folder does not have yet, on so many cores (0: all), and then writes results.parquet and summary.json, which
+// depend on the file alone. told is called after each, from one goroutine at a time. Where ctx ends, what is done is kept.
+func (x *Experiment) Run(ctx context.Context, dir string, cores int, told func(done, all int)) ([]Done, error) {
+	if err := os.MkdirAll(filepath.Join(dir, "runs"), 0o755); err != nil {
+		return nil, err
+	}
+	if cores <= 0 {
+		cores = runtime.GOMAXPROCS(0)
+	}
+	all := make([]Done, len(x.Runs))
+	var mu sync.Mutex
+	var failed error
+	done := 0
+	next := make(chan int)
+	var work sync.WaitGroup
+	for range cores {
+		work.Go(func() {
+			for i := range next {
+				p := x.Runs[i]
+				d, had := load(dir, p)
+				if !had {
+					d = Done{Planned: p, Sum: p.sum(), Result: model.Run(p.Spec, p.Seed, false)}
+					if err := save(dir, d); err != nil {
+						mu.Lock()
+						failed = errors.Join(failed, err)
+						mu.Unlock()
+					}
+				}
+				mu.Lock()
+				all[i] = d
+				done++
+				told(done, len(x.Runs))
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range x.Runs {
+		select {
+		case <-ctx.Done():
+		case next <- i:
+			continue
+		}
+		break
+	}
+	close(next)
+	work.Wait()
+	if failed != nil || ctx.Err() != nil {
+		return nil, errors.Join(failed, ctx.Err())
+	}
+	err := whole(filepath.Join(dir, "results.parquet"), func(w io.Writer) error {
+		p := parquet.NewGenericWriter[Row](w, parquet.Compression(&zstd.Codec{}))
+		for _, d := range all {
+			rows := make([]Row, 0, len(d.Result.Series))
+			for _, point := range d.Result.Series {
+				rows = append(rows, Row{int32(d.N), d.Of(), d.Variant, d.Seed, point})
+			}
+			if _, err := p.Write(rows); err != nil {
+				return err
+			}
+		}
+		return p.Close()
+	})
+	if err != nil {
+		return all, err
+	}
+	err = whole(filepath.Join(dir, "summary.json"), func(w io.Writer) error {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(Summarize(all))
+	})
+	for _, d := range all {
+		if d.Result.Broken != nil {
+			return all, errors.Join(err, fmt.Errorf("run %d (%s, seed %d): %w: %w", d.N, d.Of(), d.Seed, ErrBroken, d.Result.Broken))
+		}
+	}
+	return all, err
+}
+
+// measures are what a run is summed up by. Shares are of what was offered.
+var measures = []struct {
+	name string
+	of   func(d *Done) float64
+}{
+	{"served", func(d *Done) float64 { return total(d, served) / total(d, offered) }},
+	{"late", func(d *Done) float64 {
+		return total(d, func(p model.Point) float64 { return p.Late }) / total(d, offered)
+	}},
+	{"lost", func(d *Done) float64 {
+		return total(d, func(p model.Point) float64 { return p.Lost }) / total(d, offered)
+	}},
+	{"repeats", func(d *Done) float64 {
+		return total(d, func(p model.Point) float64 { return p.Repeats }) / total(d, offered)
+	}},
+	{"attempts", func(d *Done) float64 {
+		return total(d, func(p model.Point) float64 { return p.Attempts }) / total(d, offered)
+	}},
+	{"falls", func(d *Done) float64 { return total(d, func(p model.Point) float64 { return p.Falls }) }},
+	{"grants", func(d *Done) float64 { return total(d, func(p model.Point) float64 { return p.Grants }) }},
+	{"recover_s", recover9},
+	{"tail", tail},
+	{"p99_s", func(d *Done) float64 { return d.Result.P99 }},
+	{"worst_window", func(d *Done) float64 { return d.Result.Worst }},
+	{"events", func(d *Done) float64 { return float64(d.Result.Events) }},
+}
+
+func offered(p model.Point) float64 { return p.Offered }
+func served(p model.Point) float64  { return p.Served }
+
+func total(d *Done, of func(model.Point) float64) (sum float64) {
+	for _, p := range d.Result.Series {
+		sum += of(p)
+	}
+	return sum
+}
+
+// lastFault is when the last fault of the file begins; 0: there is none.
+func lastFault(d *Done) (at float64) {
+	for _, f := range d.Spec.Faults {
+		at = max(at, f.AtS)
+	}
+	if l := d.Spec.Load; l.SurgeForS > 0 {
+		at = max(at, l.SurgeAtS)
+	}
+	return at
+}
+
+// recover9 is how long after the beginning of the last fault nine tenths of what is offered are served in time again, and stay so for
+// five steps; the rest of the run where they never are.
+func recover9(d *Done) float64 {
+	at, run := lastFault(d), 0
+	hurt := false
+	for _, p := range d.Result.Series {
+		if p.T <= at {
+			continue
+		}
+		if p.Served >= 0.9*p.Offered {
+			if run++; run == 5 || !hurt && run == 5 {
+				if !hurt && p.T < at+10*d.Spec.StepS {
+					run = 4 // not hurt yet, perhaps
+					continue
+				}
+				return max(0, p.T-5*d.Spec.StepS-at)
+			}
+		} else {
+			run, hurt = 0, true
+		}
+	}
+	if !hurt {
+		return 0
+	}
+	return d.Spec.LengthS - at
+}
+
+// tail is the share served in time of what was offered in the run's last quarter.
+func tail(d *Done) float64 {
+	var s, o float64
+	for _, p := range d.Result.Series {
+		if p.T > 0.75*d.Spec.LengthS {
+			s, o = s+p.Served, o+p.Offered
+		}
+	}
+	return s / max(o, 1)
+}
+
+// Summary is one setting over all its seeds.
+type Summary struct {
+	Of      string           `json:"of"`
+	Runs    int              `json:"runs"`
+	Broken  int              `json:"broken"`
+	Stopped int              `json:"stopped"`
+	Figures map[string]Moved `json:"figures"`
+}
+
+// Moved is a figure's mean over the seeds, and its standard deviation.
+type Moved struct {
+	Mean float64   `json:"mean"`
+	SD   float64   `json:"sd"`
+	All  []float64 `json:"all"`
+}
+
+// Summarize sums runs up by setting, in the file's order.
+func Summarize(all []Done) (list []Summary) {
+	at := map[string]int{}
+	for i := range all {
+		d := &all[i]
+		of := d.Of()
+		if _, there := at[of]; !there {
+			at[of] = len(list)
+			list = append(list, Summary{Of: of, Figures: map[string]Moved{}})
+		}
+		s := &list[at[of]]
+		s.Runs++
+		if d.Result.Broken != nil {
+			s.Broken++
+		}
+		if d.Result.Stopped != "" {
+			s.Stopped++
+		}
+		for _, m := range measures {
+			v := m.of(d)
+			if math.IsNaN(v) || math.IsInf(v, 0) {
+				v = 0
+			}
+			f := s.Figures[m.name]
+			f.All = append(f.All, v)
+			s.Figures[m.name] = f
+		}
+	}
+	for i := range list {
+		for name, f := range list[i].Figures {
+			f.Mean, f.SD = stat.MeanStdDev(f.All, nil)
+			if len(f.All) < 2 {
+				f.SD = 0
+			}
+			list[i].Figures[name] = f
+		}
+	}
+	return list
+}
+
+// Table writes summaries for a person.
+func Table(w io.Writer, list []Summary) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprint(t, "SETTING\tRUNS\tBROKEN")
+	for _, m := range measures {
+		fmt.Fprintf(t, "\t%s", strings.ToUpper(m.name))
+	}
+	fmt.Fprintln(t)
+	for _, s := range list {
+		fmt.Fprintf(t, "%s\t%d\t%d", s.Of, s.Runs, s.Broken)
+		for _, m := range measures {
+			fmt.Fprintf(t, "\t%.4g", s.Figures[m.name].Mean)
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+// Summaries reads a folder's.
+func Summaries(dir string) (list []Summary, err error) {
+	b, err := os.ReadFile(filepath.Join(dir, "summary.json"))
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(b, &list); err != nil {
+		return nil, fmt.Errorf("%s: %w", filepath.Join(dir, "summary.json"), err)
+	}
+	return list, nil
+}
+
+// Difference is one figure of one setting in two folders.
+type Difference struct {
+	Of     string  `json:"of"`
+	Figure string  `json:"figure"`
+	A      float64 `json:"a"`
+	B      float64 `json:"b"`
+	SE     float64 `json:"standard_error"`
+	Larger bool    `json:"larger_than_spread"` // than three standard errors (Welch, 1947, unequal variances)
+}
+
+// Compare tells which figures of the settings that two folders share differ by more than their seeds' spread.
+func Compare(a, b []Summary) (list []Difference) {
+	for _, x := range a {
+		at := slices.IndexFunc(b, func(y Summary) bool { return y.Of == x.Of })
+		if at < 0 {
+			continue
+		}
+		for _, m := range measures {
+			f, g := x.Figures[m.name], b[at].Figures[m.name]
+			se := math.Sqrt(f.SD*f.SD/float64(max(1, len(f.All))) + g.SD*g.SD/float64(max(1, len(g.All))))
+			d := Difference{x.Of, m.name, f.Mean, g.Mean, se, false}
+			d.Larger = math.Abs(f.Mean-g.Mean) > 3*se && f.Mean != g.Mean
+			list = append(list, d)
+		}
+	}
+	slices.SortStableFunc(list, func(p, q Difference) int { return cmp.Compare(p.Of, q.Of) })
+	return list
+}
--- /dev/null
+++ b/internal/model/instance.go
@@ -0,0 +1,666 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/holder"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/fleet/tenant"
+)
+
+// wire is from a decision to its first byte: the permit is looked at then.
+const wire = 50 * time.Microsecond
+
+// instance is one initiator: the real module, holder and tenant, on a clock of its own.
+type instance struct {
+	s      *Sim
+	id     int
+	name   string
+	zone   int
+	rng    *rand.Rand
+	load   *rand.Rand
+	rate   float64 // its clock's, against true time
+	share  float64 // of the load
+	alive  bool
+	born   int
+	paused time.Duration // until then it stands still; what comes waits
+	inbox  []func()
+	mute   bool // what it sends the agents is lost
+	deaf   bool // what they send is
+	lag    time.Duration
+	hung   bool // its tasks' acts never end
+
+	sched   *spindlehitch.Scheduler
+	timer   uint64        // the number of the timer that holds
+	beat    time.Duration // of an idle module: when its timer was due; 0: it has one that comes
+	reqs    map[string]*ask
+	version int    // of the list it has
+	listed  []bool // the targets there
+	asked   uint64
+
+	h       *holder.Holder
+	t       *tenant.Tenant
+	member  string
+	joining bool
+	renews  uint64 // the number of the renewal timer that holds
+	agent   int    // asked first
+	acting  map[lease.Key]bool
+}
+
+// ask is a request that an instance owes an answer, for a client that may have come before.
+type ask struct {
+	id       string
+	client   *client
+	attempt  int
+	out      bool
+	answered bool
+	units    float64
+}
+
+// client is one client's request, over all its tries.
+type client struct {
+	came  time.Duration
+	tries int
+	shard int
+	units float64
+	ended bool
+}
+
+func (n *instance) clock() time.Duration { return time.Duration(float64(n.s.now) * n.rate) }
+
+// truly is the true time of a moment by this clock.
+func (n *instance) truly(t time.Duration) time.Duration { return time.Duration(float64(t) / n.rate) }
+
+// when does something at the instance: now, or once it stands still no more, in the order in which it came. What was for a process
+// that is gone is not done.
+func (n *instance) when(do func()) {
+	switch {
+	case !n.alive:
+	case n.s.now < n.paused:
+		born := n.born
+		n.inbox = append(n.inbox, func() {
+			if n.alive && n.born == born {
+				do()
+			}
+		})
+	default:
+		do()
+	}
+}
+
+// pause has it stand still; what comes waits.
+func (n *instance) pause(until time.Duration) {
+	if until <= n.paused {
+		return
+	}
+	n.paused = until
+	n.s.at(until, "instance goes on", n.id, func() {
+		if n.paused != until {
+			return
+		}
+		box := n.inbox
+		n.inbox, n.beat = nil, 0 // it did stand still
+		for _, do := range box {
+			do()
+		}
+	})
+}
+
+// start begins a process: it knows nothing, and has its list a moment later.
+func (n *instance) start() {
+	n.alive, n.paused, n.inbox = true, 0, nil
+	n.born++
+	n.reqs, n.version, n.beat = map[string]*ask{}, 0, 0
+	n.hung, n.acting = false, map[lease.Key]bool{}
+	set := n.s.settings
+	if n.s.spec.Budgets != nil {
+		n.h = holder.New(n.s.governed)
+		set.Ration = ration{n}
+		n.joining, n.member = false, ""
+		if n.s.spec.Tasks != nil {
+			n.t = tenant.New(n.s.runs)
+		}
+	}
+	sched, err := spindlehitch.New(set, n.rng.Uint64())
+	if err != nil {
+		panic(err) // the settings are the model's own
+	}
+	n.sched = sched
+	n.timer++
+	n.hear()
+	if n.h != nil {
+		n.join()
+	}
+}
+
+func (n *instance) kill() {
+	for _, a := range n.reqs {
+		if !a.answered {
+			n.s.lost(a.client)
+		}
+	}
+	n.alive, n.reqs, n.inbox, n.member = false, nil, nil, ""
+	n.s.budgetGone(n)
+}
+
+// hear has it take the list as it is, after its way.
+func (n *instance) hear() {
+	born := n.born
+	n.s.after(n.s.way(n.rng), "list", n.id, func() {
+		n.when(func() {
+			if n.born != born || n.version == n.s.version {
+				return
+			}
+			n.version = n.s.version
+			nodes := make([]spindlehitch.Node, 0, len(n.s.targets))
+			n.listed = make([]bool, len(n.s.targets))
+			for _, t := range n.s.targets {
+				if n.listed[t.id] = !t.down; n.listed[t.id] {
+					started := time.Duration(0)
+					if t.started > 0 {
+						started = time.Duration(float64(t.started) * n.rate)
+					}
+					nodes = append(nodes, spindlehitch.Node{ID: n.s.ids[t.id], Shard: t.id, Started: started})
+				}
+			}
+			n.step(spindlehitch.NodeList{Whole: true, Nodes: nodes})
+		})
+	})
+}
+
+// step has the module decide, and does what it says.
+func (n *instance) step(events ...spindlehitch.Event) {
+	// A module that has nothing to do asks for a timer many times a second, to see whether it stood still. These are left out, and one is
+	// made up for just before something happens, so that it takes nothing for a pause that was none.
+	if n.beat > 0 && n.s.now > n.beat {
+		n.beat = 0
+		n.do(n.sched.Step(n.clock(), []spindlehitch.Event{spindlehitch.Timer{}}))
+	}
+	n.do(n.sched.Step(n.clock(), events))
+	if n.beat > 0 && len(n.reqs) > 0 {
+		n.wake(max(0, n.beat-n.s.now)) // the one that was left out has to come after all
+	}
+}
+
+// wake has the module's timer come.
+func (n *instance) wake(in time.Duration) {
+	n.beat = 0
+	mine, born := n.timer, n.born
+	n.s.after(in, "timer", n.id, func() {
+		n.when(func() {
+			if n.timer == mine && n.born == born {
+				n.step(spindlehitch.Timer{})
+			}
+		})
+	})
+}
+
+func (n *instance) do(acts []spindlehitch.Action) {
+	for i := range acts {
+		a := acts[i]
+		switch a.Kind {
+		case spindlehitch.Send:
+			n.send(a)
+		case spindlehitch.Refuse, spindlehitch.Fail:
+			n.answer(a.Request, a.Kind == spindlehitch.Refuse, a.Wait)
+		case spindlehitch.SetTimer:
+			n.timer++
+			if len(n.reqs) == 0 {
+				n.beat = n.s.now + n.truly(a.Wait)
+				continue
+			}
+			n.wake(n.truly(a.Wait))
+		}
+	}
+}
+
+// arrive has the load's next request come.
+func (n *instance) arrive() {
+	rate := n.s.spec.Load.Rate * n.share * n.s.surge()
+	if rate <= 0 {
+		n.s.after(time.Second, "load", n.id, n.arrive)
+		return
+	}
+	n.s.cause = 0 // nothing has it come
+	n.s.after(secs(n.load.ExpFloat64()/rate), "load", n.id, func() {
+		cause := n.s.cause
+		n.arrive()
+		n.s.cause = cause
+		units := min(8*n.s.spec.Load.Units, max(0.05, n.load.ExpFloat64())*n.s.spec.Load.Units)
+		n.s.point.Offered++
+		n.ask(&client{came: n.s.now, shard: n.load.IntN(len(n.s.targets)), units: units})
+	})
+}
+
+// ask has a client try, for the first time or again.
+func (n *instance) ask(c *client) {
+	left := secs(n.s.spec.Load.PatienceS) - (n.s.now - c.came)
+	if c.ended || left <= 0 {
+		n.s.lost(c)
+		return
+	}
+	c.tries++
+	if !n.alive {
+		to := n
+		if n.s.spec.Load.Moves {
+			to = n.s.insts[n.load.IntN(len(n.s.insts))]
+		}
+		to.again(c, false, 0)
+		return
+	}
+	n.when(func() {
+		left := secs(n.s.spec.Load.PatienceS) - (n.s.now - c.came)
+		if left <= 0 {
+			n.s.lost(c) // it left while the instance stood still
+			return
+		}
+		n.asked++
+		id := strconv.Itoa(n.id) + "-" + strconv.Itoa(n.born) + "-" + strconv.FormatUint(n.asked, 10)
+		a := &ask{id: id, client: c, units: c.units}
+		n.reqs[id] = a
+		n.step(spindlehitch.Request{ID: id, Class: "read", Plan: "base", Volume: n.name, Shard: c.shard, Units: c.units, Initiators: 1, Budget: n.own(left)})
+		born := n.born
+		n.s.after(left+n.s.leaves, "deadline", n.id, func() { // the rules want an answer by the client's leaving
+			if n.alive && n.born == born && !a.answered && n.s.now >= n.paused+n.s.leaves {
+				n.s.breaks("final answers", n.id, fmt.Sprintf("request %s has none %v after its client left", id, n.s.leaves))
+			}
+		})
+	})
+}
+
+// own is a length of true time by this clock.
+func (n *instance) own(t time.Duration) time.Duration { return time.Duration(float64(t) * n.rate) }
+
+// again has a client that was turned away, or met nobody, come again or give up.
+func (n *instance) again(c *client, refused bool, advice time.Duration) {
+	o := &n.s.spec.Load
+	if c.tries >= o.Tries {
+		n.s.lost(c)
+		return
+	}
+	wait := millis(o.AgainMs * (0.5 + n.load.Float64()))
+	if refused && o.Heeds {
+		wait = max(wait, advice)
+	}
+	n.s.after(wait, "client again", n.id, func() { n.ask(c) })
+}
+
+// answer gives a request its final answer.
+func (n *instance) answer(id string, refused bool, advice time.Duration) {
+	a := n.reqs[id]
+	if a == nil || a.answered {
+		n.s.breaks("final answers", n.id, "request "+id+" has two")
+		return
+	}
+	a.answered = true
+	if !a.out {
+		delete(n.reqs, id)
+	}
+	if refused {
+		n.s.point.Refused++
+	} else {
+		n.s.point.Failed++
+	}
+	n.again(a.client, refused, advice)
+}
+
+// send makes one attempt. The permit and the target's state are looked at just before the first byte.
+func (n *instance) send(a spindlehitch.Action) {
+	r := n.reqs[a.Request]
+	if r == nil {
+		return
+	}
+	r.attempt++
+	r.out = true
+	attempt, born := r.attempt, n.born
+	t := n.s.targets[n.s.byID[a.Node]]
+	sent := n.s.now
+	if !n.listed[t.id] {
+		n.s.breaks("drains", n.id, "request "+r.id+" goes to "+a.Node+", which its list does not have")
+	}
+	over := false
+	end := func(code spindlehitch.Code, load *spindlehitch.Load) {
+		if over || n.born != born {
+			return
+		}
+		over = true
+		r.out = false
+		closed := r.answered
+		if code == spindlehitch.Delivered && !closed {
+			r.answered, closed = true, true
+			n.s.served(r.client)
+		}
+		if closed {
+			delete(n.reqs, r.id)
+		}
+		n.step(spindlehitch.Outcome{ID: r.id, Attempt: attempt - 1, Node: a.Node, Code: code, Took: n.own(n.s.now - sent), Closed: closed, Load: load})
+	}
+	n.s.after(wire, "first byte", n.id, func() {
+		n.when(func() {
+			if a.Permit != nil && !a.Permit.Good() || n.s.version == n.version && t.down {
+				end(spindlehitch.Moot, nil)
+				return
+			}
+			n.s.point.Attempts++
+			if attempt > 1 {
+				n.s.point.Repeats++
+			}
+			cold := n.s.coldNow(t)
+			if cold {
+				n.s.point.Cold += r.units
+			}
+			n.s.drew(n, t, attempt > 1, cold, r.units)
+			n.s.after(n.truly(a.Wait), "time-out", n.id, func() { n.when(func() { end(spindlehitch.Expired, nil) }) })
+			if n.s.apart(n.zone, t.id%n.s.spec.Fleet.Zones) {
+				return // lost on its way
+			}
+			n.s.after(n.s.way(n.rng), "request at target", t.id, func() {
+				t.take(job{r.units, func(code spindlehitch.Code, load spindlehitch.Load) {
+					if n.s.apart(n.zone, t.id%n.s.spec.Fleet.Zones) {
+						return
+					}
+					n.s.after(n.s.way(t.rng), "answer", n.id, func() { n.when(func() { end(code, &load) }) })
+				}})
+			})
+		})
+	})
+}
+
+// ration is the instance's part of the fleet's wholes, for the module.
+type ration struct{ n *instance }
+
+var uses = [...]fleet.Use{spindlehitch.ColdWork: fleet.Cold, spindlehitch.Repeats: fleet.Repeat, spindlehitch.Connections: fleet.Connection, spindlehitch.AllWork: fleet.Work}
+
+func draw(d spindlehitch.Draw) fleet.Draw {
+	return fleet.Draw{Use: uses[d.Use], Target: d.Node, Plan: d.Plan, Class: d.Class, Units: d.Units}
+}
+
+// Wait implements spindlehitch.Ration.
+func (r ration) Wait(d spindlehitch.Draw) (time.Duration, bool) {
+	wait, governed := r.n.h.Wait(r.n.clock(), draw(d))
+	if wait > 0 && r.n.h.Hungry() {
+		r.n.schedule()
+	}
+	return wait, governed
+}
+
+// Take implements spindlehitch.Ration.
+func (r ration) Take(draws []spindlehitch.Draw) spindlehitch.Permit {
+	all := make([]fleet.Draw, len(draws))
+	for i, d := range draws {
+		all[i] = draw(d)
+	}
+	return permit{r.n, r.n.h.Take(r.n.clock(), all...)}
+}
+
+type permit struct {
+	n     *instance
+	until time.Duration
+}
+
+// Good implements spindlehitch.Permit.
+func (p permit) Good() bool { return p.n.clock() < p.until }
+
+// Joining and renewing, as internal/ration does it.
+
+const (
+	joinAgain = 200 * time.Millisecond
+	tryWithin = 400 * time.Millisecond
+)
+
+func (n *instance) join() {
+	if n.joining || !n.alive {
+		return
+	}
+	n.joining = true
+	id := fmt.Sprintf("%s.%d.%d", n.name, n.born, n.asked)
+	born, began := n.born, n.clock()
+	n.call("join", 4*tryWithin, func(g *agents, by int, back func(any)) {
+		g.join(by, fleet.Member{ID: id, Name: n.name, Addr: n.name, Weight: 1}, back)
+	}, func(answer any) {
+		n.joining = false
+		if n.born != born {
+			return
+		}
+		doc, seated := answer.(fleet.Doc)
+		if !seated {
+			n.s.after(n.truly(joinAgain), "join again", n.id, func() { n.when(n.join) })
+			return
+		}
+		n.member = id
+		n.h.Seat(began, id, doc)
+		n.s.point.Joins++
+		n.schedule()
+	})
+}
+
+// schedule has the next renewal sent when it is due.
+func (n *instance) schedule() {
+	if n.member == "" || !n.alive {
+		return
+	}
+	due := n.h.Next() - n.clock()
+	if n.t != nil && n.t.Hurry() {
+		due = 0
+	}
+	n.renews++
+	mine, born := n.renews, n.born
+	n.s.after(n.truly(max(0, due)), "renewal due", n.id, func() {
+		n.when(func() {
+			if n.renews == mine && n.born == born && n.member != "" {
+				n.renew()
+			}
+		})
+	})
+}
+
+func (n *instance) renew() {
+	now := n.clock()
+	if !n.h.Seated(now) {
+		n.unseat()
+		return
+	}
+	r := n.h.Renew(now)
+	var c *lease.Claim
+	if n.t != nil {
+		x := n.t.Claim(now)
+		c = &x
+	}
+	born, id := n.born, n.member
+	n.call("renewal", n.truly(n.h.Patience()), func(g *agents, by int, back func(any)) { g.renew(by, r, c, back) }, func(answer any) {
+		if n.born != born || n.member != id {
+			return
+		}
+		switch a := answer.(type) {
+		case renewed:
+			if a.award != nil && n.t != nil {
+				n.t.Accept(n.clock(), *a.award)
+				n.act()
+			}
+			if n.h.Accept(n.clock(), a.answer) {
+				n.s.accepted(n)
+				n.step(spindlehitch.Rationed{})
+			}
+		case error:
+			if a == fleet.UnknownMember {
+				n.unseat()
+				return
+			}
+			n.s.point.Unheard++
+		default:
+			n.s.point.Unheard++
+		}
+		n.schedule()
+	})
+}
+
+func (n *instance) unseat() {
+	n.member = ""
+	n.h.Unseat()
+	if n.t != nil {
+		n.t.Drop()
+	}
+	n.s.budgetGone(n)
+	n.step(spindlehitch.Rationed{})
+	n.join()
+}
+
+// call asks the agents in turn, from the one that answered last on, each for a while, within a time in all; then is told nil.
+func (n *instance) call(what string, within time.Duration, ask func(*agents, int, func(any)), then func(any)) {
+	over := false
+	finish := func(answer any) {
+		if !over {
+			over = true
+			then(answer)
+		}
+	}
+	n.s.after(within, what+" given up", n.id, func() { n.when(func() { finish(nil) }) })
+	end := n.s.now + within
+	var try func(turn int)
+	try = func(turn int) {
+		if over || turn > 3*len(n.s.agents.all) {
+			return
+		}
+		at := n.agent
+		g := n.s.agents
+		patience := max(20*time.Millisecond, min(tryWithin, (end-n.s.now)/2))
+		answered := false
+		next := func(pause time.Duration) {
+			if !answered && !over {
+				answered = true
+				if n.agent == at {
+					n.agent = (at + 1) % len(g.all)
+				}
+				n.s.after(pause, what+" at the next", n.id, func() { n.when(func() { try(turn + 1) }) })
+			}
+		}
+		n.s.after(patience, what+" unanswered", n.id, func() { n.when(func() { next(0) }) })
+		if n.mute || n.s.loses(n.rng) || n.s.cutOff(n.zone, at) {
+			return
+		}
+		n.s.after(n.s.way(n.rng)+n.lag, what, n.id, func() {
+			g.at(at, n.zone, func(leads int) {
+				back := func(answer any) {
+					if n.deaf || n.s.loses(n.rng) || n.s.cutOff(n.zone, at) {
+						return
+					}
+					n.s.after(n.s.way(n.rng)+n.lag, what+" answered", n.id, func() {
+						n.when(func() {
+							if answered || over {
+								return
+							}
+							if answer == nil {
+								next(100 * time.Millisecond)
+								return
+							}
+							answered = true
+							finish(answer)
+						})
+					})
+				}
+				if leads < 0 {
+					back(nil) // it knows no leader
+					return
+				}
+				if leads != at {
+					n.agent = leads
+					n.s.after(2*n.s.way(n.rng), what+" redirected", n.id, func() { g.at(leads, n.zone, func(int) { ask(g, leads, back) }) })
+					return
+				}
+				ask(g, at, back)
+			})
+		})
+	}
+	try(0)
+}
+
+// act begins what may begin on the shards held: an act changes its place once, and ends.
+func (n *instance) act() {
+	if n.t == nil || !n.alive {
+		return
+	}
+	for _, k := range n.t.Held(n.clock()) {
+		if n.acting[k] {
+			continue
+		}
+		n.acting[k] = true
+		n.actAt(k)
+	}
+}
+
+func (n *instance) actAt(k lease.Key) {
+	born := n.born
+	due := max(0, n.t.Next(k)-n.clock())
+	n.s.after(n.truly(due), "act due", n.id, func() {
+		n.when(func() {
+			if n.born != born {
+				return
+			}
+			a, ok := n.t.Start(n.clock(), k)
+			if !ok {
+				delete(n.acting, k)
+				return
+			}
+			if n.hung {
+				return
+			}
+			n.acts(a, born)
+		})
+	})
+}
+
+// acts takes an act through its steps; between any two of them the instance may stand still.
+func (n *instance) acts(a tenant.Act, born int) {
+	place := n.s.places[a.Key]
+	end := func(how tenant.End) {
+		n.t.Finish(a, how, place.Token)
+		if n.t.Hurry() {
+			n.schedule()
+		}
+		n.actAt(a.Key)
+	}
+	unguarded := n.s.spec.Fleet.Planted == "early" // neither it nor the place looks
+	steps := []func() bool{
+		func() bool { return (place.Begin(a.Token, a.N) == nil || unguarded) && n.s.began(n, a) },
+		func() bool { return unguarded || n.t.Good(n.clock(), a) },
+		func() bool { return (unguarded || place.Take(a.Token, a.N) == nil) && n.s.changed(n, a) },
+		func() bool { return unguarded || place.End(a.Token, a.N) == nil },
+	}
+	var next func(i int)
+	next = func(i int) {
+		if i == len(steps) {
+			n.s.point.Acts++
+			end(tenant.Done)
+			return
+		}
+		n.s.after(n.s.way(n.rng), "act", n.id, func() {
+			n.when(func() {
+				switch {
+				case n.born != born:
+				case steps[i]():
+					next(i + 1)
+				default:
+					n.s.point.Denied++
+					end(tenant.Refused)
+				}
+			})
+		})
+	}
+	next(0)
+}
+
+// floors is what a floor and a part are at an instance now, by true time.
+func (n *instance) limit(k fleet.Key) float64 {
+	if n.h == nil || !n.alive {
+		return 0
+	}
+	return n.h.Limit(n.clock(), k).Rate * n.rate
+}
+
+func lognormal(r *rand.Rand, sigma float64) float64 { return math.Exp(sigma * r.NormFloat64()) }
--- /dev/null
+++ b/internal/model/model_test.go
@@ -0,0 +1,98 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/lease"
+)
+
+// small is a fleet of so many instances under budgets and leases, with all that can go wrong at random.
+func small(instances int, length float64) *Spec {
+	s := &Spec{Name: "small", LengthS: length,
+		Fleet:   Fleet{Instances: instances, Zones: 3, ClockPPM: 500, ColdUnits: 40, RestartS: 0.3},
+		Load:    Load{Rate: 40 * float64(instances), Units: 1, Uneven: 0.5, Tries: 3, Heeds: true},
+		Targets: Targets{Count: 6, UnitsPerS: 20 * float64(instances), Bears: 30, WarmS: 5, StallMs: 240, StallEach: 10},
+		Net:     Net{DelayMs: 0.3, JitterMs: 0.4, Loss: 0.01},
+		Budgets: &fleet.Doc{Seats: 10 * instances, RenewMs: 300, PartMs: 1500, SeatS: 6, Budgets: []fleet.Budget{
+			{Name: "work", Use: fleet.Work, Whole: 30 * float64(instances), Burst: 20 * float64(instances), Least: 0.5, LeastBurst: 1},
+			{Name: "cold", Use: fleet.Cold, Per: fleet.PerTarget, Whole: 40, Burst: 100, Least: 0.1, LeastBurst: 1}}},
+		Tasks: &lease.Doc{Tasks: []lease.Task{{Name: "t", Kind: lease.Watch, Shards: 6, LeaseMs: 1500, ActMs: 300, EveryMs: 200, PauseMs: 100}}},
+	}
+	s.Random = &Random{EveryS: 0.4}
+	return s
+}
+
+// TestSound plays faults of all kinds at random, by some seeds: no promise is broken, and the fleet serves.
+func TestSound(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		s := small(8, 40)
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		r := Run(s, seed, true)
+		if r.Broken != nil {
+			t.Fatalf("seed %d: %v\n%v", seed, r.Broken, r.Broken.Chain)
+		}
+		var sum Point
+		for _, p := range r.Series {
+			sum.Offered, sum.Served, sum.Acts, sum.Grants, sum.Joins, sum.Elections = sum.Offered+p.Offered, sum.Served+p.Served, sum.Acts+p.Acts, sum.Grants+p.Grants, sum.Joins+p.Joins, sum.Elections+p.Elections
+		}
+		t.Logf("seed %d: %d events in %v; %+v; worst window %.2f, p99 %.3f s", seed, r.Events, time.Since(began), sum, r.Worst, r.P99)
+		if sum.Served < 0.2*sum.Offered || sum.Acts < 100 || sum.Joins < 8 || len(r.Series) != 40 {
+			t.Errorf("seed %d: %d points, %+v", seed, len(r.Series), sum)
+		}
+	}
+}
+
+// TestSame has one seed have one outcome, and another seed another.
+func TestSame(t *testing.T) {
+	s := small(5, 10)
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	text := func(seed uint64) string {
+		b, _ := json.Marshal(Run(s, seed, false))
+		return string(b)
+	}
+	if one := text(1); one != text(1) || one == text(2) {
+		t.Error("outcomes are not their seeds'")
+	}
+}
+
+// BenchmarkFleet is what a second of the fleet's time costs as the fleet grows: events a second, memory for each instance.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				s := &Spec{Name: "size", LengthS: 30, Fleet: Fleet{Instances: n, Zones: 3, ClockPPM: 500, ColdUnits: 40}, Load: Load{Rate: 0.2 * float64(n), Tries: 1},
+					Targets: Targets{Count: max(5, n/20), UnitsPerS: 100}, Net: Net{DelayMs: 0.3, JitterMs: 0.4},
+					Budgets: &fleet.Doc{Seats: n + n/2, RenewMs: 10_000, PartMs: 40_000, SeatS: 3600, Budgets: []fleet.Budget{
+						{Name: "repeats", Use: fleet.Repeat, Whole: float64(n) / 50, Burst: float64(n), Least: 0.0001, LeastBurst: 0},
+						{Name: "cold", Use: fleet.Cold, Per: fleet.PerTarget, Whole: 40, Burst: 100}}}}
+				s.Budgets.Budgets[0].Least = 0
+				if err := s.Check(); err != nil {
+					b.Fatal(err)
+				}
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				began := time.Now()
+				r := Run(s, 1, false)
+				took := time.Since(began)
+				runtime.ReadMemStats(&after)
+				if r.Broken != nil {
+					b.Fatal(r.Broken)
+				}
+				b.ReportMetric(float64(r.Events)/took.Seconds(), "events/s")
+				b.ReportMetric(float64(r.Events), "events")
+				b.ReportMetric(float64(after.Sys)/float64(n), "B/instance")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/model/sim.go
@@ -0,0 +1,580 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+	"github.com/cespare/xxhash/v2"
+
+	"spindlehitch"
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/guard"
+	"spindlehitch/internal/fleet/lease"
+	"spindlehitch/internal/fleet/tenant"
+)
+
+// Point is what happened within one step of the series. All are counts but those that say otherwise.
+type Point struct {
+	T         float64 `parquet:"t_s" json:"t_s"` // seconds, at its end
+	Offered   float64 `parquet:"offered" json:"offered"`
+	Served    float64 `parquet:"served" json:"served"`   // in time
+	Late      float64 `parquet:"late" json:"late"`       // served, and not in time
+	Refused   float64 `parquet:"refused" json:"refused"` // answers to tries
+	Failed    float64 `parquet:"failed" json:"failed"`
+	Lost      float64 `parquet:"lost" json:"lost"`           // clients that gave up
+	Attempts  float64 `parquet:"attempts" json:"attempts"`   // sent to targets
+	Repeats   float64 `parquet:"repeats" json:"repeats"`     // of them, not the first of their request
+	Cold      float64 `parquet:"cold" json:"cold"`           // units sent to cold targets
+	Falls     float64 `parquet:"falls" json:"falls"`         // cold targets that fell over
+	Joins     float64 `parquet:"joins" json:"joins"`         // seats taken
+	Unheard   float64 `parquet:"unheard" json:"unheard"`     // renewals without an answer
+	Elections float64 `parquet:"elections" json:"elections"` // leaders begun
+	Grants    float64 `parquet:"grants" json:"grants"`       // of leases
+	Acts      float64 `parquet:"acts" json:"acts"`           // ended
+	Denied    float64 `parquet:"denied" json:"denied"`       // acts cut short
+	Held      float64 `parquet:"held" json:"held"`           // part of the first budget's whole that may be used, at the step's end
+	Alive     float64 `parquet:"alive" json:"alive"`         // instances, at the step's end
+}
+
+// Result is what came of one run.
+type Result struct {
+	Series  []Point `json:"series"`
+	Events  uint64  `json:"events"`
+	Broken  *Broken `json:"broken,omitempty"`
+	Stopped string  `json:"stopped,omitempty"` // why it did not go to its end
+	P50     float64 `json:"p50_s"`             // of what was served, from a client's first try
+	P99     float64 `json:"p99_s"`
+	Worst   float64 `json:"worst_window"` // of any budget: units beyond the rate, as a part of what may be
+}
+
+// Broken is a promise that was not kept.
+type Broken struct {
+	What  string   `json:"what"`
+	At    float64  `json:"at_s"`
+	On    int      `json:"on"`
+	Says  string   `json:"says"`
+	Event uint64   `json:"event"`
+	Chain []string `json:"chain,omitempty"` // of causes, the last first; where the run was traced
+}
+
+func (b *Broken) Error() string {
+	return fmt.Sprintf("%s: broken at %.6f s, event %d: %s", b.What, b.At, b.Event, b.Says)
+}
+
+// Sim is one run.
+type Sim struct {
+	spec     *Spec
+	seed     uint64
+	now      time.Duration
+	q        queue
+	n, cause uint64
+	limit    uint64
+	trace    map[uint64]traced // of a traced run
+	what     string
+	on       int32
+
+	insts    []*instance
+	targets  []*target
+	agents   *agents // nil: none
+	version  int     // of the list
+	ids      []string
+	byID     map[string]int
+	settings spindlehitch.Settings
+	governed []fleet.Use
+	runs     []string
+	cuts     map[int]bool // zones that are cut off
+	leaves   time.Duration
+
+	point  Point
+	result Result
+	lat    *ddsketch.DDSketch
+	judge  judge
+	places map[lease.Key]*guard.Place
+}
+
+type traced struct {
+	cause uint64
+	what  string
+	on    int32
+	at    time.Duration
+}
+
+// judge holds what is done against the promises, and knows parts only as what may be used.
+type judge struct {
+	buckets map[fleet.Key]*bucket
+	holds   map[fleet.Key]map[int]hold // by instance
+	sums    map[fleet.Key]float64
+	acts    map[lease.Key][2]uint64
+	by      map[lease.Key]string
+}
+
+type bucket struct {
+	rate, burst, level, worst float64
+	at                        time.Duration
+}
+
+type hold struct {
+	rate  float64
+	until time.Duration // by true time
+}
+
+// Run takes one run to its end, to a broken promise, or to its bound of events. With trace a broken promise has its chain of causes.
+func Run(spec *Spec, seed uint64, trace bool) Result {
+	s := &Sim{spec: spec, seed: seed, limit: uint64(spec.MaxMEv * 1e6), byID: map[string]int{}, cuts: map[int]bool{}, places: map[lease.Key]*guard.Place{},
+		leaves: 100 * time.Millisecond}
+	if trace {
+		s.trace = map[uint64]traced{}
+	}
+	s.judge = judge{buckets: map[fleet.Key]*bucket{}, holds: map[fleet.Key]map[int]hold{}, sums: map[fleet.Key]float64{}, acts: map[lease.Key][2]uint64{}, by: map[lease.Key]string{}}
+	s.lat, _ = ddsketch.NewDefaultDDSketch(0.01)
+	s.setUp()
+	end := secs(spec.LengthS)
+	step := secs(spec.StepS)
+	next := step
+	for len(s.q) > 0 && s.result.Broken == nil {
+		at := s.q[0].at
+		for next <= min(at, end) {
+			s.series(next)
+			next += step
+		}
+		if at > end {
+			break
+		}
+		if s.result.Events >= s.limit {
+			s.result.Stopped = fmt.Sprintf("max_events: %d events at %.3f s of %v", s.limit, s.now.Seconds(), spec.LengthS)
+			break
+		}
+		e := s.q.pop()
+		s.now, s.cause, s.what, s.on = e.at, e.n, e.what, e.on
+		s.result.Events++
+		if s.trace != nil {
+			s.trace[e.n] = traced{e.cause, e.what, e.on, e.at}
+		}
+		e.do()
+	}
+	if p, err := s.lat.GetValuesAtQuantiles([]float64{0.5, 0.99}); err == nil {
+		s.result.P50, s.result.P99 = p[0], p[1]
+	}
+	for _, b := range s.judge.buckets {
+		s.result.Worst = max(s.result.Worst, b.worst/b.burst)
+	}
+	return s.result
+}
+
+func (s *Sim) setUp() {
+	o := s.spec
+	s.settings = spindlehitch.Settings{Initiators: o.Fleet.Instances, Tick: time.Millisecond, MaxAttempts: o.Fleet.MaxAttempts, MeanUnits: o.Load.Units, LargestUnits: 8 * o.Load.Units,
+		ColdUnits: o.Fleet.ColdUnits, FairWorth: 1, IdleWorth: 1,
+		Classes: []spindlehitch.Class{{Name: "read", Aim: millis(o.Load.AimMs), Deadline: secs(o.Load.PatienceS), Worth: 1}},
+		Plans:   []spindlehitch.Plan{{Name: "base", Rate: 1e4, Reserve: 1e4, Weight: 1, Price: 1}},
+		Rules: spindlehitch.Rules{ColdShare: o.Targets.ColdShare, WarmWithin: secs(o.Targets.WarmS), FallWithin: secs(o.Targets.FallS), FallMultiple: 1,
+			Budget: true, BudgetShare: o.Fleet.RetryShare, BudgetFree: o.Fleet.RetryFree, BudgetSpan: secs(o.Fleet.RetrySpanS)}}
+	for i := range o.Targets.Count {
+		id := fmt.Sprint("t", i)
+		s.ids, s.byID[id] = append(s.ids, id), i
+		t := &target{s: s, id: i, rng: s.stream("target", i)}
+		s.targets = append(s.targets, t)
+		t.stalls()
+	}
+	if o.Budgets != nil {
+		seen := map[fleet.Use]bool{}
+		for _, b := range o.Budgets.Budgets {
+			if !seen[b.Use] {
+				seen[b.Use] = true
+				s.governed = append(s.governed, b.Use)
+			}
+		}
+		if o.Tasks != nil {
+			for _, t := range o.Tasks.Tasks {
+				s.runs = append(s.runs, t.Name)
+				for shard := range t.Shards {
+					s.places[lease.Key{Task: t.Name, Shard: shard}] = &guard.Place{}
+				}
+			}
+		}
+		s.agents = newAgents(s)
+	}
+	sum := 0.0
+	for i := range o.Fleet.Instances {
+		n := &instance{s: s, id: i, name: fmt.Sprint("n", i), zone: i % o.Fleet.Zones, rng: s.stream("instance", i), load: s.stream("load", i), rate: s.clockRate(i + 1)}
+		n.share = lognormal(s.stream("share", i), o.Load.Uneven)
+		sum += n.share
+		if s.agents != nil {
+			n.agent = i % len(s.agents.all)
+		}
+		s.insts = append(s.insts, n)
+	}
+	for _, n := range s.insts {
+		n.share /= sum
+		s.after(time.Duration(n.rng.Float64()*float64(500*time.Millisecond)), "start", n.id, n.start)
+		n.arrive()
+	}
+	s.faults()
+}
+
+// stream is an actor's own source of draws.
+func (s *Sim) stream(of string, i int) *rand.Rand {
+	return rand.New(rand.NewPCG(s.seed, xxhash.Sum64String(fmt.Sprint(of, "/", i))))
+}
+
+// clockRate is that of the i'th clock: they are spread over the whole bound.
+func (s *Sim) clockRate(i int) float64 {
+	return 1 + s.spec.Fleet.ClockPPM/1e6*float64(i%3-1)
+}
+
+func (s *Sim) at(at time.Duration, what string, on int, do func()) {
+	s.n++
+	s.q.push(event{max(at, s.now), s.n, s.cause, what, int32(on), do})
+}
+
+func (s *Sim) after(d time.Duration, what string, on int, do func()) { s.at(s.now+d, what, on, do) }
+
+// way is how long one message takes.
+func (s *Sim) way(r *rand.Rand) time.Duration {
+	return millis(s.spec.Net.DelayMs + r.ExpFloat64()*s.spec.Net.JitterMs)
+}
+
+func (s *Sim) loses(r *rand.Rand) bool { return s.spec.Net.Loss > 0 && r.Float64() < s.spec.Net.Loss }
+
+// cutOff tells whether a zone and an agent can't reach each other: agents are in zones as instances are.
+func (s *Sim) cutOff(zone, agent int) bool { return s.apart(zone, agent%s.spec.Fleet.Zones) }
+
+// apart tells whether nothing passes between two zones.
+func (s *Sim) apart(a, b int) bool { return a != b && (s.cuts[a] || s.cuts[b]) }
+
+func (s *Sim) surge() float64 {
+	l := &s.spec.Load
+	if t := s.now.Seconds(); l.SurgeForS > 0 && t >= l.SurgeAtS && t < l.SurgeAtS+l.SurgeForS {
+		return l.Surge
+	}
+	return 1
+}
+
+func (s *Sim) coldNow(t *target) bool { return t.isCold() }
+
+// list has all instances hear of the targets anew.
+func (s *Sim) list() {
+	s.version++
+	for _, n := range s.insts {
+		if n.alive {
+			n.hear()
+		}
+	}
+}
+
+// heeds has a member claim at once: its lease has changed.
+func (s *Sim) heeds(id string) {
+	for _, n := range s.insts {
+		if n.alive && n.member == id {
+			born := n.born
+			s.after(s.way(n.rng), "lease changed", n.id, func() {
+				n.when(func() {
+					if n.born == born && n.member == id {
+						n.renew()
+					}
+				})
+			})
+		}
+	}
+}
+
+func (s *Sim) served(c *client) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	took := s.now - c.came
+	s.lat.Add(took.Seconds())
+	if took <= millis(s.spec.Load.AimMs) {
+		s.point.Served++
+	} else {
+		s.point.Late++
+	}
+}
+
+func (s *Sim) lost(c *client) {
+	if !c.ended {
+		c.ended = true
+		s.point.Lost++
+	}
+}
+
+func (s *Sim) series(t time.Duration) {
+	s.point.T = t.Seconds()
+	for _, n := range s.insts {
+		if n.alive {
+			s.point.Alive++
+		}
+	}
+	if s.agents != nil && len(s.spec.Budgets.Budgets) > 0 {
+		b := &s.spec.Budgets.Budgets[0]
+		k := fleet.Key{Budget: b.Name}
+		if b.Per == fleet.PerTarget {
+			k.Key = s.ids[0]
+		}
+		for _, n := range s.insts {
+			s.point.Held += n.limit(k)
+		}
+		s.point.Held /= b.Whole
+	}
+	s.result.Series = append(s.result.Series, s.point)
+	s.point = Point{}
+}
+
+// breaks ends the run.
+func (s *Sim) breaks(what string, on int, says string) {
+	if s.result.Broken != nil {
+		return
+	}
+	b := &Broken{What: what, At: s.now.Seconds(), On: on, Says: says, Event: s.cause}
+	for n := s.cause; s.trace != nil && n != 0 && len(b.Chain) < 64; n = s.trace[n].cause {
+		e := s.trace[n]
+		b.Chain = append(b.Chain, fmt.Sprintf("%.6f s, event %d: %s (%d)", e.at.Seconds(), n, e.what, e.on))
+	}
+	s.result.Broken = b
+}
+
+// drew holds a send against every budget that governs it: no window may see more than the whole's rate and its burst (step 8 of
+// docs/fleet-budgets.md).
+func (s *Sim) drew(n *instance, t *target, repeat, cold bool, units float64) {
+	if s.agents == nil {
+		return
+	}
+	for i := range s.spec.Budgets.Budgets {
+		b := &s.spec.Budgets.Budgets[i]
+		for _, d := range []struct {
+			is bool
+			fleet.Draw
+		}{{true, fleet.Draw{Use: fleet.Work, Units: units}}, {repeat, fleet.Draw{Use: fleet.Repeat, Units: 1}}, {cold, fleet.Draw{Use: fleet.Cold, Units: units}}} {
+			d.Target, d.Plan, d.Class = s.ids[t.id], "base", "read"
+			if !d.is || !b.Governs(d.Draw) {
+				continue
+			}
+			k := fleet.Key{Budget: b.Name, Key: b.KeyOf(d.Draw)}
+			x := s.judge.buckets[k]
+			if x == nil {
+				x = &bucket{rate: b.Whole, burst: b.Burst}
+				s.judge.buckets[k] = x
+			}
+			x.level = max(0, x.level-x.rate*(s.now-x.at).Seconds()) + d.Units
+			x.at, x.worst = s.now, max(x.worst, x.level)
+			if x.level > x.burst+1e-6 {
+				s.breaks("budget", n.id, fmt.Sprintf("a window sees %.3f units of %v beyond the rate, of %v", x.level, k, x.burst))
+			}
+		}
+	}
+}
+
+// accepted holds what an instance may use from now on against the whole, together with what all others may.
+func (s *Sim) accepted(n *instance) {
+	for _, has := range n.h.All(n.clock()) {
+		until := n.truly(has.Until)
+		if s.spec.Fleet.Planted == "greedy" && n.id%3 == 0 {
+			until += secs(float64(s.spec.Budgets.PartMs) / 1000 * 4) // as if it went on using what has ended
+		}
+		rate := has.Limit.Rate * n.rate
+		b := s.spec.Budgets.Budget(has.Budget)
+		if s.now < until {
+			rate -= b.Least * n.rate
+		} else {
+			rate = 0
+		}
+		s.holds(n, has.Key, hold{rate, until}, b)
+	}
+}
+
+func (s *Sim) holds(n *instance, k fleet.Key, h hold, b *fleet.Budget) {
+	all := s.judge.holds[k]
+	if all == nil {
+		all = map[int]hold{}
+		s.judge.holds[k] = all
+	}
+	s.judge.sums[k] += h.rate - all[n.id].rate
+	if all[n.id] = h; h.rate == 0 {
+		delete(all, n.id)
+	}
+	pool := b.Whole - float64(s.spec.Budgets.Seats)*b.Least
+	if s.judge.sums[k] <= pool+1e-6*b.Whole {
+		return
+	}
+	// Some of it has ended: it is summed anew, in the instances' order.
+	sum := 0.0
+	ids := make([]int, 0, len(all))
+	for id, x := range all {
+		if x.until <= s.now {
+			delete(all, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		sum += all[id].rate
+	}
+	s.judge.sums[k] = sum
+	if sum > pool+1e-6*b.Whole {
+		s.breaks("budget", n.id, fmt.Sprintf("parts of %v sum to %.4f of %.4f", k, sum, pool))
+	}
+}
+
+// budgetGone forgets what a process had that is gone.
+func (s *Sim) budgetGone(n *instance) {
+	for k, all := range s.judge.holds {
+		if x, there := all[n.id]; there {
+			s.judge.sums[k] -= x.rate
+			delete(all, n.id)
+		}
+	}
+}
+
+// began and changed hold acts against the order of their tokens.
+func (s *Sim) began(n *instance, a tenant.Act) bool {
+	last := s.judge.acts[a.Key]
+	if a.Token < last[0] || a.Token == last[0] && s.judge.by[a.Key] != n.member {
+		s.breaks("leases", n.id, fmt.Sprintf("act %d of %s begins at %v under token %d after %s under %d", a.N, n.member, a.Key, a.Token, s.judge.by[a.Key], last[0]))
+	}
+	s.judge.acts[a.Key], s.judge.by[a.Key] = [2]uint64{a.Token, a.N}, n.member
+	return true
+}
+
+func (s *Sim) changed(n *instance, a tenant.Act) bool {
+	if last := s.judge.acts[a.Key]; last != [2]uint64{a.Token, a.N} || s.judge.by[a.Key] != n.member {
+		s.breaks("leases", n.id, fmt.Sprintf("act %d of %s changes %v under token %d after %s began under %d", a.N, n.member, a.Key, a.Token, s.judge.by[a.Key], last[0]))
+	}
+	return true
+}
+
+// Faults is the whole schedule of a run: what the file has, and what is drawn.
+func Faults(spec *Spec, seed uint64) []Fault {
+	all := slices.Clone(spec.Faults)
+	r := spec.Random
+	if r == nil {
+		return all
+	}
+	names := r.Kinds
+	if len(names) == 0 {
+		for k, of := range kinds {
+			if of != "zone" && (spec.Budgets != nil || of != "agent") {
+				names = append(names, k)
+			}
+		}
+		slices.Sort(names)
+	}
+	rng := rand.New(rand.NewPCG(seed, xxhash.Sum64String("faults")))
+	agentFree := 0.0
+	for at := r.EveryS; at < spec.LengthS; at += r.EveryS * (0.5 + rng.Float64()) {
+		f := Fault{AtS: at, What: names[rng.IntN(len(names))], ForS: 0.2 + (r.MostS-0.2)*rng.Float64(), Slow: 4}
+		f.On = []int{rng.IntN(spec.count(kinds[f.What]))}
+		if strings.HasPrefix(f.What, "agent") {
+			if at < agentFree {
+				continue // one agent at a time: a majority is always there
+			}
+			agentFree = at + f.ForS + 3
+		}
+		all = append(all, f)
+	}
+	return all
+}
+
+func (s *Sim) faults() {
+	for _, f := range Faults(s.spec, s.seed) {
+		rng := s.stream("fault "+f.String(), 0) // the same whichever others there are
+		on := f.On
+		if of := kinds[f.What]; len(on) == 0 && of != "zone" {
+			for k := range s.spec.count(of) {
+				zone := k % s.spec.Fleet.Zones
+				if f.Zone != nil && zone == *f.Zone || f.Zone == nil && rng.Float64() < f.Share {
+					on = append(on, k)
+				}
+			}
+		}
+		if kinds[f.What] == "zone" {
+			s.at(secs(f.AtS), f.What, *f.Zone, func() { s.cuts[*f.Zone] = true })
+			s.at(secs(f.AtS+f.ForS), f.What+" ends", *f.Zone, func() { delete(s.cuts, *f.Zone) })
+			continue
+		}
+		for _, k := range on {
+			begin := secs(f.AtS + f.OverS*rng.Float64())
+			s.at(begin, f.What, k, func() { s.hurt(f, k, begin+secs(f.ForS), true) })
+			s.at(begin+secs(f.ForS), f.What+" ends", k, func() { s.hurt(f, k, 0, false) })
+		}
+	}
+}
+
+// hurt begins a fault, or ends it.
+func (s *Sim) hurt(f Fault, k int, until time.Duration, begins bool) {
+	what, _ := strings.CutPrefix(f.What, "target-")
+	if kinds[f.What] == "target" {
+		t := s.targets[k]
+		switch {
+		case what == "kill" && begins:
+			t.kill()
+		case what == "kill":
+			t.start()
+		case what == "stall" && begins:
+			t.still = max(t.still, until)
+		case what == "slow":
+			t.slow = 1
+			if begins {
+				t.slow = max(f.Slow, 1)
+			}
+		case what == "bad":
+			t.bad = begins
+		}
+		return
+	}
+	if kinds[f.What] == "agent" {
+		if s.agents == nil {
+			return
+		}
+		a := s.agents.all[k]
+		switch {
+		case f.What == "agent-kill" && begins:
+			s.agents.kill(k)
+		case f.What == "agent-kill":
+			a.up = true
+		case f.What == "agent-pause" && begins:
+			s.agents.pause(k, until)
+		case f.What == "agent-alone":
+			a.alone = begins
+		}
+		return
+	}
+	n := s.insts[k]
+	switch {
+	case f.What == "kill" && begins:
+		if n.alive {
+			n.kill()
+		}
+	case f.What == "kill":
+		if !n.alive {
+			s.after(secs(s.spec.Fleet.RestartS), "start", n.id, func() {
+				if !n.alive {
+					n.start()
+				}
+			})
+		}
+	case f.What == "pause" && begins:
+		n.pause(until)
+	case f.What == "cut":
+		n.mute, n.deaf = begins, begins
+	case f.What == "mute":
+		n.mute = begins
+	case f.What == "deaf":
+		n.deaf = begins
+	case f.What == "slow":
+		n.lag = 0
+		if begins {
+			n.lag = secs(f.ForS / 16)
+		}
+	case f.What == "hang":
+		n.hung = begins
+		if !begins {
+			n.acting = map[lease.Key]bool{}
+		}
+	}
+}
