--- a/internal/model/spec.go
+++ b/internal/model/spec.go
@@ -70,7 +70,7 @@
 	ColdShare float64 `toml:"cold_share"`  // of its rate at its start
 	WarmS     float64 `toml:"warm_s"`      // until it is warm
 	FallS     float64 `toml:"fall_s"`      // the span over which work to a cold one is counted
-	Bears     float64 `toml:"bears"`       // units within that span; with more it falls over
+	Bears     float64 `toml:"bears"`       // units within that span, at its start, and more as it warms; with more it falls over
 	DownS     float64 `toml:"down_s"`      // and stands still for so long
 	StallMs   float64 `toml:"stall_ms"`    // now and then it stands still for so long
 	StallEach float64 `toml:"stall_every_s"`
--- a/ration_test.go
+++ b/ration_test.go
@@ -38,6 +38,7 @@
 		name  string
 		left  map[Use]float64
 		cold  bool
+		aged  bool // half of the time until it is warm
 		sends int
 	}{
 		{name: "nothing governed", left: map[Use]float64{}, sends: 6},
@@ -45,6 +46,7 @@
 		{name: "none of it", left: map[Use]float64{AllWork: 0}},
 		{name: "cold, by the settings", left: map[Use]float64{}, cold: true, sends: 2},
 		{name: "cold, by its part", left: map[Use]float64{ColdWork: 4}, cold: true, sends: 4},
+		{name: "cold, by its part, half warm: it bears half as much again", left: map[Use]float64{ColdWork: 2.02}, cold: true, aged: true, sends: 3},
 		{name: "cold alone is governed", left: map[Use]float64{ColdWork: 0}, sends: 6},
 		{name: "connections", left: map[Use]float64{Connections: 0}},
 	} {
@@ -58,6 +60,9 @@
 			if c.cold {
 				n.Started = time.Second - 10*ms
 			}
+			if c.aged {
+				set.Rules.ColdShare, set.Rules.WarmWithin, n.Started = 0.5, 2*(time.Second-ms), ms
+			}
 			r := newRig(t, set, n)
 			for i := range 6 {
 				id := string(rune('a' + i))
