--- a/internal/faults/lease_long_test.go
+++ b/internal/faults/lease_long_test.go
@@ -29,6 +29,7 @@
 // hand it goes on for as long as SPINDLEHITCH_FAULTS says (such as 10m), with twenty members and thirty shards; SPINDLEHITCH_SEED
 // is another seed.
 func TestLeasesScheduled(t *testing.T) {
+	t.Parallel()
 	length, members, shards, seed := 15*time.Second, 5, 8, uint64(1)
 	if d, err := time.ParseDuration(os.Getenv("SPINDLEHITCH_FAULTS")); err == nil {
 		length, members, shards = d, 20, 30
@@ -142,6 +143,7 @@
 // TestLeaseOperations has members in this process claim, give back, move and look at leases through agents that are hurt, and holds the
 // history against a register that is granted under growing tokens.
 func TestLeaseOperations(t *testing.T) {
+	t.Parallel()
 	r := New(t)
 	g := r.Agents(3)
 	g.Leader()
--- a/internal/faults/lease_test.go
+++ b/internal/faults/lease_test.go
@@ -144,6 +144,7 @@
 // TestActsPaused has holders stop at each step of an act, by an aim in the program, for longer than their lease; others act meanwhile. What
 // they do when they wake up is refused at the place.
 func TestActsPaused(t *testing.T) {
+	t.Parallel()
 	d := newDrill(t, 3, 4, 1.0005, 0, 0.9995)
 	inside := 0
 	for i, step := range []string{"act.begun", "act.opened", "act.checked", "act.taken", "place.link", "place.linked", "act.ending"} {
@@ -177,6 +178,7 @@
 // TestLeasesHurt drives the hard cases of members: cut off from the agents and not from the place, and the other way round; answers that come
 // late around a hand-over; a move in mid-act; a member that hangs and renews; one name twice; all restarted at once.
 func TestLeasesHurt(t *testing.T) {
+	t.Parallel()
 	d := newDrill(t, 4, 6, 0.9995, 1.0005)
 	gone := func(what string, n *Instance, do func()) {
 		t.Helper()
@@ -269,6 +271,7 @@
 // TestLeaseAgentsHurt drives the hard cases of agents: the leader killed between a grant and its answer, stopped there past all leases, alone
 // with a member that reaches no other; a disk that is full while something is granted; all gone for longer than leases last.
 func TestLeaseAgentsHurt(t *testing.T) {
+	t.Parallel()
 	d := newDrill(t, 3, 4, 1.0005, 0.9995)
 	acts := func() int {
 		d.witness.mu.Lock()
--- a/internal/faults/task_test.go
+++ b/internal/faults/task_test.go
@@ -49,6 +49,7 @@
 // TestWatching has a target answer everything with errors: all members avoid it, one tries it for all, also after that one dies, and all hear
 // when it is well again.
 func TestWatching(t *testing.T) {
+	t.Parallel()
 	d := newTasked(t, 4, 2, watchTask, `"watch"`, nil)
 	bad := d.targets.All[1]
 	for _, n := range d.all {
@@ -126,6 +127,7 @@
 // TestFleetAccount has the holder of the fleet's account die or stop at each line of the write of a report: each window has exactly one, whole,
 // with the instances that could not be asked.
 func TestFleetAccount(t *testing.T) {
+	t.Parallel()
 	dir := filepath.Join(t.TempDir(), "reports")
 	listens := FreeAddrs(t, 3)
 	d := newTasked(t, 3, 1, fmt.Sprintf(accountTask, dir), `"account"`, func(i int) string {
@@ -215,6 +217,7 @@
 
 // TestLeaseCommands has commands and files refused, each by one message that names the field, and nothing done.
 func TestLeaseCommands(t *testing.T) {
+	t.Parallel()
 	d := newDrill(t, 2, 2)
 	before := d.leases()
 	task := d.file()
