--- a/internal/faults/lease_long_test.go
+++ b/internal/faults/lease_long_test.go
@@ -40,6 +40,11 @@
 	d := newDrill(t, members, shards, 1.0005, 0, 0.9995)
 	// What is paused is paused inside an act here.
 	plan := slices.DeleteFunc(Schedule(seed, members, 3, length, 8*time.Second/time.Duration(members)), func(e Event) bool { return e.What == "pause" })
+	if path := os.Getenv("SPINDLEHITCH_RECORD"); path != "" {
+		if b, err := Record(plan); err != nil || os.WriteFile(path, b, 0o644) != nil {
+			t.Fatal("the schedule can't be written")
+		}
+	}
 	rng := rand.New(rand.NewPCG(seed, 21))
 	inside := 0
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/faults/model_test.go
+++ b/internal/faults/model_test.go
@@ -10,8 +10,70 @@
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/fleet/lease"
 	"spindlehitch/internal/model"
+	"spindlehitch/internal/model/experiment"
 )
 
+// TestRecorded has a schedule of the rig played in the model: twenty instances, a minute, no promise broken.
+func TestRecorded(t *testing.T) {
+	plan := Schedule(7, 20, 3, time.Minute, 400*time.Millisecond)
+	b, err := Record(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	text := `name = "recorded"
+length_s = 66
+seeds = [1]
+schedule = "schedule.json"
+[fleet]
+instances = 20
+clock_ppm = 500
+[load]
+rate = 200
+[targets]
+count = 3
+[budgets]
+seats = 200
+renew_ms = 300
+part_ms = 1500
+seat_s = 6
+[[budgets.budget]]
+name = "work"
+use = "work"
+whole = 150
+burst = 300
+least = 0.1
+least_burst = 1
+[[tasks.task]]
+name = "t"
+kind = "watch"
+shards = 30
+lease_ms = 1500
+act_ms = 300
+pause_ms = 100
+`
+	for name, b := range map[string][]byte{"schedule.json": b, "x.toml": []byte(text)} {
+		if err := os.WriteFile(filepath.Join(dir, name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x, err := experiment.Read(filepath.Join(dir, "x.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := len(x.Runs[0].Spec.Faults); n < 50 || n >= len(plan) {
+		t.Errorf("%d faults of %d events", n, len(plan))
+	}
+	r := model.Run(x.Runs[0].Spec, 1, true)
+	var grants, acts float64
+	for _, p := range r.Series {
+		grants, acts = grants+p.Grants, acts+p.Acts
+	}
+	if r.Broken != nil || grants < 30 || acts < 500 {
+		t.Errorf("%v, %.0f grants, %.0f acts", r.Broken, grants, acts)
+	}
+}
+
 // TestModelAgrees plays one schedule with twenty processes and in the model, under the same budget and leases, and holds the two against each
 // other; by hand, with SPINDLEHITCH_FAULTS set. docs/model.md has what came of it.
 func TestModelAgrees(t *testing.T) {
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -1,10 +1,13 @@
 package faults
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
+
+	"spindlehitch/internal/model"
 )
 
 // Event is one fault of a schedule. What lasts ends by itself.
@@ -40,6 +43,18 @@
 	return all
 }
 
+// Record is a schedule as an experiment on the modelled fleet reads it (its schedule file). Resets of connections alone are left out: the
+// model has none.
+func Record(all []Event) ([]byte, error) {
+	var faults []model.Fault
+	for _, e := range all {
+		if e.What != "reset" {
+			faults = append(faults, model.Fault{AtS: e.At.Seconds(), ForS: e.For.Seconds(), What: e.What, On: []int{e.On}})
+		}
+	}
+	return json.MarshalIndent(faults, "", " ")
+}
+
 // Play carries a schedule out and returns once everything in it has ended. It tells how often what happened.
 func (r *Rig) Play(all []Event, instances []*Instance, agents *Agents) map[string]int {
 	type step struct {
