--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -83,6 +83,12 @@
 	}
 }
 
+// Append writes one number as a line, as Render does: of a part of the process that is not always there.
+func Append(out []byte, kind byte, n float64, name string) []byte {
+	out = append(append(append(out, prefix...), name...), ':')
+	return append(strconv.AppendFloat(out, n, 'f', -1, 64), '|', kind, '\n')
+}
+
 // Render writes the numbers, one a line: counters (c) from 0 at the start of the process, gauges (g) as they are now.
 func (b *Book) Render() []byte {
 	var out []byte
--- a/internal/ration/ration.go
+++ b/internal/ration/ration.go
@@ -8,12 +8,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"strconv"
 	"sync"
 	"time"
 
 	"spindlehitch"
 	"spindlehitch/internal/agent"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/fleet"
 	"spindlehitch/internal/fleet/holder"
 	"spindlehitch/internal/fleet/lease"
@@ -356,8 +356,7 @@
 	now := monotone.Now()
 	var out []byte
 	line := func(kind byte, n float64, format string, args ...any) {
-		out = fmt.Appendf(out, "edge_proxy.fleet."+format+":", args...)
-		out = append(strconv.AppendFloat(out, n, 'f', -1, 64), '|', kind, '\n')
+		out = figures.Append(out, kind, n, fmt.Sprintf("fleet."+format, args...))
 	}
 	seated := 0.0
 	if r.h.Seated(now) {
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -7,11 +7,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"strconv"
 	"sync"
 	"time"
 
 	"spindlehitch/internal/failpoint"
+	"spindlehitch/internal/figures"
 	"spindlehitch/internal/fleet/guard"
 	"spindlehitch/internal/fleet/lease"
 	"spindlehitch/internal/fleet/tenant"
@@ -256,8 +256,7 @@
 	now := monotone.Now()
 	var out []byte
 	line := func(kind byte, n float64, format string, args ...any) {
-		out = fmt.Appendf(out, "edge_proxy.fleet.tasks."+format+":", args...)
-		out = append(strconv.AppendFloat(out, n, 'f', -1, 64), '|', kind, '\n')
+		out = figures.Append(out, kind, n, fmt.Sprintf("fleet.tasks."+format, args...))
 	}
 	line('c', float64(r.counts.begun), "acts.begun")
 	line('c', float64(r.counts.done), "acts.done")
