The model: dead fields and a wrapper out

Cause: a target's count of falls, two fields of the run and one wrapper served nobody, and one condition said the same twice. Behaviour stays: one experiment gives the same bytes before and after; the model's tests pass.

--- a/internal/model/experiment/run.go
+++ b/internal/model/experiment/run.go
@@ -222,7 +222,7 @@
 			continue
 		}
 		if p.Served >= 0.9*p.Offered {
-			if run++; run == 5 || !hurt && run == 5 {
+			if run++; run == 5 {
 				if !hurt && p.T < at+10*d.Spec.StepS {
 					run = 4 // not hurt yet, perhaps
 					continue
--- a/internal/model/instance.go
+++ b/internal/model/instance.go
@@ -360,7 +360,7 @@
 			if attempt > 1 {
 				n.s.point.Repeats++
 			}
-			cold := n.s.coldNow(t)
+			cold := t.isCold()
 			if cold {
 				n.s.point.Cold += r.units
 			}
--- a/internal/model/sim.go
+++ b/internal/model/sim.go
@@ -75,8 +75,6 @@
 	n, cause uint64
 	limit    uint64
 	trace    map[uint64]traced // of a traced run
-	what     string
-	on       int32
 
 	insts    []*instance
 	targets  []*target
@@ -151,7 +149,7 @@
 			break
 		}
 		e := s.q.pop()
-		s.now, s.cause, s.what, s.on = e.at, e.n, e.what, e.on
+		s.now, s.cause = e.at, e.n
 		s.result.Events++
 		if s.trace != nil {
 			s.trace[e.n] = traced{e.cause, e.what, e.on, e.at}
@@ -256,8 +254,6 @@
 	return 1
 }
 
-func (s *Sim) coldNow(t *target) bool { return t.isCold() }
-
 // list has all instances hear of the targets anew.
 func (s *Sim) list() {
 	s.version++
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -20,7 +20,6 @@
 	busy    int
 	waiting []job
 	cold    []work // units within the fall span, while it is cold
-	fell    int
 }
 
 type work struct {
@@ -68,7 +67,6 @@
 		}
 		if sum > o.Bears*t.grown() && t.s.now >= t.still {
 			t.still = t.s.now + secs(o.DownS)
-			t.fell++
 			t.s.point.Falls++
 		}
 	}
