An answer cut by a reset is no whole one: what Peek swallowed stays known

Checked: where the reset comes in front of the body or under one with a length, the outcome is Reset; where a first piece has come and Stream.begin waits for more (s.in.Peek(1), stream.go), it is Delivered. Ruled out: second answers, which TestLateSecondAnswer has.

Lines at fault: bufio.Reader.Peek returns the error of its read and forgets it; the next read goes to the socket again, where the system has told of the reset and says end of file from then on. begin took only the deadline for an error.

Change: the connection's reader keeps the error that ended it.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -65,15 +65,25 @@
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
-// a moment, if there is one.
+// a moment, if there is one. How the connection ended stays known: the system tells of a reset once, and of an end from then
+// on, which bufio's Peek would make of it, since it forgets the error that it returns.
 type stallReader struct {
 	net.Conn
 	until time.Time
 	stall time.Duration
 	begun bool
+	ended error
 }
 
-func (s *stallReader) Read(b []byte) (int, error) {
+func (s *stallReader) Read(b []byte) (n int, err error) {
+	if s.ended != nil {
+		return 0, s.ended
+	}
+	defer func() {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			s.ended = err
+		}
+	}()
 	if s.begun {
 		at := time.Now().Add(s.stall)
 		if !s.until.IsZero() && s.until.Before(at) {
--- a/internal/upstream/terms_test.go
+++ b/internal/upstream/terms_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,3 +55,26 @@
 	}
 	require.EqualValues(t, 1, s.accepted.Load())
 }
+
+// TestResetIsNoEnd resets a connection under an answer that has no length: however much of it came, it is not whole, neither where it is
+// held until its end nor where it is passed on.
+func TestResetIsNoEnd(t *testing.T) {
+	for _, came := range []int{0, 1, 200, pieceSize - 1, 3 * pieceSize} {
+		t.Run(fmt.Sprint(came), func(t *testing.T) {
+			s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", came))
+				c.(*net.TCPConn).SetLinger(0) // what was written before the reset is read before it
+				return false
+			})
+			b := newBench(s.Addr().String())
+			b.send(10 * time.Second)
+			r := b.result(t)
+			if st, passed := r.Payload.(*Stream); passed {
+				_, err := io.Copy(io.Discard, st)
+				require.Error(t, err)
+				return
+			}
+			require.Equal(t, spindlehitch.Reset, r.Code)
+		})
+	}
+}
