Settings that cannot be served name their field; the time to connect is the settings' own

Seen in a review of every figure that 'serve' keeps of its own. internal/config/config.go took limits.dialTimeoutUs for 250 ms at most, the figure of one deployment: a network that is told to need longer could never be connected to. It holds now as told, and 250 ms where nothing is told; attempts still end with their own time.

internal/config/settings.go let pass, or named no field for: a class without aim or deadline, no class, no plan, two classes of one name (the second won silently), no initiator, and an explicit limits.sendCap of 0, which was taken for no bound at all. Each stops the start with one message now. Odd but allowed settings are read as they are (TestOddIsServed).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -54,7 +54,8 @@
 const (
 	// mostHeld bounds open requests also where the settings name more: each may hold a body.
 	mostHeld = 4000
-	maxDial  = 250 * time.Millisecond
+	// usualDial is how long a connection to a target may take to come up where the settings do not say.
+	usualDial = 250 * time.Millisecond
 )
 
 // Load reads the environment and the JSON file that it names. The environment's words, where given, win.
@@ -116,7 +117,7 @@
 	}
 	l := f.Settings.Limits
 	c.MostHeld = atMost(l.MostHeld, mostHeld)
-	c.Dial = min(orElse(Us(l.DialTimeoutUs), maxDial), maxDial)
+	c.Dial = orElse(Us(l.DialTimeoutUs), usualDial)
 	c.ConnIdle = orElse(Us(l.ConnIdleUs), 30*time.Second)
 	c.Probes = f.Settings.Limits.Probes
 	return c, nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"spindlehitch"
 	"spindlehitch/internal/seeded"
 )
 
@@ -57,11 +58,17 @@
 		{`"settings":`, `"other":`, "settings: required"},
 		{`"peersTotal":3,`, "", "peersTotal: required"},
 		{`"effect":"side_effect"`, `"effect":"odd"`, "classes[1].effect"},
-		{`"promiseUs":150000`, `"promiseUs":0`, `class "position-read" needs an aim`},
+		{`"promiseUs":150000`, `"promiseUs":0`, "settings.classes[0].promiseUs: 0 is not over 0"},
+		{`"deadlineUs":1200000,`, "", "settings.classes[1].deadlineUs: 0 is not over 0"},
+		{`"peersTotal":3`, `"peersTotal":0`, "settings.peersTotal: 0 is under 1"},
+		{`"sendCap":3`, `"sendCap":0`, "settings.limits.sendCap: 0 is under 1"},
+		{`"event-write"`, `"position-read"`, "settings.classes: name there twice"},
+		{`"classes":[`, `"classes":[],"others":[`, "settings.classes: at least 1"},
+		{`"contracts":[`, `"others":[`, "settings.contracts: required"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), none)
-		if err == nil || !strings.Contains(err.Error(), c.want) {
-			t.Errorf("%.30s: %v, want %q", c.new, err, c.want)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\nsettings.") {
+			t.Errorf("%.30s: %v, want %q alone", c.new, err, c.want)
 		}
 	}
 	for _, env := range []string{"", filepath.Join(t.TempDir(), "absent")} {
@@ -71,6 +78,33 @@
 	}
 }
 
+// TestOddIsServed reads settings that are odd and allowed, and takes figures over as they are.
+func TestOddIsServed(t *testing.T) {
+	for _, c := range []struct {
+		old, new string
+		holds    func(*Config) bool
+	}{
+		{`"handshake":0.08`, `"handshake":0`, func(c *Config) bool { return c.Module.Handshake == 0 }},
+		{`"pays":0.9`, `"pays":0`, func(c *Config) bool { return c.Module.Plans[0].Price == 0 }},
+		{`"reservation":13,`, "", func(c *Config) bool { return c.Module.Plans[0].Reserve == 0 }},
+		{`"usualRate":13,`, "", func(c *Config) bool { return c.Module.Plans[0].Rate == 0 }},
+		{`"side_effect"`, `"token","windowUs":700000`, func(c *Config) bool {
+			return c.Module.Classes[1].Group == spindlehitch.GroupAll && c.Module.Classes[1].Window == 700*time.Millisecond
+		}},
+		{`,{"name":"event-write"`, `],"kinds":[{"name":"event-write"`, func(c *Config) bool { return len(c.Module.Classes) == 1 }},
+		{`"connIdleUs":30000000`, `"connIdleUs":1`, func(c *Config) bool { return c.ConnIdle == time.Microsecond }},
+		{`"dialTimeoutUs":250000`, `"dialTimeoutUs":900000`, func(c *Config) bool { return c.Dial == 900*time.Millisecond }},
+		{`"dialTimeoutUs":250000`, `"dialTimeout":1`, func(c *Config) bool { return c.Dial == usualDial }},
+		{`"sendCap":3`, `"parallelTries":false`, func(c *Config) bool { return c.Module.MaxAttempts == 0 }},
+		{`"tickUs":2000`, `"tickUs":2000,"newFigure":{"deep":[1]}`, func(*Config) bool { return true }},
+	} {
+		cfg, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), none)
+		if err != nil || !c.holds(cfg) {
+			t.Errorf("%s: %v, read as %+v", c.new, err, cfg)
+		}
+	}
+}
+
 // TestCuts cuts a valid configuration anywhere and feeds garbage: no part passes for the whole.
 func TestCuts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -13,17 +13,17 @@
 // Options is the settings object as the platform writes it, in the simulator's first message and in the
 // configuration alike. Unknown fields are skipped.
 type Options struct {
-	PeersTotal *int `json:"peersTotal" validate:"required"`
+	PeersTotal *int `json:"peersTotal" validate:"required,gte=1"`
 	Classes    []struct {
 		Name       string  `json:"name"`
-		PromiseUs  int64   `json:"promiseUs"`
-		DeadlineUs int64   `json:"deadlineUs"`
+		PromiseUs  int64   `json:"promiseUs" validate:"gt=0"`
+		DeadlineUs int64   `json:"deadlineUs" validate:"gt=0"`
 		Effect     string  `json:"effect" validate:"oneof=pure token side_effect"`
 		Group      string  `json:"group" validate:"omitempty,oneof=all zone cell"`
 		WindowUs   int64   `json:"windowUs"`
 		Serial     bool    `json:"serialByKey"`
 		Worth      float64 `json:"worth"`
-	} `json:"classes" validate:"dive"`
+	} `json:"classes" validate:"required,min=1,unique=Name,dive"`
 	Contracts []struct {
 		Name        string  `json:"name"`
 		UsualRate   float64 `json:"usualRate"`
@@ -32,7 +32,7 @@
 		Pays        float64 `json:"pays"`
 		CeilingRate float64 `json:"ceilingRate"`
 		LimitBurst  float64 `json:"limitBurst"`
-	} `json:"contracts"`
+	} `json:"contracts" validate:"required,min=1,unique=Name"`
 	Extra struct {
 		ColdBears  float64 `json:"coldBears"`
 		Largest    float64 `json:"largest"`
@@ -42,7 +42,7 @@
 		MeteringUs int64   `json:"meteringUs"`
 	} `json:"extra"`
 	Limits struct {
-		SendCap       int   `json:"sendCap"`
+		SendCap       *int  `json:"sendCap" validate:"omitempty,gte=1"` // nil: no bound
 		MostHeld      int   `json:"mostHeld"`
 		ConnIdleUs    int64 `json:"connIdleUs"`
 		DialTimeoutUs int64 `json:"dialTimeoutUs"`
@@ -82,7 +82,6 @@
 	s := spindlehitch.Settings{
 		Initiators:   *o.PeersTotal,
 		Tick:         Us(o.TickUs),
-		MaxAttempts:  o.Limits.SendCap,
 		MeanUnits:    o.Extra.MeanUnits,
 		FairWorth:    o.Extra.FairWorth,
 		IdleWorth:    o.Extra.IdleWorth,
@@ -101,6 +100,9 @@
 			BudgetSpan:   Us(o.Rules.ResendSpanUs),
 		},
 	}
+	if o.Limits.SendCap != nil {
+		s.MaxAttempts = *o.Limits.SendCap
+	}
 	if o.Rules.ResendRatio != nil {
 		s.Rules.Budget, s.Rules.BudgetShare = true, *o.Rules.ResendRatio
 	}
