Idempotency-Key passes on; a keyed request that lacks its key is not repeated

Ruled out: the module, which repeated only within group and window.

Change: the key goes with the message, held bodies and those that go ahead alike; two of them are 400. A keyed request without one (a command over NVMe has none) may not be repeated or refused once it may have run, as an unsafe one: no target would drop the repeat.

TestAnswers, TestKeyPassesOn, TestKeyless: without the change they do not build, the field being new; with the field alone, but not written, the first two fail.

--- a/api.go
+++ b/api.go
@@ -127,6 +127,7 @@
 	Units      float64       // its size
 	Initiators int           // how many carry this volume
 	At         string        // the node that has its body but for the last of it; empty: its body is here
+	Keyless    bool          // of a Keyed class, without the key by which nodes drop its repeat
 	Budget     time.Duration // the client gives this try up after that
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -123,6 +123,16 @@
 	if _, body, _ := ask(t, addr, good); body != want {
 		t.Errorf("taken as %q, want %q", body, want)
 	}
+	for head, key := range map[string]string{"": "", "Idempotency-Key:  a 7=\"x\" \r\n": `a 7="x"`, "Idempotency-Key: \r\n": ""} {
+		go func() {
+			j := <-b.jobs
+			j.Done(core.Answer{Payload: fmt.Append(nil, j.Keyless, j.Payload.(*upstream.Message).Key)})
+		}()
+		_, body, _ := ask(t, addr, goodHead+head+"Content-Length: 4\r\n\r\nbody")
+		require.Equal(t, fmt.Sprint(key == "", key), body)
+	}
+	resp, _, _ := ask(t, addr, goodHead+"Idempotency-Key: a\r\nIdempotency-Key: a\r\nContent-Length: 4\r\n\r\nbody")
+	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
 }
 
 // TestBadInput checks that what cannot be taken is told so, by a code that does not invite a repeat.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -43,6 +43,10 @@
 			return nil, nil, bad(http.StatusBadRequest, "%s: wanted once, is there %d times", name, n)
 		}
 	}
+	keys := r.Header.Values("Idempotency-Key")
+	if len(keys) > 1 {
+		return nil, nil, bad(http.StatusBadRequest, "Idempotency-Key: is there %d times", len(keys))
+	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPut {
 		return nil, nil, bad(http.StatusMethodNotAllowed, "method %s: GET and PUT are served", r.Method)
 	}
@@ -70,13 +74,15 @@
 	}
 	j := &core.Job{Request: q, Name: id, Patience: time.Duration(ms) * time.Millisecond}
 	j.Class, j.Plan, j.Extent = class, r.Header.Get("Tier"), key
+	m := &upstream.Message{Method: r.Method, URI: r.RequestURI, ID: id, Key: strings.Join(keys, "")}
+	j.Keyless = m.Key == ""
 	if !s.opt.Classes[j.Class] {
 		return nil, nil, bad(http.StatusNotFound, "class %q is not served here", j.Class)
 	}
 	if !s.opt.Plans[j.Plan] {
 		return nil, nil, bad(http.StatusUnprocessableEntity, "Tier: plan %q is not known here", j.Plan)
 	}
-	return j, &upstream.Message{Method: r.Method, URI: r.RequestURI, ID: id}, nil
+	return j, m, nil
 }
 
 // cutClass cuts the class off the path, which starts with a slash.
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -36,6 +36,7 @@
 	Method string
 	URI    string
 	ID     string
+	Key    string // Idempotency-Key; empty: there is none
 	Body   []byte
 	Upload *Upload // where the body is instead, but for its last piece; nil: here
 }
@@ -183,6 +184,10 @@
 	b = append(b, host...)
 	b = append(b, "\r\nRequest-Id: "...)
 	b = append(b, m.ID...)
+	if m.Key != "" {
+		b = append(b, "\r\nIdempotency-Key: "...)
+		b = append(b, m.Key...)
+	}
 	b = append(b, "\r\nRequest-Timeout-Ms: "...)
 	b = strconv.AppendInt(b, waitMs, 10)
 	switch {
--- a/internal/upstream/terms_test.go
+++ b/internal/upstream/terms_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch"
+	"spindlehitch/internal/core"
 )
 
 // TestLateSecondAnswer has a target answer twice, the second time some milliseconds late, while the connection is idle or has just been
@@ -78,3 +80,28 @@
 		})
 	}
 }
+
+// TestKeyPassesOn has targets see a request's key as its client wrote it, where the body goes with the head and where it goes ahead.
+func TestKeyPassesOn(t *testing.T) {
+	for _, key := range []string{"", `a 7="x"`} {
+		seen := make(chan []string, 1)
+		s := newStandIn(t, func(_ int32, r *http.Request, c net.Conn) bool {
+			seen <- r.Header.Values("Idempotency-Key")
+			return say(c, "200 OK", "done")
+		})
+		b := newBench(s.Addr().String())
+		m := &Message{Method: "PUT", URI: "/w/1", ID: "id", Key: key}
+		u, err := b.Ahead(context.Background(), "n", m, 4, time.Second)
+		require.NoError(t, err)
+		u.Last([]byte("body"))
+		for i, m := range []*Message{m, {Upload: u}} {
+			b.Send(core.Attempt{Request: fmt.Sprint(i), Node: "n", Until: time.Now().Add(10 * time.Second), Payload: m})
+			require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+			if got := <-seen; key == "" {
+				require.Empty(t, got)
+			} else {
+				require.Equal(t, []string{key}, got)
+			}
+		}
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -747,18 +747,18 @@
 		return false
 	}
 	return !r.mayRun || r.class.Effect == Pure ||
-		r.class.Effect == Keyed && s.now < r.ranSince+r.class.Window
+		r.class.Effect == Keyed && !r.Keyless && s.now < r.ranSince+r.class.Window
 }
 
 // answer gives the final answer: a refusal where a client's retry is harmless, otherwise a failure.
 func (s *Scheduler) answer(r *request) {
-	kind, wait := Refuse, time.Duration(0)
+	c, kind, wait := r.class, Refuse, time.Duration(0)
 	if r.late {
 		wait = r.due - s.now // a further try of the same ask would come too late for its aim
 	} else if r.start > s.now {
 		wait = r.start - s.now // the volume is ahead of its rate until then
 	}
-	if r.mayRun && r.class.Effect != Pure && !(r.class.Effect == Keyed && r.class.Group == GroupAll) {
+	if r.mayRun && c.Effect != Pure && (c.Effect != Keyed || c.Group != GroupAll || r.Keyless) {
 		kind, wait = Fail, 0
 	}
 	end := Action{Kind: kind, Request: r.ID, Wait: wait, Ahead: r.ahead(s.now)}
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -819,6 +819,27 @@
 	}
 }
 
+// TestKeyless holds a keyed request that lacks its key to what an unsafe one may: no node would drop its repeat.
+func TestKeyless(t *testing.T) {
+	for _, keyless := range []bool{false, true} {
+		set := plain()
+		set.Classes[0].Effect, set.Classes[0].Window = Keyed, time.Minute
+		r := newRig(t, set, Node{ID: "a"})
+		r.step(Request{ID: "1", Class: "get", Plan: "std", Volume: "v", Units: 1, Initiators: 1, Budget: time.Second, Keyless: keyless})
+		r.step(Outcome{ID: "1", Node: "a", Code: Reset})
+		r.wait(time.Second)
+		if !keyless {
+			if len(r.sends) < 2 {
+				t.Error("with its key it is not repeated")
+			}
+			continue
+		}
+		if len(r.sends) != 1 || len(r.ends) != 1 || r.ends[0].Kind != Fail {
+			t.Errorf("without its key: sends %+v, ends %+v", r.sends, r.ends)
+		}
+	}
+}
+
 // TestSharedBudgets divides what the rules allow among the processes of an initiator, also for a while after one has gone.
 func TestSharedBudgets(t *testing.T) {
 	set := plain()
