--- a/internal/instance/deployments_test.go
+++ b/internal/instance/deployments_test.go
@@ -78,7 +78,7 @@
 func (d *deployment) ask(method, path, plan, id, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+d.addrs["listen"]+path, strings.NewReader(body))
 	require.NoError(d.t, err)
-	req.Header = http.Header{"Request-Id": {id}, "Tier": {plan}, "Request-Timeout-Ms": {"1500"},
+	req.Header = http.Header{"Request-Id": {id}, "Idempotency-Key": {d.mark + "-" + id}, "Tier": {plan}, "Request-Timeout-Ms": {"1500"},
 		"Io-Info": {"volume=" + volume(d.mark) + ",units=1,shard=0,hosts=1"}}
 	resp, err := d.client.Do(req)
 	require.NoError(d.t, err)
@@ -216,4 +216,7 @@
 		require.NotContains(t, all, volume("firstcus"))
 	}
 	require.NotContains(t, first.sent.String(), "nextcust")
+	for _, id := range []string{"one", "two", "same"} { // held, gone ahead of its request, without a body
+		require.Contains(t, second.sent.String(), "Idempotency-Key:[nextcust-"+id+"]")
+	}
 }
