--- a/internal/instance/deployments_test.go
+++ b/internal/instance/deployments_test.go
@@ -220,3 +220,14 @@
 		require.Contains(t, second.sent.String(), "Idempotency-Key:[nextcust-"+id+"]")
 	}
 }
+
+// TestOddSettingsAreServed starts with settings that are odd and allowed: one class, keyed without a group, plans that are owed nothing
+// and pay nothing, no prices, no bounds, connections that may not rest, and figures that nobody knows.
+func TestOddSettingsAreServed(t *testing.T) {
+	deploy(t, "oddcusto", `{}`, `{"peersTotal":1,"prices":{"handshake":0,"newPrice":2},"newFigure":[{}],"classes":[{"name":"item","promiseUs":1500000,
+"deadlineUs":1500000,"effect":"token","windowUs":1,"worth":0,"aimStretch":1.5}],"contracts":[{"name":"shared"}],"limits":{"connIdleUs":1}}`, func(d *deployment) {
+		for i := range 20 {
+			d.served("PUT", "/item/0000000000000001", fmt.Sprint("id", i), "oddcusto body")
+		}
+	})
+}
