Attempts look at client, window and connection once more just before their first byte

Seen, each by a test with real connections that forces the order: - A repeat of a keyed request was decided within its class's window, but left whenever its connection came up, up to the dial's time later (scheduler.go mayRepeat, core.go act). A send now says how long its bytes may leave (Action.Within); the attempt is not made past it (Moot, no byte) and its write ends there. Job.left is set at once and looked at at the first byte. - Bytes that came between the pool's look at an idle connection (target.go reuse) and the write were read as the answer to what was written then (http.go Do). The connection is looked at again right before the write; one that spoke or ended there gives way to a new one, no byte written. What comes while the target has not acknowledged all of the request (SIOCOUTQ) was sent before it had it, and is no answer to it: a reset, and its target's connections rest from then on. - Cancel did not find the actor of a target that had left the list (registry.go): the attempt stayed out until its time. Nor did an attempt with its body ahead find its own target where another had its name by then, which miscounted both. - Idle connections were looked at each eighth of their time alone, so that with short settings one could be used past it. Of connections that have not rested the longest idle one is used first; no more are made for it.

Ruled out: dials that come up late leave nothing behind (closed, uncounted, no byte); a send before a retirement is always answered, since both go through one mailbox under the registry's lock.

--- a/api.go
+++ b/api.go
@@ -219,5 +219,6 @@
 	Wait    time.Duration
 	Ahead   time.Duration // of a request's end of being held: how much of it its start tag lay ahead
 	Text    string
-	Permit  Permit // of a Send: has to be good at its first byte; nil: none is needed
+	Permit  Permit        // of a Send: has to be good at its first byte; nil: none is needed
+	Within  time.Duration // of a Send: how long from now its bytes may leave; 0: as long as the attempt lasts
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,6 +95,7 @@
 	Patience time.Duration // how long the client waits from then on
 	Payload  any           // for the upstream
 	Done     func(Answer)  // called once, from the core's goroutine: must not wait
+	left     atomic.Bool   // its client is gone: known at once, whatever the core has to do before it hears of it
 }
 
 // Attempt is one try of a request at a target.
@@ -106,10 +107,22 @@
 	Payload any
 	OnSent  func() // nil: nobody asks
 	Permit  spindlehitch.Permit
+	Before  time.Time    // its bytes may leave until then; zero: until it is given up
+	Left    *atomic.Bool // its client has left; nil: nobody would know
 }
 
-// Allowed tells, just before the first byte, whether the attempt may still be made.
-func (a *Attempt) Allowed() bool { return a.Permit == nil || a.Permit.Good() }
+// Allowed tells, just before the first byte, whether the attempt may still be made: however long it waited for its connection.
+func (a *Attempt) Allowed() bool {
+	return (a.Left == nil || !a.Left.Load()) && time.Now().Before(a.WriteBy()) && (a.Permit == nil || a.Permit.Good())
+}
+
+// WriteBy is until when its bytes may leave.
+func (a *Attempt) WriteBy() time.Time {
+	if !a.Before.IsZero() && a.Before.Before(a.Until) {
+		return a.Before
+	}
+	return a.Until
+}
 
 // Sent is to be called by whoever carries the attempt out, once its last byte is written: from then on it may run.
 func (a *Attempt) Sent() {
@@ -240,7 +253,10 @@
 }
 
 // Depart tells that the job's client is gone. Its Done may still be called, if the answer came first.
-func (c *Core) Depart(j *Job) { c.box.Put(j) }
+func (c *Core) Depart(j *Job) {
+	j.left.Store(true)
+	c.box.Put(j)
+}
 
 // Route asks the module which node a request for the shard would go to now, so that a body that cannot be held here may
 // go there ahead of it. The reply, empty where there is none, comes from the core's goroutine and must not wait.
@@ -438,8 +454,12 @@
 	case spindlehitch.Send:
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
-		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
-			Until: now.Add(a.Wait), Payload: e.job.Payload, Permit: a.Permit})
+		next := Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
+			Until: now.Add(a.Wait), Payload: e.job.Payload, Permit: a.Permit, Left: &e.job.left}
+		if a.Within > 0 {
+			next.Before = now.Add(a.Within)
+		}
+		c.up.Send(next)
 	case spindlehitch.Refuse:
 		c.answer(e, Answer{Ending: Refused, RetryAfter: a.Wait})
 		c.tidy(a.Request, e)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -24,7 +24,8 @@
 	t.Helper()
 	m, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 1,
 		Classes: []spindlehitch.Class{{Name: "get", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1},
-			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe}},
+			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe},
+			{Name: "keyed", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Keyed, Window: 500 * time.Millisecond}},
 		Plans: []spindlehitch.Plan{{Name: "std", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -192,6 +193,32 @@
 	}
 }
 
+// TestAttemptKnowsItsEnds checks what an attempt can tell at its first byte without the core's goroutine: that its client has left, before
+// the core has come to hear of it, and that the window for a keyed repeat is over.
+func TestAttemptKnowsItsEnds(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	j := job("keyed", h.now, &answers)
+	h.step(h.now, []any{submitted{j}})
+	first := h.up.sent[0]
+	h.step(h.now, []any{Result{Request: first.Request, Node: "n", Code: spindlehitch.Reset}})
+	h.later(200 * time.Millisecond)
+	if len(h.up.sent) != 2 {
+		t.Fatalf("%d attempts, want 2", len(h.up.sent))
+	}
+	again := h.up.sent[1]
+	if !first.Before.IsZero() || again.Before.IsZero() || !again.Before.Before(first.Until.Add(-time.Second)) || again.WriteBy() != again.Before {
+		t.Errorf("the first may leave until %v, a repeat until %v; want it within the window", first.Before, again.Before)
+	}
+	if !again.Allowed() {
+		t.Error("within its window, its client there: not allowed")
+	}
+	h.Depart(j)
+	if again.Allowed() {
+		t.Error("its client has left: allowed")
+	}
+}
+
 // TestClockNeverGoesBack steps the core with times out of order.
 func TestClockNeverGoesBack(t *testing.T) {
 	h := newHand(t)
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -492,6 +492,7 @@
 	}
 	capsule := appendPDU(nil, s.framing, typeCmd, 0, c[:], data)
 	s.SetDeadline(a.Until)
+	s.SetWriteDeadline(a.WriteBy())
 	if !first() {
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"spindlehitch"
 	"spindlehitch/internal/budget"
 	"spindlehitch/internal/core"
@@ -61,7 +63,8 @@
 	net.Conn
 	host   string
 	room   *budget.Bytes
-	talked bool
+	talked bool // more came than was asked for
+	asked  bool // there was a request before: what comes may be a second answer to that
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
@@ -101,6 +104,7 @@
 // by the attempt's time.
 func (c *httpSession) Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string) {
 	c.SetDeadline(a.Until)
+	c.SetWriteDeadline(a.WriteBy())
 	m := a.Payload.(*Message)
 	var raw []byte
 	if m.Upload != nil {
@@ -115,6 +119,13 @@
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
 	}
+	// And at the connection: what came since the pool looked is no answer to what is only now written.
+	if !c.Alive() {
+		r.Code = spindlehitch.NoConnection
+		return r, false, Stale
+	}
+	again := c.asked
+	c.asked = true
 	if n, err := c.Write(raw); n < len(raw) {
 		r.Code = spindlehitch.NoConnection
 		return r, false, "WRITE_" + Cause(err)
@@ -134,7 +145,9 @@
 			return err
 		}
 		_, err := in.Peek(1)
-		parts.begun = err == nil
+		if parts.begun = err == nil; parts.begun && again && unheard(c.Conn) {
+			return errTooSoon
+		}
 		return err
 	}, func(until time.Time) { parts.until, parts.stall = until, streamStall })
 	if err != nil {
@@ -146,6 +159,9 @@
 			r.Code = spindlehitch.Expired
 		case limit.N <= 0:
 			return r, false, "ANSWER_TOO_LARGE"
+		case errors.Is(err, errTooSoon):
+			c.talked = true
+			return r, false, "ANSWER_TOO_SOON"
 		}
 		return r, false, "READ_" + Cause(err)
 	}
@@ -221,6 +237,7 @@
 var (
 	errTooLarge = errors.New("answer's body is too large")
 	errInformed = errors.New("too many answers of the kind 1xx")
+	errTooSoon  = errors.New("answer to an earlier request")
 )
 
 // readAnswer reads one answer: whole, if it is small and there is room, otherwise up to the first of its body. Await is
@@ -324,6 +341,24 @@
 	return "MALFORMED"
 }
 
+// unheard tells whether the other side has yet to acknowledge some of what was written. It acknowledges all that it has with
+// whatever it sends, so what it sent before that answers nothing of this. Where the system does not tell, it has heard all.
+func unheard(c net.Conn) (yes bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		yes = err == nil && n > 0
+	})
+	return yes
+}
+
 // Quiet tells whether an idle connection is still open and quiet.
 func Quiet(c net.Conn) bool {
 	quiet, _ := listen(c)
--- /dev/null
+++ b/internal/upstream/moments_test.go
@@ -0,0 +1,209 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spindlehitch"
+	"spindlehitch/internal/core"
+)
+
+// held is a wire whose connections come up when the test says so, however long ago they were given up, and which keeps the last one.
+type held struct {
+	Wire
+	dials chan dialling
+	last  atomic.Pointer[httpSession]
+}
+
+// dialling is a connection that is to come up once up is closed; ctx is its attempt's.
+type dialling struct {
+	ctx context.Context
+	up  chan bool
+}
+
+func (h *held) Dial(ctx context.Context, addr string) (Session, error) {
+	d := dialling{ctx, make(chan bool)}
+	h.dials <- d
+	<-d.up
+	s, err := h.Wire.Dial(context.Background(), addr)
+	if err == nil {
+		h.last.Store(s.(*httpSession))
+	}
+	return s, err
+}
+
+// next is the connection that is asked for next.
+func (h *held) next(t *testing.T) dialling {
+	select {
+	case d := <-h.dials:
+		return d
+	case <-time.After(10 * time.Second):
+		t.Fatal("no connection is asked for")
+		return dialling{}
+	}
+}
+
+// newHeld is a bench whose connections come up one by one.
+func newHeld(addr string, opt Options) (*bench, *held) {
+	b := newBenchThat(addr, opt)
+	h := &held{Wire: b.opt.Wire, dials: make(chan dialling, 8)}
+	b.opt.Wire = h
+	b.Apply(nil, true)
+	b.Apply([]Target{{ID: "n", Addr: addr}}, true)
+	return b, h
+}
+
+// moment is a permit that has something happen just before the first byte, between the pool's look at a connection and the write.
+type moment func()
+
+func (m moment) Good() bool { m(); return true }
+
+// spoken waits until there is something to read on the wire's last connection.
+func (h *held) spoken(t *testing.T) {
+	require.Eventually(t, func() bool { _, says := listen(h.last.Load().Conn); return says }, 10*time.Second, 100*time.Microsecond)
+}
+
+// TestSecondAnswerInTheGap has a target answer twice for the first time, the second time in the two gaps in which the next request is on
+// its way: after the pool has looked at the connection, and after the write and before the target has all of it. Neither is taken for an
+// answer to that. In the first gap it is not even written, and goes out on a connection of its own.
+func TestSecondAnswerInTheGap(t *testing.T) {
+	twice, sent := make(chan bool), make(chan bool, 4)
+	s := newStandIn(t, func(n int32, _ *http.Request, c net.Conn) bool {
+		if n == 1 {
+			go func() { <-twice; say(c, "200 OK", "1") }()
+		}
+		return say(c, "200 OK", fmt.Sprint(n))
+	})
+	opt := Options{MostConn: 4, MostAll: 4, Rest: time.Hour, Sent: func() { sent <- true }}
+	b, h := newHeld(s.Addr().String(), opt)
+	b.send(10 * time.Second)
+	close(h.next(t).up)
+	require.Equal(t, "1", string(b.result(t).Payload.([]byte)))
+	var once sync.Once
+	next := core.Attempt{Request: "next", Node: "n", Until: time.Now().Add(10 * time.Second), Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"},
+		Permit: moment(func() { once.Do(func() { close(twice); h.spoken(t) }) })}
+	b.Send(next)
+	close(h.next(t).up)
+	r := b.result(t)
+	require.Equal(t, spindlehitch.Delivered, r.Code)
+	require.Equal(t, "2", string(r.Payload.([]byte)))
+	require.EqualValues(t, 2, s.accepted.Load())
+
+	// A target that reads no more than the first request: most of the next one stays with whoever wrote it.
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2<<10) })
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	twice = make(chan bool)
+	go func() {
+		c, _ := l.Accept()
+		http.ReadRequest(bufio.NewReaderSize(c, 16))
+		say(c, "200 OK", "1")
+		<-twice
+		say(c, "200 OK", "1")
+	}()
+	for len(sent) > 0 {
+		<-sent
+	}
+	b, h = newHeld(l.Addr().String(), opt)
+	b.send(10 * time.Second)
+	close(h.next(t).up)
+	require.Equal(t, "1", string(b.result(t).Payload.([]byte)))
+	<-sent
+	h.last.Load().Conn.(*net.TCPConn).SetWriteBuffer(1 << 20)
+	next.Permit, next.Payload = nil, &Message{Method: "PUT", URI: "/w/1", ID: "id", Body: make([]byte, MaxHeld)}
+	b.Send(next)
+	<-sent
+	close(twice)
+	r = b.result(t)
+	require.Equal(t, spindlehitch.Reset, r.Code)
+	require.Nil(t, r.Payload)
+}
+
+// TestLateDial has a connection come up after its attempt is over, called off, of no use any more or at a target that drains by now: it is
+// closed, not a byte was written on it, and nothing is counted any more. One that comes up in time goes on.
+func TestLateDial(t *testing.T) {
+	heard := make(chan string, 8)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				all := make([]byte, 1<<10)
+				n, _ := c.Read(all)
+				say(c, "200 OK", "")
+				heard <- string(all[:n])
+			}()
+		}
+	}()
+	addr := l.Addr().String()
+	for _, x := range []struct {
+		name      string
+		meanwhile func(b *bench, a *core.Attempt, given <-chan struct{})
+		want      spindlehitch.Code
+	}{
+		{"in time", func(*bench, *core.Attempt, <-chan struct{}) {}, spindlehitch.Delivered},
+		{"its time is over", func(_ *bench, _ *core.Attempt, given <-chan struct{}) { <-given }, spindlehitch.Moot},
+		{"called off", func(b *bench, a *core.Attempt, given <-chan struct{}) { b.Cancel("n", a.Request); <-given }, spindlehitch.NoConnection},
+		{"called off at a target that is gone", func(b *bench, a *core.Attempt, given <-chan struct{}) {
+			b.Apply(nil, true)
+			b.Apply([]Target{{ID: "n", Addr: addr}}, false) // and is back under its name
+			b.Cancel("n", a.Request)
+			<-given
+		}, spindlehitch.NoConnection},
+		{"its client has left", func(_ *bench, a *core.Attempt, _ <-chan struct{}) { a.Left.Store(true) }, spindlehitch.Moot},
+		{"the target drains", func(b *bench, _ *core.Attempt, _ <-chan struct{}) {
+			b.Apply([]Target{{ID: "n", Addr: addr, State: spindlehitch.Draining}}, false)
+		}, spindlehitch.Moot},
+		{"the target is gone", func(b *bench, _ *core.Attempt, _ <-chan struct{}) { b.Apply(nil, true) }, spindlehitch.Moot},
+		{"past its window", func(_ *bench, a *core.Attempt, _ <-chan struct{}) { time.Sleep(time.Until(a.Before)) }, spindlehitch.Moot},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var sent atomic.Int32
+			stock := &few{}
+			stock.most.Store(4)
+			b, h := newHeld(addr, Options{MostConn: 4, MostAll: 4, Stock: stock, Sent: func() { sent.Add(1) }})
+			a := core.Attempt{Request: "x", Node: "n", Until: time.Now().Add(10 * time.Second), Left: new(atomic.Bool), Before: time.Now().Add(10 * time.Second),
+				Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}}
+			switch x.name {
+			case "its time is over":
+				a.Until = time.Now().Add(200 * time.Millisecond)
+			case "past its window":
+				a.Before = time.Now().Add(50 * time.Millisecond)
+			}
+			b.Send(a)
+			d := h.next(t)
+			x.meanwhile(b, &a, d.ctx.Done())
+			close(d.up)
+			r := b.result(t)
+			require.Equal(t, x.want, r.Code)
+			if x.want == spindlehitch.Delivered {
+				require.NotEmpty(t, <-heard)
+				require.EqualValues(t, 1, sent.Load())
+				return
+			}
+			require.Empty(t, <-heard, "a byte was written")
+			require.Zero(t, sent.Load())
+			require.Zero(t, r.Began)
+			require.Eventually(t, func() bool { return b.pool.conns.Load() == 0 && stock.open.Load() == 0 }, 10*time.Second, time.Millisecond)
+		})
+	}
+}
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -45,6 +45,7 @@
 	report  func(core.Result)
 	mu      sync.Mutex
 	targets map[string]*target
+	leaving map[*target]bool // gone from the list, with something out yet
 	pool    pool
 }
 
@@ -53,7 +54,7 @@
 
 // NewRegistry returns an empty registry; results go to report.
 func NewRegistry(opt Options, report func(core.Result)) *Registry {
-	g := &Registry{opt: opt, report: report, targets: map[string]*target{}}
+	g := &Registry{opt: opt, report: report, targets: map[string]*target{}, leaving: map[*target]bool{}}
 	g.Bound(opt.MostConn, opt.MostAll)
 	return g
 }
@@ -78,7 +79,10 @@
 			}
 			t = newTarget(x.ID, g.opt, &g.pool, g.report)
 			g.targets[x.ID] = t
-			go t.run()
+			go func() {
+				t.run()
+				g.ended(t)
+			}()
 		}
 		t.set(x.Addr, x.State)
 	}
@@ -89,6 +93,7 @@
 		// An actor of a target that is gone ends once nothing is out at it.
 		if t.state.Load() == int32(spindlehitch.Removed) {
 			delete(g.targets, id)
+			g.leaving[t] = true
 			t.box.Put(retire{})
 		}
 	}
@@ -99,13 +104,34 @@
 func (g *Registry) Send(a core.Attempt) {
 	g.mu.Lock()
 	t := g.targets[a.Node]
+	if u := uploadOf(a); u != nil { // whatever has the target's name by now
+		if t = u.t; g.targets[t.id] != t && !g.leaving[t] {
+			t = nil
+		}
+	}
 	if t != nil {
 		t.box.Put(a)
 	}
 	g.mu.Unlock()
 	if t == nil {
-		// Not sent: the target left the list between the decision and now.
-		g.report(core.Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: spindlehitch.Moot})
+		g.moot(a)
+	}
+}
+
+// moot ends an attempt that was not sent: its target left the list between the decision and now.
+func (g *Registry) moot(a core.Attempt) {
+	g.report(core.Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: spindlehitch.Moot})
+}
+
+// ended forgets a target whose actor has ended. What came to it at the last moment is owed a result all the same.
+func (g *Registry) ended(t *target) {
+	g.mu.Lock()
+	delete(g.leaving, t)
+	g.mu.Unlock()
+	for _, m := range t.box.Take(nil) {
+		if a, ok := m.(core.Attempt); ok {
+			g.moot(a)
+		}
 	}
 }
 
@@ -121,14 +147,19 @@
 // Retire has every target's actor end once nothing is out at it, and close its idle connections. Nothing may be sent after it.
 func (g *Registry) Retire() { g.Apply(nil, true) }
 
-// Cancel calls an attempt off; its connection is closed before its result is reported.
+// Cancel calls an attempt off; its connection is closed before its result is reported. The target may have left the list
+// since, and another may have its name.
 func (g *Registry) Cancel(node, request string) {
 	g.mu.Lock()
-	t := g.targets[node]
-	g.mu.Unlock()
-	if t != nil {
+	defer g.mu.Unlock()
+	if t := g.targets[node]; t != nil {
 		t.box.Put(cancel{request})
 	}
+	for t := range g.leaving {
+		if t.id == node {
+			t.box.Put(cancel{request})
+		}
+	}
 }
 
 // open tells whether something new may still go to the target.
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -19,9 +19,9 @@
 	moved  struct{}
 	retire struct{}
 	done   struct {
-		try  *try
-		conn *conn // to be used again; nil: closed
-		used *conn // that it was on; nil: there was none
+		try   *try
+		conn  *conn // to be used again; nil: closed
+		talks bool  // more came on a connection that it was on than was asked for
 	}
 )
 
@@ -59,6 +59,9 @@
 	Close() error
 }
 
+// Stale is why a connection ends, and an attempt on it with NoConnection, that was closed or spoke while nothing was asked on it.
+const Stale = "TARGET_CLOSED_IDLE"
+
 // Talker is a Session whose answers name no request, so that one that comes twice could pass for the next.
 type Talker interface {
 	// Talked tells whether more came than was asked for; it is called after Do, or after Alive.
@@ -183,51 +186,52 @@
 // may be one. At a target that has said more than it was asked a connection rests after its answer: what it says twice comes meanwhile,
 // and is no answer to what comes next. Where no more connections may be made, one that rests is better than none.
 func (t *target) take() (*conn, bool) {
-	rested := time.Now()
-	if t.talks {
-		rested = rested.Add(-t.opt.Rest)
-	}
-	if c := t.reuse(func(c *conn) bool { return !c.idleAt.After(rested) }); c != nil {
+	t.closeOld() // the last look at them may be long ago, and one that is too old may be closed any moment
+	if c := t.reuse(!t.talks); c != nil {
 		return c, true
 	}
 	// Both bounds keep the process within its descriptors, whatever the number of targets.
 	if int64(t.conns) < t.pool.mostOne.Load() && t.count(1) {
 		return nil, true
 	}
-	c := t.reuse(func(*conn) bool { return true })
+	c := t.reuse(true)
 	return c, c != nil
 }
 
-// reuse takes the idle connection used last of those that will do.
-func (t *target) reuse(good func(*conn) bool) *conn {
-	for i := len(t.idle) - 1; i >= 0; i-- {
-		c := t.idle[i]
-		if !good(c) {
-			continue
+// reuse takes the idle connection used last of those that have rested, and with resting, where none has, the one that has for
+// longest: what a target that was never heard to says twice is most likely over there.
+func (t *target) reuse(resting bool) *conn {
+	for rested := time.Now().Add(-t.opt.Rest); len(t.idle) > 0; {
+		i := slices.IndexFunc(t.idle, func(c *conn) bool { return c.idleAt.After(rested) }) // they are in order of it
+		switch {
+		case i < 0:
+			i = len(t.idle) - 1
+		case i > 0:
+			i--
+		case !resting:
+			return nil
 		}
+		c := t.idle[i]
 		t.idle = slices.Delete(t.idle, i, i+1)
 		if c.Alive() {
 			return c
 		}
-		t.listen(c)
+		t.talks = t.talks || t.talked(c)
 		// Closed by the target while idle: no byte of the attempt has been near it.
-		t.drop(c, "TARGET_CLOSED_IDLE")
+		t.drop(c, Stale)
 	}
 	return nil
 }
 
-// listen notes whether more came on a connection than was asked for.
-func (t *target) listen(c *conn) {
-	if x, ok := c.Session.(Talker); ok && x.Talked() && t.opt.Rest > 0 {
-		t.talks = true
-	}
+// talked tells whether more came on a connection than was asked for.
+func (t *target) talked(c *conn) bool {
+	x, ok := c.Session.(Talker)
+	return ok && t.opt.Rest > 0 && x.Talked()
 }
 
 func (t *target) finish(m done) {
 	m.try.stop()
-	if m.used != nil {
-		t.listen(m.used)
-	}
+	t.talks = t.talks || m.talks
 	// A later attempt of the same request may have begun here since; its entry is not this one's.
 	if t.busy[m.try.Request] == m.try {
 		delete(t.busy, m.try.Request)
@@ -243,16 +247,21 @@
 
 // prune closes idle connections that nothing will use: too old, of an old address, of a target that leaves.
 func (t *target) prune() {
-	now, addr := time.Now(), t.address()
+	addr := t.address()
 	t.closeIdle("TARGET_LEAVES", func(*conn) bool { return !open(&t.state) })
 	t.closeIdle("TARGET_MOVED", func(c *conn) bool { return c.addr != addr })
-	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.opt.Idle })
+	t.closeOld()
 	if t.opt.Stock != nil && len(t.idle) > 0 {
 		over := t.opt.Stock.Over(t.id)
 		t.closeIdle("RATION", func(*conn) bool { over--; return over >= 0 })
 	}
 }
 
+func (t *target) closeOld() {
+	now := time.Now()
+	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.opt.Idle })
+}
+
 func (t *target) closeIdle(reason string, which func(*conn) bool) {
 	kept := t.idle[:0]
 	for _, c := range t.idle {
@@ -306,15 +315,27 @@
 // attempt carries one attempt through connect and exchange and reports its outcome. Where it ends early, the
 // connection is closed first: one attempt out at a time.
 func (t *target) attempt(y *try, c *conn) {
-	r := core.Result{Code: spindlehitch.NoConnection}
+	var r core.Result
 	var again *conn
-	reason, used := "CONNECT_FAILED", 0
-	if c == nil {
-		c = t.dial(y.ctx)
-	}
-	if c != nil {
-		used = c.used + 1
+	reason, used, talks := "", 0, false
+	for {
+		pooled := c != nil
+		if !pooled {
+			if c = t.dial(y.ctx); c == nil {
+				r, reason, used = core.Result{Code: spindlehitch.NoConnection}, "CONNECT_FAILED", 0
+				break
+			}
+		}
+		r, used = core.Result{Code: spindlehitch.NoConnection}, c.used+1
 		again, reason = t.exchange(y, c, &r)
+		talks = talks || t.talked(c)
+		if !pooled || reason != Stale || uploadOf(y.Attempt) != nil {
+			break
+		}
+		// It ended, or spoke, since the pool looked: no byte of the attempt has been near it, and a new one takes its place.
+		c.Close()
+		t.logEnd(c.used-1, reason)
+		c = nil
 	}
 	r.Request, r.Number, r.Node = y.Request, y.Number, t.id
 	ended := func(again *conn, reason string) {
@@ -325,7 +346,7 @@
 			t.logEnd(used, reason)
 		}
 		// The pool hears first, so that a send decided on this outcome finds the connection.
-		t.box.Put(done{y, again, c})
+		t.box.Put(done{y, again, talks || c != nil && t.talked(c)})
 	}
 	if s, ok := r.Payload.(*Stream); ok {
 		s.onEnd(func(reuse bool, reason string) {
@@ -362,8 +383,11 @@
 	var reason string
 	var began time.Time
 	*r, reuse, reason = c.Do(y.Attempt, func() bool {
+		if !open(&t.state) || !y.Allowed() {
+			return false
+		}
 		began = time.Now()
-		return open(&t.state) && y.Allowed()
+		return true
 	})
 	r.Began = began
 	if y.calledOff() {
--- a/invariants_test.go
+++ b/invariants_test.go
@@ -239,6 +239,8 @@
 			w.fault("rule 2: unsafe %s sent again", a.Request)
 		case w.now > q.sentAt[i]+q.class.Window:
 			w.fault("rule 2: keyed %s sent after its window", a.Request)
+		case a.Within <= 0 || w.now+a.Within >= q.sentAt[i]+q.class.Window:
+			w.fault("rule 2: keyed %s may leave %v after it was decided on, past its window", a.Request, a.Within)
 		case q.class.Group == GroupCell && first.Shard != n.Shard, first.Zone != n.Zone:
 			w.fault("rule 2: keyed %s sent outside its group", a.Request)
 		}
--- a/scheduler.go
+++ b/scheduler.go
@@ -463,7 +463,8 @@
 	n.wide = max(n.wide, len(n.out))
 	wait := s.patience(n, r)
 	wait = min(wait, max(r.due-s.now, s.set.Tick))
-	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now), Permit: permit})
+	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now),
+		Permit: permit, Within: r.within(s.now, s.set.Tick)})
 }
 
 // ---- Node health ----
@@ -747,7 +748,7 @@
 		return false
 	}
 	return !r.mayRun || r.class.Effect == Pure ||
-		r.class.Effect == Keyed && s.now < r.ranSince+r.class.Window
+		r.class.Effect == Keyed && s.now < r.repeatBy(s.set.Tick)
 }
 
 // answer gives the final answer: a refusal where a client's retry is harmless, otherwise a failure.
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -21,12 +21,13 @@
 
 // rig drives one scheduler and remembers what it asked for.
 type rig struct {
-	t     *testing.T
-	s     *Scheduler
-	now   time.Duration
-	sends []Action
-	ends  []Action
-	tries map[string]int
+	t      *testing.T
+	s      *Scheduler
+	now    time.Duration
+	sends  []Action
+	sentAt []time.Duration
+	ends   []Action
+	tries  map[string]int
 }
 
 func newRig(t *testing.T, set Settings, nodes ...Node) *rig {
@@ -45,7 +46,7 @@
 	for _, a := range out {
 		switch a.Kind {
 		case Send:
-			r.sends = append(r.sends, a)
+			r.sends, r.sentAt = append(r.sends, a), append(r.sentAt, r.now)
 			r.tries[a.Request]++
 		case Refuse, Fail:
 			r.ends = append(r.ends, a)
@@ -738,6 +739,46 @@
 	}
 }
 
+// TestRepeatAtItsWindow ends a keyed attempt in doubt at every moment around the end of its window: a repeat is sent within it alone, says
+// until when it may leave, and goes to the group that drops repeats; where none can be sent any more the request ends at once.
+func TestRepeatAtItsWindow(t *testing.T) {
+	const window = 300 * ms
+	for _, group := range []Group{GroupAll, GroupZone, GroupCell} {
+		inside, outside := 0, 0
+		for doubt := 200 * ms; doubt < window+20*ms; doubt += ms {
+			set := plain()
+			set.Classes[0].Effect, set.Classes[0].Group, set.Classes[0].Window = Keyed, group, window
+			r := newRig(t, set, Node{ID: "n", Zone: "a"})
+			x := req("x", "v", 1)
+			x.Extent = "e"
+			r.step(x)
+			sent := r.now
+			r.now += doubt
+			r.end("x", Reset, doubt)
+			next, here := Node{ID: "m", Zone: "b"}, doubt%(2*ms) == 0
+			if here {
+				next.Zone = "a"
+			}
+			r.step(NodeList{Whole: true, Nodes: []Node{next}})
+			r.wait(500 * ms)
+			if len(r.sends) == 1 {
+				outside++
+				if len(r.ends) != 1 || (r.ends[0].Kind == Refuse) != (group == GroupAll) {
+					t.Errorf("group %v, in doubt after %v: ends %+v", group, doubt, r.ends)
+				}
+				continue
+			}
+			inside++
+			if a := r.sends[1]; a.Within <= 0 || r.sentAt[1]+a.Within >= sent+window || group != GroupAll && !here {
+				t.Errorf("group %v, in doubt after %v: sent again at %v, may leave for %v", group, doubt, r.sentAt[1]-sent, a.Within)
+			}
+		}
+		if inside < 10 || outside < 10 {
+			t.Errorf("group %v: %d sent again, %d not", group, inside, outside)
+		}
+	}
+}
+
 // TestLateTryIsTurnedAwayAtOnce checks that a later try of what was turned away, coming past its aim, draws
 // nothing and is refused at once until its client's patience is over.
 func TestLateTryIsTurnedAwayAtOnce(t *testing.T) {
