An answer just like the one before it is waited behind: it may be that one said twice

One that comes once the target has the next request was taken for that one's (http.go Do). Where an answer is like the one before, of a request answered less than 50 ms ago, what comes behind it is waited for, 250 ms at most: with it the answer is a reset, and the target's connections rest. Where nothing comes, alike answers of that connection are believed from then on, so that constant acknowledgements cost one wait. No connection is made for it.

Remains: a second answer that differs from the first, one of an answer that passes through, and one whose request's own answer comes over 250 ms behind it.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"spindlehitch"
@@ -31,6 +32,9 @@
 	stallAfter = 250 * time.Millisecond
 	// mostInformed is how many 1xx answers may come in front of one.
 	mostInformed = 8
+	// secondWithin is how soon after an answer one like it is taken for the same once more. Targets are late with it by some
+	// milliseconds.
+	secondWithin = 50 * time.Millisecond
 )
 
 // Message is the payload of a job on this wire: what passes on unchanged.
@@ -64,7 +68,12 @@
 	host   string
 	room   *budget.Bytes
 	talked bool // more came than was asked for
-	asked  bool // there was a request before: what comes may be a second answer to that
+	// What comes may be a second answer to the request before, if there was one: what its answer was like, when it was here,
+	// and whether answers here are alike that are no second ones.
+	asked   bool
+	last    uint64
+	heardAt time.Time
+	alike   bool
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
@@ -124,7 +133,7 @@
 		r.Code = spindlehitch.NoConnection
 		return r, false, Stale
 	}
-	again := c.asked
+	again, soon := c.asked, time.Since(c.heardAt) < secondWithin
 	c.asked = true
 	if n, err := c.Write(raw); n < len(raw) {
 		r.Code = spindlehitch.NoConnection
@@ -165,6 +174,21 @@
 		}
 		return r, false, "READ_" + Cause(err)
 	}
+	// Nothing in an answer tells whose it is. One just like the one before and soon after it may be that one once more: then its
+	// own comes behind it. A target all of whose answers are alike is waited for once.
+	before := c.last
+	c.last, c.heardAt = ans.sum(), time.Now()
+	if again && soon && !ans.close && ans.stream == nil && c.last == before && !c.alike {
+		if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.talked = err == nil
+			r.Code = spindlehitch.Reset
+			return r, false, "ANSWER_TWICE"
+		} else if !time.Now().Before(a.Until) {
+			r.Code = spindlehitch.Expired
+			return r, false, "READ_TIMEOUT"
+		}
+		c.alike = true
+	}
 	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
 	if s := ans.stream; s != nil {
 		s.conn = c
@@ -234,6 +258,9 @@
 	return spindlehitch.Errored
 }
 
+// sum tells answers that are held apart by what they bring; their heads may differ.
+func (a *answer) sum() uint64 { return xxhash.Sum64(a.body) + uint64(a.status) }
+
 var (
 	errTooLarge = errors.New("answer's body is too large")
 	errInformed = errors.New("too many answers of the kind 1xx")
--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -132,6 +132,29 @@
 	require.Nil(t, r.Payload)
 }
 
+// TestSecondAnswerComesFirst has a target that has the next request already answer the one before once more, ahead of its own answer: the
+// first time that it is heard to. Where all answers are alike none is a second one, and they are waited for behind one of them alone.
+func TestSecondAnswerComesFirst(t *testing.T) {
+	b := newBenchThat(newStandIn(t, func(n int32, _ *http.Request, c net.Conn) bool {
+		return (n != 2 || say(c, "200 OK", "1")) && say(c, "200 OK", fmt.Sprint(n))
+	}).Addr().String(), Options{MostConn: 4, MostAll: 4, Rest: time.Hour})
+	for _, want := range []spindlehitch.Code{spindlehitch.Delivered, spindlehitch.Reset, spindlehitch.Delivered} {
+		b.send(10 * time.Second)
+		require.Equal(t, want, b.result(t).Code)
+	}
+	s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK", "alike") })
+	b = newBenchThat(s.Addr().String(), Options{MostConn: 4, MostAll: 4, Rest: time.Hour})
+	var waited time.Duration
+	for range 20 {
+		begun := time.Now()
+		b.send(10 * time.Second)
+		require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+		waited += time.Since(begun)
+	}
+	require.Less(t, waited, 10*stallAfter)
+	require.EqualValues(t, 1, s.accepted.Load())
+}
+
 // TestLateDial has a connection come up after its attempt is over, called off, of no use any more or at a target that drains by now: it is
 // closed, not a byte was written on it, and nothing is counted any more. One that comes up in time goes on.
 func TestLateDial(t *testing.T) {
