Names that may have run stay taken for the settings' deadlines and windows, a bounded number of them

Five seconds were a constant (core.go namesFor), whatever the settings' windows for repeats say: with a longer window a second request under a name that may have run could go out within it. The longest deadline or keyed window decides now. Names were bounded by time alone; past 65,536 lately the older ones are let go early.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -177,6 +177,7 @@
 type Options struct {
 	MostHeld int            // requests open at a time
 	Margin   time.Duration  // an answer must be written this long before the client leaves
+	NamesFor time.Duration  // how long, at least, the name of a request that may have run stays taken
 	Observer Observer       // nil: none
 	Avoided  func(int)      // told now and then how many listed targets the module avoids; nil: nobody asks
 	Avoids   func([]string) // told with it which those are that are listed as up; nil: nobody asks
@@ -219,8 +220,8 @@
 // tellEvery is how often, at most, the module is asked which targets it avoids.
 const tellEvery = 100 * time.Millisecond
 
-// namesFor is how long, at least, the name of a request that may have run stays taken.
-const namesFor = 5 * time.Second
+// mostNames bounds the names of requests that may have run, of which twice as many are kept: past it the oldest are let go early.
+const mostNames = 1 << 16
 
 type submitted struct{ job *Job }
 
@@ -428,7 +429,7 @@
 	c.events = append(c.events, spindlehitch.Outcome{ID: r.Request, Attempt: r.Number, Node: r.Node, Code: r.Code,
 		Took: now.Sub(e.sentAt), Closed: e.answered, Load: r.Load, Used: r.Used})
 	c.tidy(r.Request, e)
-	if now.Sub(c.ranAt) > namesFor {
+	if now.Sub(c.ranAt) > c.opt.NamesFor || len(c.ran[0]) >= mostNames {
 		c.ran[0], c.ran[1], c.ranAt = map[string]bool{}, c.ran[0], now
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -33,6 +33,9 @@
 	return m
 }
 
+// namesFor is far from any constant.
+const namesFor = 17 * time.Second
+
 // hand is a core stepped by hand.
 type hand struct {
 	*Core
@@ -42,7 +45,7 @@
 
 func newHand(t *testing.T) *hand {
 	h := &hand{up: &fake{}, now: time.Now()}
-	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond})
+	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond, NamesFor: namesFor})
 	h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
 	return h
 }
@@ -108,6 +111,18 @@
 	conflict("its client gone, its attempt out")
 	h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Cancelled}})
 	conflict("may have run")
+	served := func(name string) {
+		t.Helper()
+		submit(name, "get")
+		last := h.up.sent[len(h.up.sent)-1]
+		h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+	}
+	for i := range 2 { // names are let go as others end
+		h.now = h.now.Add(namesFor/2 - time.Second)
+		served(fmt.Sprint("other", i))
+	}
+	conflict("may have run, a while ago")
+	h.up.sent = h.up.sent[:1]
 	if len(h.up.sent) != 1 || h.Open() != 0 {
 		t.Errorf("%d attempts, %d open; want one, none", len(h.up.sent), h.Open())
 	}
@@ -123,12 +138,17 @@
 		}
 		h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
 	}
-	submit("c", "get")
-	last := h.up.sent[len(h.up.sent)-1]
-	h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+	served("c")
 	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n != 1 {
 		t.Errorf("%d names are kept, want the last alone", n)
 	}
+	for i := range 2*mostNames + 10 {
+		h.now, h.up.sent = h.now.Add(time.Millisecond/10), nil
+		served(fmt.Sprint("many", i))
+	}
+	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n > 2*mostNames || n < mostNames {
+		t.Errorf("%d names are kept of a flood", n)
+	}
 }
 
 // TestDeadlineRunsFromArrival guards against counting a request's time from when a busy process got to it.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -157,7 +157,7 @@
 		out.Stock = part
 	}
 	up := upstream.NewRegistry(out, func(r core.Result) { in.core.Report(r) })
-	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
+	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, NamesFor: namesFor(cfg), Avoided: numbers.Avoided}
 	if duties != nil {
 		bounds.Avoids = duties.runner.Avoid
 	}
@@ -277,6 +277,17 @@
 	return func(r spindlehitch.Request) float64 { return classes[r.Class] * plans[r.Plan] }
 }
 
+// namesFor is how long a name may not come again: no attempt lasts longer than its client, and repeats are remembered for a window.
+func namesFor(cfg *config.Config) time.Duration {
+	d := longest(cfg)
+	for _, c := range cfg.Module.Classes {
+		if c.Effect == spindlehitch.Keyed {
+			d = max(d, c.Window)
+		}
+	}
+	return d
+}
+
 // longest is the longest any client waits.
 func longest(cfg *config.Config) (d time.Duration) {
 	for _, c := range cfg.Module.Classes {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -18,6 +18,7 @@
 	"github.com/cactus/go-statsd-client/v5/statsd"
 	"github.com/stretchr/testify/require"
 
+	"spindlehitch"
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/control"
 	"spindlehitch/internal/figures"
@@ -235,3 +236,13 @@
 		}
 	}
 }
+
+// TestNamesAreKeptForTheSettings checks that a name stays taken for as long as the settings' deadlines and windows of keyed classes tell.
+func TestNamesAreKeptForTheSettings(t *testing.T) {
+	classes := []spindlehitch.Class{{Deadline: 2 * time.Second, Window: time.Hour}, {Deadline: time.Second, Effect: spindlehitch.Keyed, Window: 700 * time.Millisecond}}
+	cfg := &config.Config{}
+	cfg.Module.Classes = classes
+	require.Equal(t, 2*time.Second, namesFor(cfg))
+	classes[1].Window = 9 * time.Second
+	require.Equal(t, 9*time.Second, namesFor(cfg))
+}
