--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -230,3 +232,55 @@
 		})
 	}
 }
+
+// TestCutAnywhere resets connections, and ends them, at every place of an answer in each framing: none passes for whole but the one that
+// is whole by its own word, and the same once its first bytes have been passed on.
+func TestCutAnywhere(t *testing.T) {
+	const none = "HTTP/1.1 200 OK\r\nServer-Load: concurrent=1\r\n\r\nwhole"
+	type answer struct {
+		says  string
+		reset bool
+	}
+	next, passed := make(chan answer, 1), make(chan bool)
+	s := newStandIn(t, func(_ int32, req *http.Request, c net.Conn) bool {
+		x := <-next
+		io.WriteString(c, x.says)
+		if req.Method == http.MethodGet {
+			<-passed
+		}
+		if x.reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
+	b := newBench(s.Addr().String())
+	for _, whole := range []string{none, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"} {
+		for cut := range len(whole) + 1 {
+			for _, reset := range []bool{true, false} {
+				if !reset && whole == none && cut >= strings.Index(none, "whole") {
+					continue // that is its end
+				}
+				next <- answer{whole[:cut], reset}
+				b.send(10 * time.Second)
+				r := b.result(t)
+				if cut == len(whole) && whole != none {
+					require.Equal(t, spindlehitch.Delivered, r.Code)
+					require.Equal(t, "whole", string(r.Payload.([]byte)))
+					continue
+				}
+				require.Equal(t, spindlehitch.Reset, r.Code, "%q, reset %v", whole[:cut], reset)
+			}
+		}
+	}
+	for _, head := range []string{"", "Content-Length: 99999\r\n", "Transfer-Encoding: chunked\r\n"} {
+		next <- answer{"HTTP/1.1 200 OK\r\n" + head + "\r\n" + "fff0\r\n" + strings.Repeat("x", pieceSize), true}
+		b.Send(core.Attempt{Request: head, Node: "n", Until: time.Now().Add(10 * time.Second), Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}})
+		st := b.result(t).Payload.(*Stream)
+		io.ReadFull(st, make([]byte, 100))
+		passed <- true
+		_, err := io.Copy(io.Discard, st)
+		require.Error(t, err)
+	}
+	require.Eventually(t, func() bool { return b.pool.conns.Load() == 0 }, 10*time.Second, time.Millisecond)
+}
