--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -284,3 +284,104 @@
 	}
 	require.Eventually(t, func() bool { return b.pool.conns.Load() == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// TestUploadEnds has bodies that went ahead end at the wrong moment: their client leaves while the connection is made, their target is gone and
+// another has its name, they are dropped just before the attempt, or are answered before their last piece. The attempt is theirs or nobody's, it
+// has one result, and nothing stays counted.
+func TestUploadEnds(t *testing.T) {
+	early := make(chan bool)
+	heard := make(chan string, 8)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				go func() { <-early; say(c, "200 OK", "early") }()
+				all, _ := io.ReadAll(c)
+				heard <- string(all)
+			}()
+		}
+	}()
+	b, h := newHeld(l.Addr().String(), Options{MostConn: 4, MostAll: 4})
+	ctx, leave := context.WithCancel(context.Background())
+	begin := func() (*Upload, error) {
+		return b.Ahead(ctx, "n", &Message{Method: "PUT", URI: "/w/1", ID: "id"}, 4, time.Second)
+	}
+	attempt := func(u *Upload) spindlehitch.Code {
+		b.Send(core.Attempt{Request: "x", Node: "n", Until: time.Now().Add(10 * time.Second), Payload: &Message{Method: "PUT", Upload: u}})
+		return b.result(t).Code
+	}
+	settled := func() {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.pool.conns.Load() == 0 && len(b.leaving) == 0
+		}, 10*time.Second, time.Millisecond)
+	}
+	whole := func() *Upload {
+		go func() { close((<-h.dials).up) }()
+		u, err := begin()
+		require.NoError(t, err)
+		u.Last([]byte("body"))
+		return u
+	}
+	another := func() {
+		b.Apply(nil, true)
+		b.Apply([]Target{{ID: "n", Addr: l.Addr().String()}}, false)
+	}
+
+	go func() {
+		d := <-h.dials
+		leave()
+		close(d.up)
+	}()
+	_, err = begin()
+	require.ErrorIs(t, err, ErrNoUpload)
+	require.Empty(t, <-heard, "a byte was written for a client that had left")
+	settled()
+
+	ctx = context.Background()
+	u := whole()
+	another()
+	u.Close()
+	settled()
+	require.Equal(t, spindlehitch.Moot, attempt(u))
+	require.NotContains(t, <-heard, "body")
+
+	u = whole()
+	u.Close()
+	require.Equal(t, spindlehitch.NoConnection, attempt(u))
+	require.NotContains(t, <-heard, "body")
+
+	u = whole()
+	close(early)
+	h.spoken(t)
+	require.Equal(t, spindlehitch.NoConnection, attempt(u))
+	require.NotContains(t, <-heard, "body")
+	settled()
+}
+
+// TestUploadGoesToItsTarget has a body go ahead to a target that leaves the list and whose name another takes: its attempt ends on its own connection.
+func TestUploadGoesToItsTarget(t *testing.T) {
+	s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK", "its own") })
+	b := newBench(s.Addr().String())
+	u, err := b.Ahead(context.Background(), "n", &Message{Method: "PUT", URI: "/w/1", ID: "id"}, 4, time.Second)
+	require.NoError(t, err)
+	u.Last([]byte("body"))
+	b.Apply(nil, true)
+	b.Apply([]Target{{ID: "n", Addr: "127.0.0.1:1"}}, false)
+	b.Send(core.Attempt{Request: "x", Node: "n", Until: time.Now().Add(10 * time.Second), Payload: &Message{Method: "PUT", Upload: u}})
+	require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+	require.Eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.pool.conns.Load() == 0 && len(b.leaving) == 0
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -89,7 +89,11 @@
 		}
 		s, can := c.Session.(*httpSession)
 		// News may have come while the connection was being made; the first byte is what counts.
-		if !can || !open(&t.state) {
+		switch {
+		case u.ctx.Err() != nil:
+			t.box.Put(unloaded{c, "CANCELLED"})
+			return
+		case !can || !open(&t.state):
 			t.box.Put(unloaded{c, "TARGET_LEAVES"})
 			return
 		}
