What of an abandoned attempt is still on its way does not arrive; odd reports are logged once

- A close left to the system what the target had not acknowledged, which goes on with it for minutes at a silent target: a request given up, or whose client left, could begin there long after.
Such a connection is reset (CloseNow, both wires).
Over TLS the close waited up to 5 s to send its own end behind it, in the target's actor (nvme/host.go Close).
- Reports that cannot be (NaN, negative, overflow) counted as not told, but nobody heard of it: one line a connection, BAD_REPORT.
Tests besides: cancel half written and whole, closed before the outcome is told; a drain told with the first byte out; a connection that grew too old since the last look.

--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -453,7 +453,11 @@
 
 // Close ends the queue.
 func (s *session) Close() error {
-	err := s.wire.Close()
+	c := s.wire.Conn
+	if secure, ok := c.(*tls.Conn); ok && upstream.Unheard(secure.NetConn()) { // its word of the end would wait for that
+		c = secure.NetConn()
+	}
+	err := upstream.CloseNow(c)
 	s.once.Do(func() { s.from.free(s.qid) })
 	return err
 }
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -75,6 +75,7 @@
 	last    uint64
 	heardAt time.Time
 	alike   bool
+	odd     bool // it brought a report that cannot be
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
@@ -155,7 +156,7 @@
 			return err
 		}
 		_, err := in.Peek(1)
-		if parts.begun = err == nil; parts.begun && again && unheard(c.Conn) {
+		if parts.begun = err == nil; parts.begun && again && Unheard(c.Conn) {
 			return errTooSoon
 		}
 		return err
@@ -175,6 +176,7 @@
 		}
 		return r, false, "READ_" + Cause(err)
 	}
+	c.odd = c.odd || ans.odd
 	// Nothing in an answer tells whose it is. One just like the one before and soon after it may be that one once more: then its
 	// own comes behind it. A target all of whose answers are alike is waited for once.
 	before := c.last
@@ -212,9 +214,15 @@
 	return quiet
 }
 
+// Close ends it.
+func (c *httpSession) Close() error { return CloseNow(c.Conn) }
+
 // Talked implements Talker.
 func (c *httpSession) Talked() bool { return c.talked }
 
+// Odd implements Talker.
+func (c *httpSession) Odd() bool { return c.odd }
+
 // appendHead writes the request's head; a length of -1 has the body in chunks. What is not listed in the protocol is not sent.
 func appendHead(b []byte, m *Message, host string, waitMs, length int64) []byte {
 	b = append(b, m.Method...)
@@ -249,6 +257,7 @@
 	body   []byte  // held
 	stream *Stream // passes through instead
 	close  bool
+	odd    bool // it reports what cannot be
 }
 
 // code is the outcome. The target's word that it never began counts only with the two statuses that go
@@ -290,9 +299,11 @@
 			continue
 		}
 		a := &answer{status: resp.StatusCode, notRun: resp.Header.Get("Not-Started") == "1", close: resp.Close}
-		a.load = parseLoad(resp.Header.Get("Server-Load"))
-		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < 1e6 {
+		a.load, a.odd = parseLoad(resp.Header.Get("Server-Load"))
+		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < mostUsed {
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
+		} else {
+			a.odd = a.odd || resp.Header.Get("Volume-Load") != ""
 		}
 		if resp.ContentLength > MaxBody {
 			return nil, errTooLarge
@@ -329,31 +340,38 @@
 // mostLoad is past any number of requests that a target holds: what tells of more is no report.
 const mostLoad = 1e5
 
+// mostUsed is past any use of a volume, as a percentage of its plan's rate.
+const mostUsed = 1e6
+
 // parseLoad reads a load report such as concurrent=7,depth=2; nil where there is none that can be read. Its fields have
 // the names that the settings give (report.fields: concurrent, depth); inflight and queue are the names in the protocol's
-// own example. A report under names that are not known here would be missed without a sign.
-func parseLoad(s string) *spindlehitch.Load {
+// own example. A report under names that are not known here would be missed without a sign. A figure that cannot be counts as not
+// told, and makes the report odd.
+func parseLoad(s string) (l *spindlehitch.Load, odd bool) {
 	if s == "" {
-		return nil
+		return nil, false
 	}
-	l := &spindlehitch.Load{Queue: -1, InFlight: -1}
+	l = &spindlehitch.Load{Queue: -1, InFlight: -1}
 	for field := range strings.SplitSeq(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0 && x < mostLoad) {
-			continue
-		}
+		into := &l.Queue
 		switch name {
 		case "depth", "queue":
-			l.Queue = x
 		case "concurrent", "inflight":
-			l.InFlight = x
+			into = &l.InFlight
+		default:
+			continue
+		}
+		if x, err := strconv.ParseFloat(value, 64); err == nil && x >= 0 && x < mostLoad {
+			*into = x
+		} else {
+			odd = true
 		}
 	}
 	if l.Queue < 0 && l.InFlight < 0 {
-		return nil
+		return nil, odd
 	}
-	return l
+	return l, odd
 }
 
 // Cause is the reason code of a failed read or write.
@@ -373,9 +391,9 @@
 	return "MALFORMED"
 }
 
-// unheard tells whether the other side has yet to acknowledge some of what was written. It acknowledges all that it has with
+// Unheard tells whether the other side has yet to acknowledge some of what was written. It acknowledges all that it has with
 // whatever it sends, so what it sent before that answers nothing of this. Where the system does not tell, it has heard all.
-func unheard(c net.Conn) (yes bool) {
+func Unheard(c net.Conn) (yes bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -391,6 +409,15 @@
 	return yes
 }
 
+// CloseNow closes a connection. What of a request is still on its way then does not arrive: else the system would go on with it,
+// for minutes where the other side is silent, and it could begin long after it was given up.
+func CloseNow(c net.Conn) error {
+	if tc, ok := c.(*net.TCPConn); ok && Unheard(tc) {
+		tc.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // Quiet tells whether an idle connection is still open and quiet.
 func Quiet(c net.Conn) bool {
 	quiet, _ := listen(c)
--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -75,6 +77,17 @@
 	require.Eventually(t, func() bool { _, says := listen(h.last.Load().Conn); return says }, 10*time.Second, 100*time.Microsecond)
 }
 
+// narrow listens where little is taken that nobody reads.
+func narrow(t *testing.T) net.Listener {
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2<<10) })
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
 // TestSecondAnswerInTheGap has a target answer twice for the first time, the second time in the two gaps in which the next request is on
 // its way: after the pool has looked at the connection, and after the write and before the target has all of it. Neither is taken for an
 // answer to that. In the first gap it is not even written, and goes out on a connection of its own.
@@ -102,12 +115,7 @@
 	require.EqualValues(t, 2, s.accepted.Load())
 
 	// A target that reads no more than the first request: most of the next one stays with whoever wrote it.
-	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2<<10) })
-	}}
-	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
+	l := narrow(t)
 	twice = make(chan bool)
 	go func() {
 		c, _ := l.Accept()
@@ -385,3 +393,88 @@
 		return b.pool.conns.Load() == 0 && len(b.leaving) == 0
 	}, 10*time.Second, time.Millisecond)
 }
+
+// TestCalledOffOnItsWay calls attempts off, or ends their time, that are half written, or written whole to a target that does not read: by the
+// time the outcome is told the connection is closed, and what was on its way then never arrives.
+func TestCalledOffOnItsWay(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		buffer int
+		want   spindlehitch.Code
+	}{{"half written", 4 << 10, spindlehitch.NoConnection}, {"written whole", 1 << 20, spindlehitch.Cancelled}} {
+		t.Run(x.name, func(t *testing.T) {
+			l := narrow(t)
+			asked, over, arrived := make(chan bool), make(chan bool), make(chan int, 1)
+			go func() {
+				c, _ := l.Accept()
+				defer c.Close()
+				c.Read(make([]byte, 1))
+				asked <- true
+				<-over
+				n, _ := io.Copy(io.Discard, c)
+				arrived <- int(n) + 1
+			}()
+			sent := make(chan bool, 1)
+			b, h := newHeld(l.Addr().String(), Options{MostConn: 4, MostAll: 4, Sent: func() { sent <- true }})
+			closed := make(chan error, 1)
+			b.Apply(nil, true)
+			b.report = func(r core.Result) {
+				closed <- h.last.Load().SetDeadline(time.Time{})
+				b.results <- r
+			}
+			b.Apply([]Target{{ID: "n", Addr: l.Addr().String()}}, false)
+			b.Send(core.Attempt{Request: "x", Node: "n", Until: time.Now().Add(time.Minute),
+				Permit:  moment(func() { h.last.Load().Conn.(*net.TCPConn).SetWriteBuffer(x.buffer) }),
+				Payload: &Message{Method: "PUT", URI: "/w/1", ID: "id", Body: make([]byte, 2*MaxHeld)}})
+			close(h.next(t).up)
+			<-asked
+			if x.want == spindlehitch.Cancelled {
+				<-sent
+			}
+			b.Cancel("n", "x")
+			require.Equal(t, x.want, b.result(t).Code)
+			require.ErrorIs(t, <-closed, net.ErrClosed)
+			close(over)
+			require.Less(t, <-arrived, 2*MaxHeld)
+		})
+	}
+}
+
+// TestOldConnectionIsNotTaken has a connection be too old that the last look at idle ones left: the target may close it any moment.
+func TestOldConnectionIsNotTaken(t *testing.T) {
+	s := newStandIn(t, func(int32, *http.Request, net.Conn) bool { return true })
+	b := newBench(s.Addr().String())
+	tg := newTarget("n", b.opt, &b.pool, b.report)
+	tg.set(s.Addr().String(), spindlehitch.Up)
+	c, err := b.opt.Wire.Dial(context.Background(), s.Addr().String())
+	require.NoError(t, err)
+	require.True(t, tg.count(1))
+	tg.idle = []*conn{{Session: c, addr: s.Addr().String(), idleAt: time.Now().Add(-b.opt.Idle)}}
+	got, may := tg.take()
+	require.True(t, may)
+	require.Nil(t, got)
+	require.ErrorIs(t, c.(*httpSession).SetDeadline(time.Time{}), net.ErrClosed)
+	require.EqualValues(t, 1, b.pool.conns.Load())
+}
+
+// TestOddReportsAreLoggedOnce has a target report what cannot be in each answer: it counts as not told, and each connection has one line.
+func TestOddReportsAreLoggedOnce(t *testing.T) {
+	for _, odd := range []string{"Server-Load: concurrent=NaN", "Server-Load: depth=-1,tps=3", "Volume-Load: 99999999999999999999", "Volume-Load: -1",
+		"Volume-Load: 1e3", "Server-Load: inflight=" + strings.Repeat("9", 400) + "\r\nOther-Hosts: NaN"} {
+		s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK\r\n"+odd, "") })
+		var lines bytes.Buffer
+		b := newBench(s.Addr().String())
+		b.opt.Log = slog.New(slog.NewTextHandler(&lines, nil))
+		b.Apply(nil, true)
+		b.Apply([]Target{{ID: "n", Addr: s.Addr().String()}}, false)
+		for range 3 {
+			b.send(10 * time.Second)
+			r := b.result(t)
+			require.Equal(t, spindlehitch.Delivered, r.Code)
+			require.Nil(t, r.Load)
+			require.Zero(t, r.Used)
+		}
+		require.EqualValues(t, 1, s.accepted.Load())
+		require.Equal(t, 1, strings.Count(lines.String(), "BAD_REPORT"), "%s: %s", odd, lines.String())
+	}
+}
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -66,12 +66,15 @@
 type Talker interface {
 	// Talked tells whether more came than was asked for; it is called after Do, or after Alive.
 	Talked() bool
+	// Odd tells whether an answer reported what cannot be, which counts as not told.
+	Odd() bool
 }
 
 // conn is one connection of the pool.
 type conn struct {
 	Session
 	addr   string
+	odd    bool // that it brought an odd report is in the log
 	used   int
 	idleAt time.Time
 }
@@ -329,6 +332,10 @@
 		r, used = core.Result{Code: spindlehitch.NoConnection}, c.used+1
 		again, reason = t.exchange(y, c, &r)
 		talks = talks || t.talked(c)
+		if x, ok := c.Session.(Talker); ok && x.Odd() && !c.odd {
+			c.odd = true // once for each connection
+			t.opt.Log.Warn("report not usable", slog.String("peer", t.id), slog.String("reason", "BAD_REPORT"))
+		}
 		if !pooled || reason != Stale || uploadOf(y.Attempt) != nil {
 			break
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -279,6 +279,21 @@
 	if r := b.result(t); r.Code != spindlehitch.Moot || s.asked.Load() != 1 {
 		t.Errorf("draining: code %v, %d requests reached the target; want none after the first", r.Code, s.asked.Load())
 	}
+	// One whose first byte is out goes on to its end.
+	asked, drains := make(chan bool), make(chan bool)
+	s = newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool {
+		close(asked)
+		<-drains
+		return say(c, "200 OK", "")
+	})
+	b = newBench(s.Addr().String())
+	b.send(10 * time.Second)
+	<-asked
+	b.Apply([]Target{{ID: "n", Addr: s.Addr().String(), State: spindlehitch.Draining}}, false)
+	close(drains)
+	if r := b.result(t); r.Code != spindlehitch.Delivered {
+		t.Errorf("draining with the first byte out: code %v", r.Code)
+	}
 	// The same at the last look, with the connection in hand.
 	tg := newTarget("n", b.opt, &b.pool, b.report)
 	tg.set(s.Addr().String(), spindlehitch.Draining)
@@ -337,12 +352,17 @@
 		"inflight=7, queue=2, util=0.61":   {InFlight: 7, Queue: 2},
 		"concurrent=none,depth=2,depths=9": {InFlight: -1, Queue: 2},
 	} {
-		if l := parseLoad(report); l == nil || *l != want {
-			t.Errorf("%s: %+v, want %+v", report, l, want)
+		if l, odd := parseLoad(report); l == nil || *l != want || odd != strings.Contains(report, "none") {
+			t.Errorf("%s: %+v, odd %v, want %+v", report, l, odd, want)
 		}
 	}
-	if l := parseLoad("tps=80,err_ps=0"); l != nil {
-		t.Errorf("no load told: %+v", l)
+	if l, odd := parseLoad("tps=80,err_ps=0,=,,tps=NaN"); l != nil || odd {
+		t.Errorf("no load told: %+v, odd %v", l, odd)
+	}
+	for _, x := range []string{"NaN", "-1", "-0.1", "Inf", "-Inf", "1e400", "1e99", "100000", "0x", "", "1 2"} {
+		if l, odd := parseLoad("concurrent=" + x + ",depth=" + x); l != nil || !odd {
+			t.Errorf("%q: %+v, odd %v", x, l, odd)
+		}
 	}
 }
 
