--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,6 +95,7 @@
 	Patience time.Duration // how long the client waits from then on
 	Payload  any           // for the upstream
 	Done     func(Answer)  // called once, from the core's goroutine: must not wait
+	left     atomic.Bool   // its client is gone: known at once, whatever the core has to do before it hears of it
 }
 
 // Attempt is one try of a request at a target.
@@ -106,10 +107,22 @@
 	Payload any
 	OnSent  func() // nil: nobody asks
 	Permit  spindlehitch.Permit
+	Before  time.Time    // its bytes may leave until then; zero: until it is given up
+	Left    *atomic.Bool // its client has left; nil: nobody would know
 }
 
-// Allowed tells, just before the first byte, whether the attempt may still be made.
-func (a *Attempt) Allowed() bool { return a.Permit == nil || a.Permit.Good() }
+// Allowed tells, just before the first byte, whether the attempt may still be made: however long it waited for its connection.
+func (a *Attempt) Allowed() bool {
+	return (a.Left == nil || !a.Left.Load()) && time.Now().Before(a.WriteBy()) && (a.Permit == nil || a.Permit.Good())
+}
+
+// WriteBy is until when its bytes may leave.
+func (a *Attempt) WriteBy() time.Time {
+	if !a.Before.IsZero() && a.Before.Before(a.Until) {
+		return a.Before
+	}
+	return a.Until
+}
 
 // Sent is to be called by whoever carries the attempt out, once its last byte is written: from then on it may run.
 func (a *Attempt) Sent() {
@@ -164,6 +177,7 @@
 type Options struct {
 	MostHeld int            // requests open at a time
 	Margin   time.Duration  // an answer must be written this long before the client leaves
+	NamesFor time.Duration  // how long, at least, the name of a request that may have run stays taken
 	Observer Observer       // nil: none
 	Avoided  func(int)      // told now and then how many listed targets the module avoids; nil: nobody asks
 	Avoids   func([]string) // told with it which those are that are listed as up; nil: nobody asks
@@ -206,8 +220,8 @@
 // tellEvery is how often, at most, the module is asked which targets it avoids.
 const tellEvery = 100 * time.Millisecond
 
-// namesFor is how long, at least, the name of a request that may have run stays taken.
-const namesFor = 5 * time.Second
+// mostNames bounds the names of requests that may have run, of which twice as many are kept: past it the oldest are let go early.
+const mostNames = 1 << 16
 
 type submitted struct{ job *Job }
 
@@ -240,7 +254,10 @@
 }
 
 // Depart tells that the job's client is gone. Its Done may still be called, if the answer came first.
-func (c *Core) Depart(j *Job) { c.box.Put(j) }
+func (c *Core) Depart(j *Job) {
+	j.left.Store(true)
+	c.box.Put(j)
+}
 
 // Route asks the module which node a request for the shard would go to now, so that a body that cannot be held here may
 // go there ahead of it. The reply, empty where there is none, comes from the core's goroutine and must not wait.
@@ -412,7 +429,7 @@
 	c.events = append(c.events, spindlehitch.Outcome{ID: r.Request, Attempt: r.Number, Node: r.Node, Code: r.Code,
 		Took: now.Sub(e.sentAt), Closed: e.answered, Load: r.Load, Used: r.Used})
 	c.tidy(r.Request, e)
-	if now.Sub(c.ranAt) > namesFor {
+	if now.Sub(c.ranAt) > c.opt.NamesFor || len(c.ran[0]) >= mostNames {
 		c.ran[0], c.ran[1], c.ranAt = map[string]bool{}, c.ran[0], now
 	}
 }
@@ -438,8 +455,12 @@
 	case spindlehitch.Send:
 		e.out, e.node, e.sentAt = true, a.Node, now
 		e.attempts++
-		c.up.Send(Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
-			Until: now.Add(a.Wait), Payload: e.job.Payload, Permit: a.Permit})
+		next := Attempt{Request: a.Request, Number: e.attempts - 1, Node: a.Node,
+			Until: now.Add(a.Wait), Payload: e.job.Payload, Permit: a.Permit, Left: &e.job.left}
+		if a.Within > 0 {
+			next.Before = now.Add(a.Within)
+		}
+		c.up.Send(next)
 	case spindlehitch.Refuse:
 		c.answer(e, Answer{Ending: Refused, RetryAfter: a.Wait})
 		c.tidy(a.Request, e)
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -13,6 +13,9 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
+
 	"spindlehitch"
 	"spindlehitch/internal/budget"
 	"spindlehitch/internal/core"
@@ -29,6 +32,9 @@
 	stallAfter = 250 * time.Millisecond
 	// mostInformed is how many 1xx answers may come in front of one.
 	mostInformed = 8
+	// secondWithin is how soon after an answer one like it is taken for the same once more. Targets are late with it by some
+	// milliseconds.
+	secondWithin = 50 * time.Millisecond
 )
 
 // Message is the payload of a job on this wire: what passes on unchanged.
@@ -62,7 +68,14 @@
 	net.Conn
 	host   string
 	room   *budget.Bytes
-	talked bool
+	talked bool // more came than was asked for
+	// What comes may be a second answer to the request before, if there was one: what its answer was like, when it was here,
+	// and whether answers here are alike that are no second ones.
+	asked   bool
+	last    uint64
+	heardAt time.Time
+	alike   bool
+	odd     bool // it brought a report that cannot be
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
@@ -102,6 +115,7 @@
 // by the attempt's time.
 func (c *httpSession) Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string) {
 	c.SetDeadline(a.Until)
+	c.SetWriteDeadline(a.WriteBy())
 	m := a.Payload.(*Message)
 	var raw []byte
 	if m.Upload != nil {
@@ -116,6 +130,13 @@
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
 	}
+	// And at the connection: what came since the pool looked is no answer to what is only now written.
+	if !c.Alive() {
+		r.Code = spindlehitch.NoConnection
+		return r, false, Stale
+	}
+	again, soon := c.asked, time.Since(c.heardAt) < secondWithin
+	c.asked = true
 	if n, err := c.Write(raw); n < len(raw) {
 		r.Code = spindlehitch.NoConnection
 		return r, false, "WRITE_" + Cause(err)
@@ -135,7 +156,9 @@
 			return err
 		}
 		_, err := in.Peek(1)
-		parts.begun = err == nil
+		if parts.begun = err == nil; parts.begun && again && Unheard(c.Conn) {
+			return errTooSoon
+		}
 		return err
 	}, func(until time.Time) { parts.until, parts.stall = until, streamStall })
 	if err != nil {
@@ -147,9 +170,28 @@
 			r.Code = spindlehitch.Expired
 		case limit.N <= 0:
 			return r, false, "ANSWER_TOO_LARGE"
+		case errors.Is(err, errTooSoon):
+			c.talked = true
+			return r, false, "ANSWER_TOO_SOON"
 		}
 		return r, false, "READ_" + Cause(err)
 	}
+	c.odd = c.odd || ans.odd
+	// Nothing in an answer tells whose it is. One just like the one before and soon after it may be that one once more: then its
+	// own comes behind it. A target all of whose answers are alike is waited for once.
+	before := c.last
+	c.last, c.heardAt = ans.sum(), time.Now()
+	if again && soon && !ans.close && ans.stream == nil && c.last == before && !c.alike {
+		if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.talked = err == nil
+			r.Code = spindlehitch.Reset
+			return r, false, "ANSWER_TWICE"
+		} else if !time.Now().Before(a.Until) {
+			r.Code = spindlehitch.Expired
+			return r, false, "READ_TIMEOUT"
+		}
+		c.alike = true
+	}
 	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
 	if s := ans.stream; s != nil {
 		s.conn = c
@@ -172,9 +214,15 @@
 	return quiet
 }
 
+// Close ends it.
+func (c *httpSession) Close() error { return CloseNow(c.Conn) }
+
 // Talked implements Talker.
 func (c *httpSession) Talked() bool { return c.talked }
 
+// Odd implements Talker.
+func (c *httpSession) Odd() bool { return c.odd }
+
 // appendHead writes the request's head; a length of -1 has the body in chunks. What is not listed in the protocol is not sent.
 func appendHead(b []byte, m *Message, host string, waitMs, length int64) []byte {
 	b = append(b, m.Method...)
@@ -209,6 +257,7 @@
 	body   []byte  // held
 	stream *Stream // passes through instead
 	close  bool
+	odd    bool // it reports what cannot be
 }
 
 // code is the outcome. The target's word that it never began counts only with the two statuses that go
@@ -223,9 +272,13 @@
 	return spindlehitch.Errored
 }
 
+// sum tells answers that are held apart by what they bring; their heads may differ.
+func (a *answer) sum() uint64 { return xxhash.Sum64(a.body) + uint64(a.status) }
+
 var (
 	errTooLarge = errors.New("answer's body is too large")
 	errInformed = errors.New("too many answers of the kind 1xx")
+	errTooSoon  = errors.New("answer to an earlier request")
 )
 
 // readAnswer reads one answer: whole, if it is small and there is room, otherwise up to the first of its body. Await is
@@ -246,9 +299,11 @@
 			continue
 		}
 		a := &answer{status: resp.StatusCode, notRun: resp.Header.Get("Not-Started") == "1", close: resp.Close}
-		a.load = parseLoad(resp.Header.Get("Server-Load"))
-		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < 1e6 {
+		a.load, a.odd = parseLoad(resp.Header.Get("Server-Load"))
+		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < mostUsed {
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
+		} else {
+			a.odd = a.odd || resp.Header.Get("Volume-Load") != ""
 		}
 		if resp.ContentLength > MaxBody {
 			return nil, errTooLarge
@@ -285,31 +340,38 @@
 // mostLoad is past any number of requests that a target holds: what tells of more is no report.
 const mostLoad = 1e5
 
+// mostUsed is past any use of a volume, as a percentage of its plan's rate.
+const mostUsed = 1e6
+
 // parseLoad reads a load report such as concurrent=7,depth=2; nil where there is none that can be read. Its fields have
 // the names that the settings give (report.fields: concurrent, depth); inflight and queue are the names in the protocol's
-// own example. A report under names that are not known here would be missed without a sign.
-func parseLoad(s string) *spindlehitch.Load {
+// own example. A report under names that are not known here would be missed without a sign. A figure that cannot be counts as not
+// told, and makes the report odd.
+func parseLoad(s string) (l *spindlehitch.Load, odd bool) {
 	if s == "" {
-		return nil
+		return nil, false
 	}
-	l := &spindlehitch.Load{Queue: -1, InFlight: -1}
+	l = &spindlehitch.Load{Queue: -1, InFlight: -1}
 	for field := range strings.SplitSeq(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(x >= 0 && x < mostLoad) {
-			continue
-		}
+		into := &l.Queue
 		switch name {
 		case "depth", "queue":
-			l.Queue = x
 		case "concurrent", "inflight":
-			l.InFlight = x
+			into = &l.InFlight
+		default:
+			continue
+		}
+		if x, err := strconv.ParseFloat(value, 64); err == nil && x >= 0 && x < mostLoad {
+			*into = x
+		} else {
+			odd = true
 		}
 	}
 	if l.Queue < 0 && l.InFlight < 0 {
-		return nil
+		return nil, odd
 	}
-	return l
+	return l, odd
 }
 
 // Cause is the reason code of a failed read or write.
@@ -329,6 +391,33 @@
 	return "MALFORMED"
 }
 
+// Unheard tells whether the other side has yet to acknowledge some of what was written. It acknowledges all that it has with
+// whatever it sends, so what it sent before that answers nothing of this. Where the system does not tell, it has heard all.
+func Unheard(c net.Conn) (yes bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		yes = err == nil && n > 0
+	})
+	return yes
+}
+
+// CloseNow closes a connection. What of a request is still on its way then does not arrive: else the system would go on with it,
+// for minutes where the other side is silent, and it could begin long after it was given up.
+func CloseNow(c net.Conn) error {
+	if tc, ok := c.(*net.TCPConn); ok && Unheard(tc) {
+		tc.SetLinger(0)
+	}
+	return c.Close()
+}
+
 // Quiet tells whether an idle connection is still open and quiet.
 func Quiet(c net.Conn) bool {
 	quiet, _ := listen(c)
