Clients that left are seen behind whatever they sent; connections end by halves

Seen: net/http's background read takes one byte and stops (server.go, connReader.backgroundRead). A client that had sent more while its request was open and then closed, half-closed or reset was not noticed; its held request was sent on later. A request that was read while the process was behind, from a client that had gone, was handed to the core all the same (front.go, ServeHTTP). While a large body's way to its target was opened nobody looked at the client at all (body.go, forward). Ends: evict (conns.go) looked, moved the phase and closed in three steps; bytes read between the first and the second were dropped with their connection, and a close over bytes that came after the first reset it. Answers by net/http itself (400, 431, 501, 417, Connection: close) were closed over unread bytes. Stop left connections with unread bytes to http.Server.Shutdown, which drops what it has read and closes idle connections in whose request it is just reading. Ruled out: a goroutine of our own for each connection (a second reader beside net/http's), TCP_INFO (a flood past the window hides the end). TestSendsUntilKilled holds besides that no connection ends by a reset.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -41,6 +43,8 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return bad(http.StatusRequestTimeout, "body: did not come whole")
+	case errors.Is(err, net.ErrClosed): // it made room, or the program leaves: nothing of it was taken
+		return &fault{status: http.StatusServiceUnavailable, text: refusedText}
 	case errors.Is(err, errLong):
 		return bad(http.StatusRequestEntityTooLarge, "body: over %d bytes", upstream.MaxBody)
 	}
@@ -109,12 +113,16 @@
 	} else {
 		defer s.opt.Room.Give(room)
 	}
+	ctx, leave := context.WithCancel(r.Context())
+	defer leave()
+	defer conn.mind(leave)()
 	node := make(chan string, 1)
 	s.core.Route(j.Shard, func(n string) { node <- n })
-	up, err := s.opt.Ahead(r.Context(), <-node, m, r.ContentLength, j.Patience)
+	up, err := s.opt.Ahead(ctx, <-node, m, r.ContentLength, j.Patience)
 	if err != nil {
 		return nil, &noTarget
 	}
+	defer context.AfterFunc(ctx, up.Close)() // a write to a target that does not read ends with it
 	f, err := feed(up, body, held, a, b)
 	if f != nil || err != nil {
 		up.Close()
--- /dev/null
+++ b/internal/front/ends_test.go
@@ -0,0 +1,424 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/upstream"
+)
+
+// lines keeps what a front logs.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (l *lines) edit(s *Server) {
+	s.opt.Log = slog.New(slog.NewTextHandler(l, nil))
+	s.conns.log = s.opt.Log
+}
+
+func dial(t *testing.T, addr string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c.(*net.TCPConn)
+}
+
+// count is how many connections there are, and how many wait for their clients' ends.
+func (t *connTable) count() (open, shut int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open), len(t.shut)
+}
+
+// empty waits until no connection is left.
+func empty(t *testing.T, s *Server) {
+	t.Helper()
+	require.Eventually(t, func() bool { open, shut := s.conns.count(); return open+shut == 0 }, 20*time.Second, time.Millisecond)
+}
+
+// the is the one connection there is.
+func (t *connTable) the() (only *clientConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		only = c
+	}
+	return only
+}
+
+// unbroken holds that no reset has come.
+func unbroken(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		e, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		require.NoError(t, err)
+		require.Zero(t, e, "reset: %v", unix.Errno(e))
+	}))
+}
+
+// TestLeftAfterMore has clients send more while their request is open, from a byte to a flood, and go in each way there is: the
+// core is told, no second request is taken, and what was kept is given back. net/http alone stops looking after one byte.
+func TestLeftAfterMore(t *testing.T) {
+	var log lines
+	s, b, addr := newFront(t, 64, log.edit)
+	room := s.opt.Room.Left()
+	ways := map[string]func(*net.TCPConn){"closes": func(c *net.TCPConn) { c.Close() }, "half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() }}
+	for name, leave := range ways {
+		for _, more := range []string{"", "G", good, good + good, strings.Repeat("x", 3*aheadMost), strings.Repeat("x", 3<<20)} {
+			c := dial(t, addr)
+			io.WriteString(c, good)
+			j := <-b.jobs
+			io.WriteString(c, more)
+			leave(c)
+			select {
+			case g := <-b.gone:
+				require.Same(t, j, g)
+			case <-time.After(5 * time.Second):
+				t.Fatalf("%s after %d bytes more: the core was not told", name, len(more))
+			}
+		}
+	}
+	empty(t, s)
+	require.Empty(t, b.jobs)
+	require.Equal(t, room, s.opt.Room.Left())
+	require.Equal(t, 18, strings.Count(log.String(), "connection ended"))
+	require.Contains(t, log.String(), "CLIENT_FLOOD")
+}
+
+// TestMoreIsKept has a second request come while the first is open, cut anywhere: it is served after it, in chunks too, where it was
+// not in the first one's packet. Past what is kept a connection ends with its answer, which its client can read.
+func TestMoreIsKept(t *testing.T) {
+	s, b, addr := newFront(t, 64)
+	second := codedHead + "\r\n3\r\nabc\r\n0\r\n\r\n"
+	kept := func() int {
+		c := s.conns.the()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.ahead) + c.dropped
+	}
+	for _, cut := range []int{1, 2, len(goodHead), len(second)} {
+		c := dial(t, addr)
+		in := bufio.NewReader(c)
+		io.WriteString(c, good)
+		j := <-b.jobs
+		io.WriteString(c, second[:cut])
+		require.Eventually(t, func() bool { return kept() == cut }, 20*time.Second, time.Millisecond)
+		j.Done(core.Answer{Payload: []byte("first")})
+		io.WriteString(c, second[cut:])
+		require.Equal(t, "abc", string((j2(t, b)).Body))
+		for _, want := range []string{"first", "second"} {
+			resp, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, want, string(body))
+		}
+		c.Close()
+		empty(t, s)
+	}
+	c := dial(t, addr)
+	io.WriteString(c, good)
+	j := <-b.jobs
+	io.WriteString(c, strings.Repeat("x", 2*aheadMost))
+	require.Eventually(t, func() bool { return kept() > aheadMost }, 20*time.Second, time.Millisecond)
+	j.Done(core.Answer{Payload: []byte("last")})
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.True(t, resp.Close)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "last", string(body))
+}
+
+// j2 takes the next request and serves it as the second.
+func j2(t *testing.T, b *back) *upstream.Message {
+	select {
+	case j := <-b.jobs:
+		j.Done(core.Answer{Payload: []byte("second")})
+		return j.Payload.(*upstream.Message)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the second request was not taken")
+	}
+	return nil
+}
+
+// TestLeftBeforeTaken has a client write its request and go before the process comes to read it: it never reaches the core.
+func TestLeftBeforeTaken(t *testing.T) {
+	for name, raw := range map[string]string{"write": good, "read": strings.Replace(strings.Replace(goodHead, "PUT", "GET", 1), "/put/", "/get/", 1) + "\r\n",
+		"chunks": codedHead + "\r\n3\r\nabc\r\n0\r\n\r\n", "pipeline": good + "GET"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		c := dial(t, l.Addr().String())
+		io.WriteString(c, raw)
+		c.Close()
+		var log lines
+		s, b, _ := newFront(t, 64, log.edit)
+		go s.Serve(l) // only now is it accepted
+		require.Eventually(t, func() bool { return strings.Contains(log.String(), "connection ended") }, 20*time.Second, time.Millisecond)
+		require.Empty(t, b.jobs, name)
+		require.Contains(t, log.String(), "CLIENT_CLOSED", name)
+	}
+}
+
+// TestLeftWhileBodyWaits has a client of a large body go while its way to the target is being opened, with bytes of the body
+// unread: the way is given up, and nothing reaches the core.
+func TestLeftWhileBodyWaits(t *testing.T) {
+	opening, given := make(chan bool), make(chan error, 1)
+	_, b, addr := newFront(t, 64, func(s *Server) {
+		s.opt.Ahead = func(ctx context.Context, _ string, _ *upstream.Message, _ int64, _ time.Duration) (*upstream.Upload, error) {
+			opening <- true
+			<-ctx.Done()
+			given <- ctx.Err()
+			return nil, ctx.Err()
+		}
+	})
+	c := dial(t, addr)
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", goodHead, 10*upstream.MaxHeld, strings.Repeat("x", upstream.MaxHeld/2))
+	<-opening
+	c.Close()
+	select {
+	case <-given:
+	case <-time.After(5 * time.Second):
+		t.Fatal("its way is still being opened")
+	}
+	require.Empty(t, b.jobs)
+}
+
+// TestCloseKeepsAnswer has clients send more than is read of them, and read their answer only once the connection was closed: it is
+// there whole, and no reset took it.
+func TestCloseKeepsAnswer(t *testing.T) {
+	more := strings.Repeat("x", 100<<10)
+	for name, x := range map[string]struct {
+		raw  string
+		want int
+	}{
+		"garbage":       {"nonsense\r\n\r\n" + more, 400},
+		"odd coding":    {goodHead + "Transfer-Encoding: gzip\r\n\r\n" + more, 501},
+		"long head":     {"GET / HTTP/1.1\r\nX: " + more + "\r\n\r\n", 431},
+		"expects":       {goodHead + "Expect: tea\r\nContent-Length: 102400\r\n\r\n" + more, 417},
+		"bad head":      {strings.Replace(good, "std", "odd", 1) + more, 422},
+		"bad with body": {strings.Replace(goodHead, "std", "odd", 1) + "Content-Length: 102400\r\n\r\n" + more, 422},
+		"asks to close": {strings.Replace(good, "Tier:", "Connection: close\r\nTier:", 1) + more, 200},
+		"floods":        {good + more, 200},
+	} {
+		s, b, addr := newFront(t, 64)
+		c := dial(t, addr)
+		io.WriteString(c, x.raw)
+		if x.want == 200 {
+			j := <-b.jobs
+			cc := s.conns.the()
+			require.Eventually(t, func() bool { return cc.flood.Load() }, 20*time.Second, time.Millisecond, name)
+			j.Done(core.Answer{Payload: []byte("answer")})
+		}
+		require.Eventually(t, func() bool { open, _ := s.conns.count(); return open == 0 }, 20*time.Second, time.Millisecond, name)
+		all, err := io.ReadAll(c)
+		require.NoError(t, err, name)
+		require.Contains(t, string(all), fmt.Sprintf("HTTP/1.1 %d ", x.want), name)
+		require.Equal(t, 1, strings.Count(string(all), "HTTP/1.1"), name)
+	}
+}
+
+// TestEndMeetsRequest ends a resting connection, in each way there is, whose client has not read its last answer and then asks again:
+// the answer is there, the end is clean, and the request that crossed it goes nowhere.
+func TestEndMeetsRequest(t *testing.T) {
+	for name, end := range map[string]func(*Server){
+		"idle":    func(s *Server) { s.conns.endIdle(0) },
+		"leaving": func(s *Server) { s.conns.endAll(false) },
+		"handed":  func(s *Server) { s.conns.endAsked() },
+		"room": func(s *Server) {
+			s.Bound(1, 1)
+			l, _ := net.Listen("tcp", "127.0.0.1:0")
+			go net.Dial("tcp", l.Addr().String())
+			c, _ := l.Accept()
+			t.Cleanup(func() { c.Close(); l.Close() })
+			s.conns.add(c)
+		},
+	} {
+		s, b, addr := newFront(t, 64)
+		c := dial(t, addr)
+		io.WriteString(c, good)
+		(<-b.jobs).Done(core.Answer{Payload: []byte("answer")})
+		cc := s.conns.the()
+		require.Eventually(t, func() bool { return cc.phase.Load() == quiet }, 20*time.Second, time.Millisecond)
+		end(s)
+		require.Equal(t, evicted, cc.phase.Load(), name)
+		_, err := io.WriteString(c, good)
+		require.NoError(t, err, name)
+		unbroken(t, c)
+		require.Eventually(t, func() bool { cc.mu.Lock(); defer cc.mu.Unlock(); return cc.closed }, 20*time.Second, time.Millisecond)
+		all, err := io.ReadAll(c)
+		require.NoError(t, err, name)
+		require.True(t, strings.HasSuffix(string(all), "\r\n\r\nanswer"), "%s: %q", name, all)
+		require.Empty(t, b.jobs, name)
+	}
+}
+
+// paused is a front whose connections stop at a state until they are let go on.
+func paused(t *testing.T, at http.ConnState) (s *Server, b *back, addr string, reached chan bool, release func()) {
+	reached, free := make(chan bool), make(chan bool)
+	s, b, addr = newFront(t, 64, func(s *Server) {
+		s.opt.Leave = core.Leave{Answer: 5 * time.Second}
+		s.http.ConnState = func(c net.Conn, st http.ConnState) {
+			s.conns.state(c, st)
+			if st == at {
+				reached <- true
+				<-free
+			}
+		}
+	})
+	return s, b, addr, reached, func() { close(free) }
+}
+
+// TestReadAsItEnds stops the process right after it has read a request, or with one unread on a resting connection, and has it leave
+// in that instant: the request is answered, on a connection that ends with it.
+func TestReadAsItEnds(t *testing.T) {
+	for name, at := range map[string]http.ConnState{"read": http.StateActive, "unread": http.StateIdle} {
+		s, b, addr, reached, release := paused(t, at)
+		c := dial(t, addr)
+		in := bufio.NewReader(c)
+		io.WriteString(c, good)
+		if at == http.StateIdle {
+			(<-b.jobs).Done(core.Answer{Payload: []byte("x")})
+			resp, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			io.Copy(io.Discard, resp.Body)
+			<-reached
+			io.WriteString(c, good)
+			require.Eventually(t, func() bool { return !upstream.Quiet(s.conns.the().Conn) }, 20*time.Second, time.Millisecond)
+		} else {
+			<-reached
+		}
+		s.conns.endAll(true)
+		stopped, drops := make(chan error, 1), make(chan bool)
+		s.http.RegisterOnShutdown(func() { close(drops) })
+		go func() { stopped <- s.Stop(context.Background()) }()
+		select {
+		case <-drops:
+			t.Fatalf("%s: net/http drops from now on what it has read", name)
+		case <-time.After(50 * time.Millisecond):
+		}
+		release()
+		if at == http.StateIdle {
+			go func() { <-reached }()
+		}
+		select {
+		case j := <-b.jobs:
+			j.Done(core.Answer{Payload: []byte("owed")})
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: it was dropped", name)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err, name)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err, name)
+		require.Equal(t, "owed", string(body), name)
+		require.True(t, resp.Close, name)
+		c.Close()
+		require.NoError(t, <-stopped, name)
+	}
+}
+
+// TestPartReadAsItEnds has the process leave while part of a request has come: its end may still come for a while; after that it is
+// refused or dropped, never sent on.
+func TestPartReadAsItEnds(t *testing.T) {
+	for name, cut := range map[string]int{"head": len(goodHead) / 2, "body": len(good) - 2} {
+		for _, hurry := range []bool{false, true} {
+			s, b, addr := newFront(t, 64)
+			c := dial(t, addr)
+			io.WriteString(c, good[:cut])
+			var cc *clientConn
+			require.Eventually(t, func() bool {
+				cc = s.conns.the()
+				return cc != nil && cc.phase.Load() == reading
+			}, 20*time.Second, time.Millisecond)
+			s.conns.endAll(hurry)
+			io.WriteString(c, good[cut:])
+			if !hurry {
+				(<-b.jobs).Done(core.Answer{Payload: []byte("whole")})
+			}
+			all, err := io.ReadAll(c)
+			require.NoError(t, err, name)
+			switch {
+			case !hurry:
+				require.Contains(t, string(all), "whole", name)
+			case name == "body":
+				require.Contains(t, string(all), "HTTP/1.1 503 ")
+			default:
+				require.Empty(t, all)
+			}
+			require.Empty(t, b.jobs, name)
+		}
+	}
+}
+
+// TestEndsAreBounded has clients that never close what was ended: they wait for a while, at most as many as there is room for, and
+// make room before all others do.
+func TestEndsAreBounded(t *testing.T) {
+	const most = 6
+	s, b, addr := newFront(t, most)
+	for range 4 * most {
+		c := dial(t, addr)
+		io.WriteString(c, good)
+		select {
+		case j := <-b.jobs:
+			j.Done(core.Answer{Ending: core.Conflict}) // which ends the connection
+		case <-time.After(20 * time.Second):
+			t.Fatal("not taken")
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, 409, resp.StatusCode)
+		open, shut := s.conns.count()
+		require.LessOrEqual(t, open+shut, most+1)
+	}
+	_, shut := s.conns.count()
+	require.NotZero(t, shut, "they were not waited for")
+	empty(t, s)
+}
+
+// TestNothingHeldBack looks at the option by which the system would hold small writes back: they would go with a reset.
+func TestNothingHeldBack(t *testing.T) {
+	s, b, addr := newFront(t, 64)
+	c := dial(t, addr)
+	io.WriteString(c, good)
+	j := <-b.jobs
+	require.NoError(t, s.conns.the().raw.Control(func(fd uintptr) {
+		on, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY)
+		require.NoError(t, err)
+		require.Equal(t, 1, on)
+	}))
+	j.Done(core.Answer{})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,6 +33,8 @@
 	// read its answer before a reset takes it.
 	drainFor  = 3 * time.Second
 	drainMost = 64 << 20
+	// lastBytes is how long a request may still take to come whole once connections are ended because the program leaves.
+	lastBytes = 150 * time.Millisecond
 	// writeWithin is how long a client may take to read a piece of its answer.
 	writeWithin = 10 * time.Second
 )
@@ -73,7 +75,7 @@
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
-	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Log)}
+	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Room, opt.Log)}
 	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: opt.Leave.Answer + idleFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	return s
@@ -129,16 +131,29 @@
 		core.Pause(ctx, time.Now().Add(10*time.Millisecond))
 	}
 	core.Pause(ctx, now.Add(how.Serve))
-	s.conns.endUnasked()
+	// net/http drops what it has read once it shuts down, and closes an idle connection in whose request it is just reading. So
+	// that comes last, when there is none left but for those whose clients do not close them.
+	hurry, over := now.Add(how.Serve+lastBytes), now.Add(how.Answer)
+	for ctx.Err() == nil {
+		left, waiting := s.conns.endAll(time.Now().After(hurry))
+		if left == 0 || left == waiting && time.Now().After(over) {
+			break
+		}
+		core.Pause(ctx, time.Now().Add(5*time.Millisecond))
+	}
 	return s.http.Shutdown(ctx)
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
+	conn.taken.Store(true)
 	arrived := conn.arrival()
 	if ready := r.URL.Path == "/-/ready"; ready || s.opt.ReadyOnly || conn.extra {
 		conn.claim()
 		conn.next()
+		if conn.ends() {
+			w.Header().Set("Connection", "close")
+		}
 		switch {
 		case ready:
 			s.ready(w)
@@ -187,15 +202,21 @@
 	final := &handOver{answer: make(chan core.Answer, 1)}
 	j.Arrived, j.Payload, j.Done = arrived, m, final.put
 	conn.next()
+	if conn.gone(true) { // while the process was behind
+		panic(http.ErrAbortHandler)
+	}
 	if !s.core.Submit(j) {
 		// Nothing of it was taken or sent: a repeat is harmless.
+		if conn.ends() {
+			w.Header().Set("Connection", "close")
+		}
 		s.write(w, core.TooMany)
 		seen.End(figures.Overload)
 		return
 	}
 	select {
 	case a := <-final.answer:
-		if s.handed.Load() && s.left.Load() != nil {
+		if conn.ends() || s.handed.Load() && s.left.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
 		if !s.write(w, a) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,7 +51,7 @@
 func (b *back) Depart(j *core.Job)                  { b.gone <- j }
 func (b *back) Route(shard int, reply func(string)) { reply("n") }
 
-func newFront(t *testing.T, most int) (*Server, *back, string) {
+func newFront(t *testing.T, most int, edit ...func(*Server)) (*Server, *back, string) {
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
 	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
@@ -59,6 +61,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, e := range edit {
+		e(s)
+	}
 	go s.Serve(l)
 	t.Cleanup(func() { s.http.Close() })
 	return s, b, l.Addr().String()
@@ -650,7 +655,7 @@
 		}
 	}()
 	var clients sync.WaitGroup
-	var lost, answered, crossed, early atomic.Int64
+	var lost, answered, crossed, early, reset atomic.Int64
 	var left atomic.Pointer[time.Time]
 	begun := make(chan bool, 12)
 	for i := range cap(begun) {
@@ -672,6 +677,9 @@
 					return // it had ended
 				}
 				resp, err := http.ReadResponse(in, nil)
+				if errors.Is(err, syscall.ECONNRESET) {
+					reset.Add(1)
+				}
 				if err != nil {
 					// A request may cross the end of its connection: clients send it once more elsewhere.
 					crossed.Add(1)
@@ -704,6 +712,7 @@
 	}
 	clients.Wait()
 	t.Logf("%d answered, %d crossed the end of their connection", answered.Load(), crossed.Load())
+	require.Zero(t, reset.Load(), "connections ended by a reset")
 	if lost.Load() > 0 || early.Load() > 0 || answered.Load() < 100 {
 		t.Errorf("%d answers cut, %d connections ended early, %d answers whole", lost.Load(), early.Load(), answered.Load())
 	}
