--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -31,6 +31,7 @@
 	Uses    string   // TOML
 	Socket  *os.File // the clients' socket, inherited; Listen says where it is bound
 	Listen  string
+	Files   int // how many descriptors the machine grants; 0: as many as this process
 }
 
 // Instance starts one initiator.
@@ -66,7 +67,7 @@
 	if o.Socket != nil {
 		pass, env = []*os.File{o.Socket}, append(env, "PROXY_SOCKET_FD=3")
 	}
-	n.Proc = r.StartWith(name, pass, env, args...)
+	n.Proc = r.StartWith(name, pass, o.Files, env, args...)
 	return n
 }
 
--- a/internal/faults/mesh.go
+++ b/internal/faults/mesh.go
@@ -125,7 +125,7 @@
 }
 
 // Begin starts its process.
-func (n *Node) Begin() { n.Proc = n.rig.StartWith(n.Name(), nil, n.env, n.args...) }
+func (n *Node) Begin() { n.Proc = n.rig.StartWith(n.Name(), nil, 0, n.env, n.args...) }
 
 // Name is its name in the fleet.
 func (n *Node) Name() string { return fmt.Sprint("m", n.N) }
@@ -137,7 +137,7 @@
 func (n *Node) Upgrade(socket *os.File, control string) *Node {
 	next := *n
 	next.Control = control
-	next.Proc = n.rig.StartWith(n.Name()+"-next", []*os.File{socket}, append(slices.Clone(n.env), "PROXY_SOCKET_FD=3", "PROXY_CONTROL="+control), n.args...)
+	next.Proc = n.rig.StartWith(n.Name()+"-next", []*os.File{socket}, 0, append(slices.Clone(n.env), "PROXY_SOCKET_FD=3", "PROXY_CONTROL="+control), n.args...)
 	return &next
 }
 
--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -68,6 +68,7 @@
 	args []string
 	pass []*os.File // from descriptor 3 on
 	aims string     // the folder of its failpoints
+	files int       // how many descriptors the machine grants it; 0: as many as this process
 	out  *tail
 	cmd  *exec.Cmd
 	done chan struct{} // closed once it has ended
@@ -111,13 +112,13 @@
 
 // Start starts the program with these arguments; env is added to a short environment of the rig's own.
 func (r *Rig) Start(name string, env []string, args ...string) *Proc {
-	return r.StartWith(name, nil, env, args...)
+	return r.StartWith(name, nil, 0, env, args...)
 }
 
-// StartWith is Start with open files for the process, from descriptor 3 on.
-func (r *Rig) StartWith(name string, pass []*os.File, env []string, args ...string) *Proc {
+// StartWith is Start with open files for the process, from descriptor 3 on, and with a bound on its descriptors; 0: none of its own.
+func (r *Rig) StartWith(name string, pass []*os.File, files int, env []string, args ...string) *Proc {
 	r.T.Helper()
-	p := &Proc{Name: name, rig: r, env: env, args: args, pass: pass, aims: filepath.Join(r.Dir, "aims", name), out: &tail{}}
+	p := &Proc{Name: name, rig: r, env: env, args: args, pass: pass, files: files, aims: filepath.Join(r.Dir, "aims", name), out: &tail{}}
 	if err := os.MkdirAll(p.aims, 0o700); err != nil {
 		r.T.Fatal(err)
 	}
@@ -135,6 +136,9 @@
 func (p *Proc) start() {
 	p.rig.T.Helper()
 	p.cmd = exec.Command(p.rig.bin, p.args...)
+	if p.files > 0 {
+		p.cmd = exec.Command("sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(p.files), p.rig.bin}, p.args...)...)
+	}
 	p.cmd.Env = append([]string{"TMPDIR=" + p.rig.Dir, "PATH=" + os.Getenv("PATH"), "SPINDLEHITCH_FAILPOINTS=" + p.aims}, p.env...)
 	p.cmd.Stdout, p.cmd.Stderr, p.cmd.ExtraFiles = p.out, p.out, p.pass
 	p.cmd.Dir = p.rig.Dir
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -171,7 +171,7 @@
 	clients := front.New(in.core, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(), Ready: listed.Load,
 		ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: in.leave, Room: room, Ahead: up.Ahead, Log: log})
 	// What there may be of connections and bytes is set here alone, now and whenever the processes become more or fewer.
-	limits := &shares{limits: limits(cfg.Limits), room: room, up: up, clients: clients, core: in.core}
+	limits := &shares{limits: granted(cfg.Limits), room: room, up: up, clients: clients, core: in.core}
 	limits.divide(1)
 	in.fronts = &fronts{name: cfg.Name, log: log, known: make(chan struct{})}
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -226,8 +226,11 @@
 // TestLimitsFit holds what the parts may have together against the descriptors there are, a few connections that are just being
 // turned away included, whatever share of them one process has.
 func TestLimitsFit(t *testing.T) {
-	for _, sockets := range []int{512, 1024, 4096} {
+	for _, sockets := range []int{64, 96, 128, 256, 512, 1024, 4096} {
 		for _, parts := range []int{1, 2} {
+			if sockets/parts < 64 {
+				continue // fewer than any configuration may have
+			}
 			l := limits{Cores: 1, MemoryMB: 192, Sockets: sockets}.of(parts)
 			total := l.clients() + l.allTargets() + spareFiles + control.MostFiles
 			require.LessOrEqual(t, total, l.Sockets, "%d sockets in %d parts", sockets, parts)
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -3,6 +3,8 @@
 import (
 	"runtime/debug"
 
+	"golang.org/x/sys/unix"
+
 	"spindlehitch/internal/budget"
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/control"
@@ -15,12 +17,24 @@
 // the clients' cap.
 const spareFiles = 28
 
+// fewClients and fewTargets are what connections there are of each at least, however few descriptors.
+const fewClients, fewTargets = 8, 4
+
 // clientBytes is about what a client's connection takes: buffers, a goroutine's stack, a request.
 const clientBytes = 24 << 10
 
 // limits is what the machine grants, by what it is for.
 type limits config.Limits
 
+// granted is what the settings say, or less: a machine may grant the process fewer descriptors than that.
+func granted(l config.Limits) limits {
+	var files unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &files) == nil {
+		l.Sockets = int(min(uint64(l.Sockets), files.Cur))
+	}
+	return limits(l)
+}
+
 // of is what one of so many processes, which share the limits, may have.
 func (l limits) of(parts int) limits {
 	l.Sockets, l.MemoryMB = l.Sockets/max(parts, 1), l.MemoryMB/max(parts, 1)
@@ -31,7 +45,7 @@
 // the memory.
 func (l limits) clients() int {
 	n := min(l.Sockets-l.allTargets()-spareFiles-control.MostFiles, l.MemoryMB<<20/3/clientBytes)
-	return max(n, 8)
+	return max(n, fewClients)
 }
 
 // easy is how many connections of clients may be without a request: half of the third of all descriptors that
@@ -43,7 +57,9 @@
 func (l limits) target() int { return min(160, l.allTargets()) }
 
 // allTargets is how many connections all targets' pools may hold together.
-func (l limits) allTargets() int { return l.Sockets * 3 / 10 }
+func (l limits) allTargets() int {
+	return max(min(l.Sockets*3/10, l.Sockets-spareFiles-control.MostFiles-fewClients), fewTargets)
+}
 
 // held is how many bytes may be held at a time.
 func (l limits) held() int64 { return int64(l.MemoryMB) << 20 / 4 }
