--- a/internal/faults/proc.go
+++ b/internal/faults/proc.go
@@ -62,17 +62,17 @@
 
 // Proc is one process of the program.
 type Proc struct {
-	Name string
-	rig  *Rig
-	env  []string
-	args []string
-	pass []*os.File // from descriptor 3 on
-	aims string     // the folder of its failpoints
-	files int       // how many descriptors the machine grants it; 0: as many as this process
-	out  *tail
-	cmd  *exec.Cmd
-	done chan struct{} // closed once it has ended
-	err  error
+	Name  string
+	rig   *Rig
+	env   []string
+	args  []string
+	pass  []*os.File // from descriptor 3 on
+	aims  string     // the folder of its failpoints
+	files int        // how many descriptors the machine grants it; 0: as many as this process
+	out   *tail
+	cmd   *exec.Cmd
+	done  chan struct{} // closed once it has ended
+	err   error
 }
 
 // tail keeps what a process wrote, its last MiB.
