--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -9,13 +9,16 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
 
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/upstream"
@@ -422,3 +425,65 @@
 	}))
 	j.Done(core.Answer{})
 }
+
+// TestGarbageAndCuts sends requests that were cut, doubled, or spoilt anywhere, many at a time, with fixed seeds: each is answered or its
+// connection ended in time, what reaches the core is a whole request, one line tells of each connection, nothing stays held, and the
+// next client is served.
+func TestGarbageAndCuts(t *testing.T) {
+	var log lines
+	s, b, addr := newFront(t, 400, log.edit, func(s *Server) {
+		s.opt.Ahead = func(context.Context, string, *upstream.Message, int64, time.Duration) (*upstream.Upload, error) {
+			return nil, upstream.ErrNoUpload
+		}
+	})
+	room := s.opt.Room.Left()
+	spoilt := rapid.Custom(func(t *rapid.T) string {
+		raw := []byte(rapid.SampledFrom([]string{good, good + good, goodHead + "\r\n", codedHead + "\r\n3\r\nabc\r\n0\r\n\r\n",
+			strings.Replace(good, "Content-Length: 4", "Content-Length: 70000", 1) + strings.Repeat("b", 70000)}).Draw(t, "whole"))
+		for range rapid.IntRange(1, 3).Draw(t, "times") {
+			from := rapid.IntRange(0, min(len(raw), 400)).Draw(t, "from")
+			to := min(from+rapid.IntRange(0, 40).Draw(t, "length"), len(raw))
+			switch rapid.IntRange(0, 3).Draw(t, "how") {
+			case 0:
+				return string(raw[:from])
+			case 1:
+				raw = slices.Concat(raw[:from], raw[to:])
+			case 2:
+				raw = slices.Concat(raw[:to], raw[from:])
+			default:
+				raw = slices.Concat(raw[:from], rapid.SliceOfN(rapid.SampledFrom([]byte("\x00\r\n\xff:; 9-zA\t,=")), 1, 20).Draw(t, "bytes"), raw[to:])
+			}
+		}
+		return string(raw)
+	})
+	go func() {
+		for j := range b.jobs {
+			m := j.Payload.(*upstream.Message)
+			assert.True(t, isHex16(j.Extent) && isHex16(j.Volume) && j.Plan == "std" && len(m.Body) <= upstream.MaxHeld, "%+v", j)
+			j.Done(core.Answer{Payload: []byte("x")})
+		}
+	}()
+	const clients = 300
+	var wait sync.WaitGroup
+	for i := range clients {
+		raw := spoilt.Example(i)
+		wait.Go(func() {
+			c, err := net.Dial("tcp", addr)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(2 * (headWithin + drainFor)))
+			io.WriteString(c, raw)
+			_, err = io.ReadAll(c)
+			assert.NoError(t, err, "%.1000q", raw)
+		})
+	}
+	wait.Wait()
+	empty(t, s)
+	require.Equal(t, clients, strings.Count(log.String(), "connection ended"))
+	require.Equal(t, clients, strings.Count(log.String(), "reason="))
+	require.Equal(t, room, s.opt.Room.Left())
+	resp, _, _ := ask(t, addr, good)
+	require.Equal(t, 200, resp.StatusCode)
+}
