NVMe controller: no command is sent on as connections end, and the last word is no reset's

Seen: command looked at leaving, submit counted the command as open later (controller.go); Stop looked at the count in between, and ended the connection of a command that had been sent on. A write whose data came after that look was sent on likewise. close closed over unread bytes, so that a termination request went with the reset. Now submit counts first and looks again; ends are half-closes that read for 0.5 s, as the front's (listen.Shut, listen.Linger).

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"spindlehitch/internal/budget"
+	"spindlehitch/internal/listen"
 	"spindlehitch/internal/upstream"
 )
 
@@ -33,8 +34,6 @@
 	aheadMost = maxHead + upstream.MaxHeld
 	// aheadPieces is how many pieces of it are read at a time.
 	aheadPieces = 16
-	// lingerFor is how long a connection that was shut is still read, for its client to see the end and close it too.
-	lingerFor = 500 * time.Millisecond
 	// mindEvery is how often a client is looked after whose body waits for its target.
 	mindEvery = 20 * time.Millisecond
 )
@@ -336,9 +335,7 @@
 	c.table.linger(c)
 	go func() {
 		defer c.table.gone(c)
-		defer c.Conn.Close()
-		c.Conn.SetReadDeadline(time.Now().Add(lingerFor))
-		io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{io.LimitReader(c.Conn, drainMost)}, make([]byte, 2<<10))
+		listen.Linger(c.Conn)
 	}()
 	return nil
 }
--- a/internal/nvme/controller.go
+++ b/internal/nvme/controller.go
@@ -17,6 +17,7 @@
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/figures"
 	"spindlehitch/internal/keys"
+	"spindlehitch/internal/listen"
 	"spindlehitch/internal/mailbox"
 )
 
@@ -272,6 +273,8 @@
 	s.mu.Unlock()
 	for _, q := range all {
 		q.end("LEAVING")
+	}
+	for _, q := range all {
 		<-q.ended
 	}
 	return err
@@ -308,9 +311,9 @@
 }
 
 // close ends the connection and everything that hung on it: commands whose host is gone, and with the admin
-// queue the whole association.
+// queue the whole association. What the host still sends is read away, so that no reset takes the last word to it.
 func (q *queue) close() {
-	q.net.Close()
+	listen.Shut(q.net)
 	q.mu.Lock()
 	left, ctrl := q.cmds, q.ctrl
 	q.cmds = nil
@@ -318,13 +321,14 @@
 	for _, p := range left {
 		q.drop(p)
 	}
-	q.server.mu.Lock()
-	delete(q.server.queues, q)
-	q.server.mu.Unlock()
 	if ctrl != nil {
 		ctrl.leave(q)
 	}
 	q.server.log(q, q.reason)
+	listen.Linger(q.net)
+	q.server.mu.Lock()
+	delete(q.server.queues, q) // it has had a descriptor until now
+	q.server.mu.Unlock()
 	close(q.ended)
 }
 
@@ -643,9 +647,11 @@
 	}
 	p.jobs, p.left, p.ends = jobs, len(jobs), make([]core.Answer, len(jobs))
 	q.server.open.Add(1)
+	// Stop looks for open commands once it has turned away new ones: one that it has not seen must not be sent on.
+	left := q.server.leaving.Load()
 	var turned []int
 	for i, j := range jobs {
-		if !q.server.core.Submit(j) {
+		if left || !q.server.core.Submit(j) {
 			turned = append(turned, i)
 		}
 	}
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -582,6 +582,48 @@
 	}
 }
 
+// TestLastWordArrives has a host break the protocol, send on, and read only once its connection has ended: the termination request is
+// there, and no reset took it.
+func TestLastWordArrives(t *testing.T) {
+	s, addr := newServer(t, newStore(), poolNQN)
+	h := newClient(t, addr, false)
+	open := func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queues) }
+	require.Equal(t, 2, open())
+	require.NoError(t, raw(h, append([]byte{0x42, 0, 8, 0, 8, 0, 0, 0}, make([]byte, 100<<10)...)))
+	require.Eventually(t, func() bool { return open() < 2 }, patient, time.Millisecond)
+	p, err := h.io.receive()
+	require.NoError(t, err)
+	require.EqualValues(t, typeC2HTerm, p.kind)
+	_, err = h.io.receive()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// TestDataAsItEnds has the data of a write come in the instant in which the program has begun to turn commands away: it is turned away
+// as one that may come again, and never written; what is sent on then might find its connection ended.
+func TestDataAsItEnds(t *testing.T) {
+	back := newStore()
+	s, addr := newServer(t, back, poolNQN)
+	h := newClient(t, addr, false)
+	cid := h.send(h.io, h.rw(opWrite, 0, nil, 32, false), nil)
+	p, err := h.io.receive()
+	require.NoError(t, err)
+	require.EqualValues(t, typeR2T, p.kind)
+	s.leaving.Store(true)
+	for at := 0; at < 32*blockSize; at += maxH2CData {
+		flags, n := byte(0), min(maxH2CData, 32*blockSize-at)
+		if at+n == 32*blockSize {
+			flags = flagLast
+		}
+		require.NoError(t, raw(h, appendPDU(nil, framing{}, typeH2CData, flags, dataHead(cid, p.u16(10), uint32(at), uint32(n)), make([]byte, n))))
+	}
+	done, _ := h.next()
+	require.Equal(t, stNSNotReady, done.status.code())
+	require.Zero(t, done.status&dnr)
+	back.mu.Lock()
+	defer back.mu.Unlock()
+	require.Empty(t, back.writes)
+}
+
 func raw(c *client, b []byte) error {
 	_, err := c.io.Write(b)
 	return err
