At SIGTERM what the machine accepted is taken before the front stops to listen

Seen: a process that is behind closes its listener 0.45 s after SIGTERM over connections in its queue, which resets them. It now waits up to 0.2 s for its queue to be empty (listen.Waiting). TestTakesWhatWaits holds the accepting back and failed so before.

--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -354,6 +354,47 @@
 	}
 }
 
+// behind is a listener of a process that is slow to accept.
+type behind struct {
+	*net.TCPListener
+	on chan bool
+}
+
+func (b behind) Accept() (net.Conn, error) {
+	<-b.on
+	return b.TCPListener.Accept()
+}
+
+// TestTakesWhatWaits has the process leave while it has not come to accept a connection with a request on it: it is served.
+func TestTakesWhatWaits(t *testing.T) {
+	other, b, _ := newFront(t, 64)
+	opt := other.opt
+	opt.Leave = core.Leave{Answer: 5 * time.Second}
+	s := New(b, opt)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	late := behind{l.(*net.TCPListener), make(chan bool)}
+	go s.Serve(late)
+	c := dial(t, l.Addr().String())
+	io.WriteString(c, good)
+	require.Eventually(t, func() bool { return s.listener.Load() != nil }, 20*time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	require.Eventually(t, func() bool { return s.left.Load() != nil }, 20*time.Second, time.Millisecond)
+	time.AfterFunc(takeWithin/4, func() { close(late.on) })
+	select {
+	case j := <-b.jobs:
+		j.Done(core.Answer{Payload: []byte("x")})
+	case <-time.After(5 * time.Second):
+		t.Fatal("it was not taken")
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	c.Close()
+	require.NoError(t, <-stopped)
+}
+
 // TestPartReadAsItEnds has the process leave while part of a request has come: its end may still come for a while; after that it is
 // refused or dropped, never sent on.
 func TestPartReadAsItEnds(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"spindlehitch/internal/budget"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/figures"
+	"spindlehitch/internal/listen"
 	"spindlehitch/internal/upstream"
 )
 
@@ -33,6 +34,8 @@
 	// read its answer before a reset takes it.
 	drainFor  = 3 * time.Second
 	drainMost = 64 << 20
+	// takeWithin is how long a process that is behind may still take connections that came before it stopped to listen.
+	takeWithin = 200 * time.Millisecond
 	// lastBytes is how long a request may still take to come whole once connections are ended because the program leaves.
 	lastBytes = 150 * time.Millisecond
 	// writeWithin is how long a client may take to read a piece of its answer.
@@ -123,6 +126,10 @@
 	}
 	core.Pause(ctx, now.Add(how.Linger))
 	if l := s.listener.Load(); l != nil {
+		// What the machine has accepted and nobody has taken would be reset. At a successor's socket it is the successor's.
+		for until := time.Now().Add(takeWithin); !s.handed.Load() && listen.Waiting(*l) && ctx.Err() == nil && time.Now().Before(until); {
+			core.Pause(ctx, time.Now().Add(time.Millisecond))
+		}
 		(*l).Close()
 	}
 	// Clients of a successor go to it by themselves: each connection ends with its answer, and those that have just been
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -57,3 +57,18 @@
 	}
 	return err
 }
+
+// Waiting tells whether connections wait to be accepted.
+func Waiting(l net.Listener) bool {
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) })
+	return err == nil && n > 0
+}
