--- a/api.go
+++ b/api.go
@@ -127,6 +127,7 @@
 	Units      float64       // its size
 	Initiators int           // how many carry this volume
 	At         string        // the node that has its body but for the last of it; empty: its body is here
+	Keyless    bool          // of a Keyed class, without the key by which nodes drop its repeat
 	Budget     time.Duration // the client gives this try up after that
 }
 
@@ -219,5 +220,6 @@
 	Wait    time.Duration
 	Ahead   time.Duration // of a request's end of being held: how much of it its start tag lay ahead
 	Text    string
-	Permit  Permit // of a Send: has to be good at its first byte; nil: none is needed
+	Permit  Permit        // of a Send: has to be good at its first byte; nil: none is needed
+	Within  time.Duration // of a Send: how long from now its bytes may leave; 0: as long as the attempt lasts
 }
--- a/internal/upstream/terms_test.go
+++ b/internal/upstream/terms_test.go
@@ -1,15 +1,19 @@
 package upstream
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch"
+	"spindlehitch/internal/core"
 )
 
 // TestLateSecondAnswer has a target answer twice, the second time some milliseconds late, while the connection is idle or has just been
@@ -53,3 +57,51 @@
 	}
 	require.EqualValues(t, 1, s.accepted.Load())
 }
+
+// TestResetIsNoEnd resets a connection under an answer that has no length: however much of it came, it is not whole, neither where it is
+// held until its end nor where it is passed on.
+func TestResetIsNoEnd(t *testing.T) {
+	for _, came := range []int{0, 1, 200, pieceSize - 1, 3 * pieceSize} {
+		t.Run(fmt.Sprint(came), func(t *testing.T) {
+			s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", came))
+				c.(*net.TCPConn).SetLinger(0) // what was written before the reset is read before it
+				return false
+			})
+			b := newBench(s.Addr().String())
+			b.send(10 * time.Second)
+			r := b.result(t)
+			if st, passed := r.Payload.(*Stream); passed {
+				_, err := io.Copy(io.Discard, st)
+				require.Error(t, err)
+				return
+			}
+			require.Equal(t, spindlehitch.Reset, r.Code)
+		})
+	}
+}
+
+// TestKeyPassesOn has targets see a request's key as its client wrote it, where the body goes with the head and where it goes ahead.
+func TestKeyPassesOn(t *testing.T) {
+	for _, key := range []string{"", `a 7="x"`} {
+		seen := make(chan []string, 1)
+		s := newStandIn(t, func(_ int32, r *http.Request, c net.Conn) bool {
+			seen <- r.Header.Values("Idempotency-Key")
+			return say(c, "200 OK", "done")
+		})
+		b := newBench(s.Addr().String())
+		m := &Message{Method: "PUT", URI: "/w/1", ID: "id", Key: key}
+		u, err := b.Ahead(context.Background(), "n", m, 4, time.Second)
+		require.NoError(t, err)
+		u.Last([]byte("body"))
+		for i, m := range []*Message{m, {Upload: u}} {
+			b.Send(core.Attempt{Request: fmt.Sprint(i), Node: "n", Until: time.Now().Add(10 * time.Second), Payload: m})
+			require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+			if got := <-seen; key == "" {
+				require.Empty(t, got)
+			} else {
+				require.Equal(t, []string{key}, got)
+			}
+		}
+	}
+}
