A list of empty entries cannot take the memory: 8,192 entries at most, none that say two things

Seen: 4 MiB of {"servers":[{},{},...]} from discovery took 646 MB while it was decoded, of [null,...] 413 MB, where the process has 192: it would have been killed. The check of entries came only after all were in memory (listing.go, Decode). Ruled out: nesting (jsoniter stops at its depth), long numbers and words, repeated fields, spaces: all under 40 MB. A whole list in which a target stands twice with different states or addresses makes no sense and is dropped, as any other that is not understood; the same entry twice is harmless, and in a change the later one counts. Tests: TestBombs, TestBadLists; both fail without it.

--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -25,16 +25,57 @@
 type List struct {
 	Version *int64  `json:"version"`
 	Full    bool    `json:"full"`
-	Servers []Entry `json:"servers"`
+	Servers Entries `json:"servers"`
 }
 
-// Decode reads a list and checks it: a list that is not understood whole is not used at all.
+// Entries are those of one list.
+type Entries []Entry
+
+// mostEntries bounds what a list costs: entries of three bytes take thirty times as much memory once they are read, and the module's work
+// with shards of their own grows with the square of their number.
+const mostEntries = 1 << 13
+
+// ErrHuge says that a list has more entries than are read.
+var ErrHuge = fmt.Errorf("list: over %d entries", mostEntries)
+
+var format = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *Entries) UnmarshalJSON(b []byte) error {
+	*s = nil
+	iter := jsoniter.ParseBytes(format, b)
+	for iter.ReadArray() {
+		if len(*s) > mostEntries {
+			return nil // Check says so, with an error of its own
+		}
+		var e Entry
+		if iter.ReadVal(&e); iter.Error != nil {
+			break
+		}
+		*s = append(*s, e)
+	}
+	return iter.Error
+}
+
+// Decode reads a list and checks it: a list that is not understood whole is not used at all, nor a whole one that says two
+// things of one target. In a change the later entry counts.
 func Decode(b []byte) (*List, error) {
 	var l List
-	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(b, &l); err != nil {
+	if err := format.Unmarshal(b, &l); err != nil {
 		return nil, fmt.Errorf("list: %w", err)
 	}
-	return &l, l.Check()
+	if err := l.Check(); err != nil || !l.Full {
+		return &l, err
+	}
+	said := make(map[string]int, len(l.Servers))
+	for i, e := range l.Servers {
+		first, again := said[e.ID]
+		if again && (e.Node() != l.Servers[first].Node() || e.Addr != l.Servers[first].Addr) {
+			return &l, fmt.Errorf("list: servers[%d].id: servers[%d] says otherwise", i, first)
+		}
+		said[e.ID] = i
+	}
+	return &l, nil
 }
 
 // Check names the first field that cannot be used.
@@ -42,6 +83,9 @@
 	if l.Version == nil {
 		return fmt.Errorf("list: version is missing")
 	}
+	if len(l.Servers) > mostEntries {
+		return ErrHuge
+	}
 	for i, e := range l.Servers {
 		_, known := states[e.State]
 		switch {
--- a/internal/listing/listing_test.go
+++ b/internal/listing/listing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"spindlehitch"
@@ -27,13 +29,16 @@
 		{"no id", list(1, true, strings.Replace(one, `"id":"a",`, "", 1)), "servers[0].id"},
 		{"no cell", list(1, true, one, strings.Replace(one, `"cell":3,`, "", 1)), "servers[1].cell"},
 		{"odd state", list(1, true, strings.Replace(one, "SERVING", "ODD", 1)), `unknown state "ODD"`},
+		{"two things of one target", list(1, true, one, one, strings.Replace(one, "SERVING", "DRAINING", 1)), "servers[2].id: servers[1] says otherwise"},
+		{"not a list", `{"version":1,"full":true,"servers":{}}`, "servers"},
+		{"wrong types", `{"version":1,"full":true,"servers":[{"id":7}]}`, "id"},
 		{"odd address", list(1, true, strings.Replace(one, "127.0.0.1:1", "here", 1)), "servers[0].addr"},
 	} {
 		if _, err := Decode([]byte(c.in)); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: %v, want %q", c.name, err, c.want)
 		}
 	}
-	l, err := Decode([]byte(list(1, false, one, `{"id":"b","state":"DELETED"}`)))
+	l, err := Decode([]byte(list(1, false, one, `{"id":"b","state":"DELETED"}`, one, one)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,3 +65,29 @@
 		Decode(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
 	})
 }
+
+// TestBombs bounds the memory that a list takes, whatever its body holds: the largest that is read from discovery.
+func TestBombs(t *testing.T) {
+	const size = 4 << 20
+	fill := func(head, piece, tail string) []byte {
+		return []byte(head + strings.Repeat(piece, size/len(piece)) + tail)
+	}
+	for name, body := range map[string][]byte{
+		"small entries":  fill(`{"version":1,"servers":[{}`, `,{}`, `]}`),
+		"null entries":   fill(`{"version":1,"servers":[null`, `,null`, `]}`),
+		"lists in lists": fill(`{"version":1,"servers":`, `[`, ``),
+		"in a field":     fill(`{"version":1,"more":`, `{"a":`, ``),
+		"many versions":  fill(`{"version":1`, `,"version":1`, `}`),
+		"a long number":  fill(`{"version":`, `1`, `}`),
+		"a long word":    fill(`{"version":1,"servers":[{"id":"`, `a`, `"}]}`),
+		"spaces":         fill(``, ` `, ``),
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		Decode(body)
+		runtime.ReadMemStats(&after)
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(40<<20), name)
+	}
+	_, err := Decode(fill(`{"version":1,"servers":[{}`, `,{}`, `]}`))
+	require.ErrorIs(t, err, ErrHuge)
+}
