--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -24,7 +24,8 @@
 	t.Helper()
 	m, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 1,
 		Classes: []spindlehitch.Class{{Name: "get", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1},
-			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe}},
+			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe},
+			{Name: "keyed", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Keyed, Window: 500 * time.Millisecond}},
 		Plans: []spindlehitch.Plan{{Name: "std", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -32,6 +33,9 @@
 	return m
 }
 
+// namesFor is far from any constant.
+const namesFor = 17 * time.Second
+
 // hand is a core stepped by hand.
 type hand struct {
 	*Core
@@ -41,7 +45,7 @@
 
 func newHand(t *testing.T) *hand {
 	h := &hand{up: &fake{}, now: time.Now()}
-	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond})
+	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond, NamesFor: namesFor})
 	h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
 	return h
 }
@@ -107,6 +111,18 @@
 	conflict("its client gone, its attempt out")
 	h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Cancelled}})
 	conflict("may have run")
+	served := func(name string) {
+		t.Helper()
+		submit(name, "get")
+		last := h.up.sent[len(h.up.sent)-1]
+		h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+	}
+	for i := range 2 { // names are let go as others end
+		h.now = h.now.Add(namesFor/2 - time.Second)
+		served(fmt.Sprint("other", i))
+	}
+	conflict("may have run, a while ago")
+	h.up.sent = h.up.sent[:1]
 	if len(h.up.sent) != 1 || h.Open() != 0 {
 		t.Errorf("%d attempts, %d open; want one, none", len(h.up.sent), h.Open())
 	}
@@ -122,12 +138,17 @@
 		}
 		h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
 	}
-	submit("c", "get")
-	last := h.up.sent[len(h.up.sent)-1]
-	h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+	served("c")
 	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n != 1 {
 		t.Errorf("%d names are kept, want the last alone", n)
 	}
+	for i := range 2*mostNames + 10 {
+		h.now, h.up.sent = h.now.Add(time.Millisecond/10), nil
+		served(fmt.Sprint("many", i))
+	}
+	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n > 2*mostNames || n < mostNames {
+		t.Errorf("%d names are kept of a flood", n)
+	}
 }
 
 // TestDeadlineRunsFromArrival guards against counting a request's time from when a busy process got to it.
@@ -192,6 +213,32 @@
 	}
 }
 
+// TestAttemptKnowsItsEnds checks what an attempt can tell at its first byte without the core's goroutine: that its client has left, before
+// the core has come to hear of it, and that the window for a keyed repeat is over.
+func TestAttemptKnowsItsEnds(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	j := job("keyed", h.now, &answers)
+	h.step(h.now, []any{submitted{j}})
+	first := h.up.sent[0]
+	h.step(h.now, []any{Result{Request: first.Request, Node: "n", Code: spindlehitch.Reset}})
+	h.later(200 * time.Millisecond)
+	if len(h.up.sent) != 2 {
+		t.Fatalf("%d attempts, want 2", len(h.up.sent))
+	}
+	again := h.up.sent[1]
+	if !first.Before.IsZero() || again.Before.IsZero() || !again.Before.Before(first.Until.Add(-time.Second)) || again.WriteBy() != again.Before {
+		t.Errorf("the first may leave until %v, a repeat until %v; want it within the window", first.Before, again.Before)
+	}
+	if !again.Allowed() {
+		t.Error("within its window, its client there: not allowed")
+	}
+	h.Depart(j)
+	if again.Allowed() {
+		t.Error("its client has left: allowed")
+	}
+}
+
 // TestClockNeverGoesBack steps the core with times out of order.
 func TestClockNeverGoesBack(t *testing.T) {
 	h := newHand(t)
--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -13,6 +13,9 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
+
 	"spindlehitch"
 	"spindlehitch/internal/budget"
 	"spindlehitch/internal/core"
@@ -29,6 +32,9 @@
 	stallAfter = 250 * time.Millisecond
 	// mostInformed is how many 1xx answers may come in front of one.
 	mostInformed = 8
+	// secondWithin is how soon after an answer one like it is taken for the same once more. Targets are late with it by some
+	// milliseconds.
+	secondWithin = 50 * time.Millisecond
 )
 
 // Message is the payload of a job on this wire: what passes on unchanged.
@@ -62,7 +68,13 @@
 	net.Conn
 	host   string
 	room   *budget.Bytes
-	talked bool
+	talked bool // more came than was asked for
+	// What comes may be a second answer to the request before, if there was one: what its answer was like, when it was here,
+	// and whether answers here are alike that are no second ones.
+	asked   bool
+	last    uint64
+	heardAt time.Time
+	alike   bool
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
@@ -102,6 +114,7 @@
 // by the attempt's time.
 func (c *httpSession) Do(a core.Attempt, first func() bool) (r core.Result, reuse bool, reason string) {
 	c.SetDeadline(a.Until)
+	c.SetWriteDeadline(a.WriteBy())
 	m := a.Payload.(*Message)
 	var raw []byte
 	if m.Upload != nil {
@@ -116,6 +129,13 @@
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
 	}
+	// And at the connection: what came since the pool looked is no answer to what is only now written.
+	if !c.Alive() {
+		r.Code = spindlehitch.NoConnection
+		return r, false, Stale
+	}
+	again, soon := c.asked, time.Since(c.heardAt) < secondWithin
+	c.asked = true
 	if n, err := c.Write(raw); n < len(raw) {
 		r.Code = spindlehitch.NoConnection
 		return r, false, "WRITE_" + Cause(err)
@@ -135,7 +155,9 @@
 			return err
 		}
 		_, err := in.Peek(1)
-		parts.begun = err == nil
+		if parts.begun = err == nil; parts.begun && again && unheard(c.Conn) {
+			return errTooSoon
+		}
 		return err
 	}, func(until time.Time) { parts.until, parts.stall = until, streamStall })
 	if err != nil {
@@ -147,9 +169,27 @@
 			r.Code = spindlehitch.Expired
 		case limit.N <= 0:
 			return r, false, "ANSWER_TOO_LARGE"
+		case errors.Is(err, errTooSoon):
+			c.talked = true
+			return r, false, "ANSWER_TOO_SOON"
 		}
 		return r, false, "READ_" + Cause(err)
 	}
+	// Nothing in an answer tells whose it is. One just like the one before and soon after it may be that one once more: then its
+	// own comes behind it. A target all of whose answers are alike is waited for once.
+	before := c.last
+	c.last, c.heardAt = ans.sum(), time.Now()
+	if again && soon && !ans.close && ans.stream == nil && c.last == before && !c.alike {
+		if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.talked = err == nil
+			r.Code = spindlehitch.Reset
+			return r, false, "ANSWER_TWICE"
+		} else if !time.Now().Before(a.Until) {
+			r.Code = spindlehitch.Expired
+			return r, false, "READ_TIMEOUT"
+		}
+		c.alike = true
+	}
 	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
 	if s := ans.stream; s != nil {
 		s.conn = c
@@ -223,9 +263,13 @@
 	return spindlehitch.Errored
 }
 
+// sum tells answers that are held apart by what they bring; their heads may differ.
+func (a *answer) sum() uint64 { return xxhash.Sum64(a.body) + uint64(a.status) }
+
 var (
 	errTooLarge = errors.New("answer's body is too large")
 	errInformed = errors.New("too many answers of the kind 1xx")
+	errTooSoon  = errors.New("answer to an earlier request")
 )
 
 // readAnswer reads one answer: whole, if it is small and there is room, otherwise up to the first of its body. Await is
@@ -329,6 +373,24 @@
 	return "MALFORMED"
 }
 
+// unheard tells whether the other side has yet to acknowledge some of what was written. It acknowledges all that it has with
+// whatever it sends, so what it sent before that answers nothing of this. Where the system does not tell, it has heard all.
+func unheard(c net.Conn) (yes bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		yes = err == nil && n > 0
+	})
+	return yes
+}
+
 // Quiet tells whether an idle connection is still open and quiet.
 func Quiet(c net.Conn) bool {
 	quiet, _ := listen(c)
