--- a/scheduler.go
+++ b/scheduler.go
@@ -21,39 +21,30 @@
 	// latencyRise is how far above its base a node may answer before the depth shrinks: what waits there can
 	// no longer be ordered. At 1.25 the simulator's days lost 0.01, at 1.75 0.04.
 	latencyRise = 1.0
-	// calmAims is how many least aims without a lapsed or set-aside request make a node calm: then it may
-	// have twice the depth. Half queues more between surges, double idles cores (without: quiet days lose
-	// 0.2).
-	calmAims = 30
-	// windowGain is the part by which an answer moves depth and base. Half lags, double is noisy.
-	windowGain = 0.1
-	// windowPush is the depth that each initiator leans on a node with. Half adapts slowly, double queues.
-	windowPush = 0.25
-	// errorPart is forgiven of an error: quick ones cost little, so more of them than silences mean trouble.
-	errorPart = 0.75
-	// windowMost bounds the depth, whatever the estimates. Half would bind a lone host, double guards less.
-	windowMost = 16
+	// calmAims is how many least aims without a lapsed or set-aside request make a node calm: it may have
+	// twice the depth. Half queues more between surges, double idles cores (without: quiet days lose 0.2).
+	calmAims   = 30
+	windowGain = 0.1  // part by which an answer moves depth and base. Half lags, double is noisy.
+	windowPush = 0.25 // depth that each initiator leans on a node with. Half adapts slowly, double queues.
+	errorPart  = 0.75 // forgiven of an error: quick ones cost little, so more of them mean trouble.
+	windowMost = 16   // bounds the depth, whatever the estimates. Half would bind a lone host.
 	// spellAims is how many least aims an answer stays telling: one after a longer gap outweighs all before,
 	// and the latency expected falls to the base. Half forgets others' queues, double believes them too long.
-	spellAims = 4
-	beatParts = 8  // how many timers fit in a least aim, so that own pauses show. Half misses some.
-	keepAims  = 60 // how many least aims what is idle stays known. Half forgets more, double holds more.
-	// quietFactor is how many usual latencies without an answer make a node quiet. Half takes pauses for it.
-	quietFactor = 4
-	// shareFloor is the least part of an even share that a host is taken to have. Double makes all even.
-	shareFloor = 0.5
+	spellAims   = 4
+	beatParts   = 8   // how many timers fit in a least aim, so that own pauses show. Half misses some.
+	keepAims    = 60  // how many least aims what is idle stays known. Half forgets more, double holds more.
+	quietFactor = 4   // usual latencies without an answer that make a node quiet. Half takes pauses for it.
+	shareFloor  = 0.5 // least part of an even share that a host is taken to have. Double makes all even.
 	// loadFree is how many requests a node may report before they tell of a queue: what it serves at once is
 	// no wait, and reports are late. At 0, with the part below learned, the simulator's days lost 0.08.
 	loadFree = 4
 	// loadAdds is the part of the base latency that each one past them adds. Learned from answers it came out
 	// high, as few of those that met a report had met the load in it.
 	loadAdds = 0.25
-	// coldLoad is how many requests a cold node may report for initiators that are a crowd to send it the
-	// next. Half refuses what it would serve in time (0.903 on the fleet's days, 0.919 so), half as many
-	// more is no better.
-	coldLoad = 8
-	// meterFresh is how many periods a reading of use is believed. Half drops seldom ones, double lags.
-	meterFresh = 5
+	// coldLoad is how many requests a cold node may report for a crowd of initiators to send the next. Half
+	// refuses what it would serve in time (0.903 on the fleet's days, 0.919 so), more is no better.
+	coldLoad   = 8
+	meterFresh = 5 // how many periods a reading of use is believed. Half drops seldom ones, double lags.
 )
 
 // Scheduler decides for one initiator. It is not safe for concurrent use.
@@ -208,21 +199,18 @@
 		return
 	}
 	v.own, v.ownAt = s.ownRate(v)+units/(2*s.set.Meter.Seconds()), s.now
-	if used > 0 {
-		told := float64(used-1) / 100 * v.plan.Rate
+	if told := float64(used-1) / 100 * v.plan.Rate; used > 0 {
 		if v.totalAt == 0 {
 			v.total = told
 		}
-		v.total += (told - v.total) * 0.3
-		v.totalAt = s.now
+		v.total, v.totalAt = v.total+(told-v.total)*0.3, s.now
 	}
 }
 
 // tag gives the request its start and finish tag from the volume's bucket and the lane's tags.
 func (s *Scheduler) tag(r *request, l *lane) {
 	v, f, rho := r.vol, l.flow(r.vol), s.rho(r.vol)
-	v.tokens = min(s.sigma(v), v.tokens+(s.now-v.filled).Seconds()*rho)
-	v.filled = s.now
+	v.tokens, v.filled = min(s.sigma(v), v.tokens+(s.now-v.filled).Seconds()*rho), s.now
 	switch {
 	case v.tokens >= r.Units:
 		r.start = s.now
@@ -231,8 +219,7 @@
 	default:
 		r.start = max(f.maxS, s.now) + seconds(r.Units/rho)
 	}
-	f.maxS = r.start
-	r.finish = r.start + (r.fullAim - s.now)
+	f.maxS, r.finish = r.start, r.start+(r.fullAim-s.now)
 	v.tokens -= r.Units
 }
 
@@ -461,10 +448,12 @@
 	r.out, r.outAt = n, s.now
 	n.out = append(n.out, r)
 	n.wide = max(n.wide, len(n.out))
-	wait := s.patience(n, r)
-	wait = min(wait, max(r.due-s.now, s.set.Tick))
+	wait, within := min(s.patience(n, r), max(r.due-s.now, s.set.Tick)), time.Duration(0)
+	if r.mayRun && r.class.Effect == Keyed {
+		within = max(s.repeatBy(r)-s.now, 1) // it may wait for a connection yet
+	}
 	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now),
-		Permit: permit, Within: r.within(s.now, s.set.Tick)})
+		Permit: permit, Within: within})
 }
 
 // ---- Node health ----
@@ -499,8 +488,6 @@
 		if e.Whole && !named[n.ID] {
 			n.State = Removed
 		}
-	}
-	for _, n := range s.nodes {
 		if n.State == Up && n.Shard >= 0 {
 			s.laneOf(n.Shard)
 		}
@@ -741,14 +728,16 @@
 
 // mayRepeat tells whether a further attempt of the request could ever be allowed.
 func (s *Scheduler) mayRepeat(r *request) bool {
-	if r.At != "" { // its body is gone
-		return false
-	}
-	if s.set.MaxAttempts > 0 && r.sent >= s.set.MaxAttempts {
+	if r.At != "" || s.set.MaxAttempts > 0 && r.sent >= s.set.MaxAttempts { // its body is gone, or its tries
 		return false
 	}
 	return !r.mayRun || r.class.Effect == Pure ||
-		r.class.Effect == Keyed && !r.Keyless && s.now < r.repeatBy(s.set.Tick)
+		r.class.Effect == Keyed && !r.Keyless && s.now < s.repeatBy(r)
+}
+
+// repeatBy is until when nodes surely drop a repeat: under the window, since to write takes a while.
+func (s *Scheduler) repeatBy(r *request) time.Duration {
+	return r.ranSince + r.class.Window - 4*s.set.Tick
 }
 
 // answer gives the final answer: a refusal where a client's retry is harmless, otherwise a failure.
@@ -769,13 +758,11 @@
 	s.act(end)
 	s.turned[r.sameAs()] = r
 	s.turnedAt = append(s.turnedAt, r)
-	for old := s.turnedAt[0]; s.now > old.born+old.class.Deadline; old = s.turnedAt[0] {
-		if s.turned[old.sameAs()] == old {
+	for len(s.turnedAt) > 0 && s.now > s.turnedAt[0].born+s.turnedAt[0].class.Deadline {
+		if old := s.turnedAt[0]; s.turned[old.sameAs()] == old {
 			delete(s.turned, old.sameAs())
 		}
-		if s.turnedAt = s.turnedAt[1:]; len(s.turnedAt) == 0 {
-			break
-		}
+		s.turnedAt = s.turnedAt[1:]
 	}
 	s.finish(r)
 }
--- a/state.go
+++ b/state.go
@@ -187,20 +187,6 @@
 // ahead is how much of the time that it has been held for its start tag lay ahead.
 func (r *request) ahead(now time.Duration) time.Duration { return max(0, min(r.start, now)-r.heldAt) }
 
-// repeatBy is until when a request that may have run may be sent again, where nodes drop repeats for its class's window: a
-// little before it ends, since to write it takes a while.
-func (r *request) repeatBy(tick time.Duration) time.Duration {
-	return r.ranSince + r.class.Window - 4*tick
-}
-
-// within is how long from now a send's bytes may leave, which waits for a connection yet; 0: as long as it lasts.
-func (r *request) within(now, tick time.Duration) time.Duration {
-	if !r.mayRun || r.class.Effect != Keyed {
-		return 0
-	}
-	return max(r.repeatBy(tick)-now, 1)
-}
-
 // unhold takes the request out of its lane's queue, if it is there.
 func (r *request) unhold() {
 	l := r.lane
