--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -31,8 +31,8 @@
 //	the next n in a row too           1.5 s + 0.5 s each (eight)        3.5 s + 2.4 s (one; three more in a crowd of five)
 //	an address moved to comes up      0.4 s refused, 0.5 s silent       4.4 s, 4.2 s
 //
-// At one service all calls that wait in front come on top: 50 ms each, so that a hundred are through in time when all fall
-// silent together, and of three hundred the last after 15 s at best.
+// At one service all calls that wait in front come on top, 50 ms each: when all fall silent together, eighty are through after 5 s, a
+// hundred after 6.5 s, and of three hundred nine in ten after 15 s and the last after 17 s, where 14.7 and 16.3 s are the best there is.
 const (
 	// watchFor is how long a watch may wait. It is short, since a call whose connection fell silent looks just like a
 	// list that does not change, until the wait is over: at 20 s, targets that were long replaced were still sent to.
@@ -102,8 +102,8 @@
 		w.box.Put(&whole)
 		w.has = *known.Version
 	}
-	// Calls that are kept have a connection each; a redirection is no list.
-	w.call.Transport = &http.Transport{MaxConnsPerHost: mostOpen + 1, DisableCompression: true,
+	// Calls that are kept have a connection each, and dials go on for a while after theirs is given up. A redirection is no list.
+	w.call.Transport = &http.Transport{MaxConnsPerHost: mostOpen + 3, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	w.call.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return w
