A list's log line is bounded: a state or an address of a megabyte went into it whole

Seen: the error of a list that makes no sense quotes the state or address it stumbled over, up to the 4 MiB of a body, and the line "list call failed" had all of it (discovery.go, fail; listing.go, Check). Change: the line has 300 bytes of the error. It stays one line for each outage. Test: TestEveryPath (pushed, long words), and the line's size in all its cases; fails without the bound.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -65,6 +65,8 @@
 	keepFor  = time.Minute
 	mostOpen = 5
 	maxList  = 4 << 20
+	// mostLogged bounds what the log has of an answer that makes no sense.
+	mostLogged = 300
 )
 
 // Watcher is the list's actor: what its calls bring waits in its mailbox and is told in order, so that the
@@ -187,7 +189,8 @@
 	fail := func(err error) {
 		// One line for each time that discovery goes down, not one for each call meanwhile.
 		if failed++; failed == 1 {
-			w.log.Warn("list call failed", slog.String("reason", "LIST_FAILED"), slog.Any("error", err))
+			text := err.Error() // of a body's making, perhaps
+			w.log.Warn("list call failed", slog.String("reason", "LIST_FAILED"), slog.String("error", text[:min(len(text), mostLogged)]))
 		}
 		on, due = false, false
 	}
--- a/internal/discovery/paths_test.go
+++ b/internal/discovery/paths_test.go
@@ -128,6 +128,7 @@
 // of a watch: what the watch that is open meets, and the calls after it in turn. The service answers in the end.
 func TestEveryPath(t *testing.T) {
 	const pushed, asked = 0, 300
+	long := strings.Repeat("x", 1<<20)
 	for _, c := range []struct {
 		name   string
 		crowd  int
@@ -146,6 +147,7 @@
 		{"pushed, not a list", pushed, []string{"[]", `{"version":6,"full":true,"servers":{}}`, `{"version":6,"servers":[null]}`}, 2 * time.Second},
 		{"pushed, sent elsewhere", pushed, many("elsewhere", 2), time.Second},
 		{"pushed, huge", pushed, many("huge", 2), time.Second},
+		{"pushed, long words", pushed, []string{strings.Replace(list(6, true, one), "SERVING", long, 1), strings.Replace(list(6, true, one), "127.0.0.1:1", long, 1)}, time.Second},
 		{"pushed, the version goes back", pushed, many("goes back", 1), 500 * time.Millisecond},
 		{"pushed, all of it", pushed, []string{"silent", "refused", "goes back", "dial hangs", "half", "silent", "nonsense"}, 5 * time.Second},
 		{"asked for by 300, silent", asked, many("silent", 1), 3700 * time.Millisecond},
@@ -171,6 +173,7 @@
 					synctest.Wait()
 					require.Empty(t, f.faults, "all were met")
 					require.Equal(t, 1, strings.Count(log.String(), "LIST_FAILED"), "one line for the outage")
+					require.Less(t, log.Len(), 1000)
 				})
 			}
 		})
