Watches silent from a process's first moment: a row and a case for each bound

The table in discovery.go had no row for a start. Pushed, the first silence is found after 1.5 s and each further one after 0.5 s more, with nothing known sooner; at one service once is 4.4 s, a second time in a row 8.5 s in a crowd of 300 (3.6 s in one of ten): its turn is waited for longer each time, since a queue looks the same. Test: TestEveryPath, seven more cases.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,6 +29,7 @@
 //	hangs, dials included             0.5 s (the next call)             4.2 s (the next call)
 //	a watch falls silent              1.5 s                             3.5 s (1.5 s and its turn)
 //	the next n in a row too           1.5 s + 0.5 s each (eight)        3.5 s + 2.4 s (one; three more in a crowd of five)
+//	silent from its first moment      1.5 s                             4.4 s (a second time too: 8.5 s, in a crowd of ten 3.6 s)
 //	an address moved to comes up      0.4 s refused, 0.5 s silent       4.4 s, 4.2 s
 //
 // At one service all calls that wait in front come on top, 50 ms each: when all fall silent together, eighty are through after 5 s, a
--- a/internal/discovery/paths_test.go
+++ b/internal/discovery/paths_test.go
@@ -138,6 +138,10 @@
 		{"pushed, silent", pushed, many("silent", 1), 1600 * time.Millisecond},
 		{"pushed, silent again as it is opened anew", pushed, many("silent", 2), 2100 * time.Millisecond},
 		{"pushed, silent nine times", pushed, many("silent", 9), 5600 * time.Millisecond},
+		{"pushed, silent from the first moment", pushed, many("silent", 1), 1600 * time.Millisecond},
+		{"pushed, silent nine times from the first moment", pushed, many("silent", 9), 5600 * time.Millisecond},
+		{"pushed, silent nine times from the first moment, nothing known", pushed, many("silent", 9), 4800 * time.Millisecond},
+		{"pushed, dials hang from the first moment", pushed, many("dial hangs", 5), 4 * time.Second},
 		{"pushed, dials hang", pushed, append(many("reset", 1), many("dial hangs", 4)...), 3 * time.Second},
 		{"pushed, refused", pushed, append(many("reset", 1), many("refused", 4)...), 2 * time.Second},
 		{"pushed, half an answer", pushed, many("half", 3), time.Second},
@@ -151,6 +155,9 @@
 		{"pushed, the version goes back", pushed, many("goes back", 1), 500 * time.Millisecond},
 		{"pushed, all of it", pushed, []string{"silent", "refused", "goes back", "dial hangs", "half", "silent", "nonsense"}, 5 * time.Second},
 		{"asked for by 300, silent", asked, many("silent", 1), 3700 * time.Millisecond},
+		{"asked for by 300, silent from the first moment", asked, many("silent", 1), 4600 * time.Millisecond},
+		{"asked for by 300, silent from the first moment, nothing known", asked, many("silent", 1), 2600 * time.Millisecond},
+		{"asked for by 10, silent again from the first moment", 10, many("silent", 2), 4 * time.Second},
 		{"asked for by 300, silent again", asked, many("silent", 2), 5900 * time.Millisecond},
 		{"asked for by 5, silent four times", 5, many("silent", 4), 6 * time.Second},
 		{"asked for by 300, refused", asked, append(many("reset", 1), "refused"), 4800 * time.Millisecond},
@@ -159,15 +166,21 @@
 		{"asked for by 300, garbage", asked, many("nonsense", 1), 2600 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			first := strings.Contains(c.name, "first moment")
 			for seed := range uint64(10) {
 				synctest.Test(t, func(t *testing.T) {
-					f, told, log, w := bubble(t, c.crowd, seed)
-					go w.Run(t.Context())
-					time.Sleep(10*time.Second + time.Duration(seed)*142*time.Millisecond)
+					f, told, log, w := bubble(t, c.crowd, seed, !strings.Contains(c.name, "nothing known"))
+					if !first {
+						go w.Run(t.Context())
+						time.Sleep(10*time.Second + time.Duration(seed)*142*time.Millisecond)
+					}
 					f.at.Lock()
 					f.faults = c.faults
 					f.at.Unlock()
 					f.change(true)
+					if first {
+						go w.Run(t.Context())
+					}
 					require.LessOrEqual(t, told(6), c.most, "seed %d", seed)
 					time.Sleep(time.Second)
 					synctest.Wait()
@@ -180,12 +193,16 @@
 	}
 }
 
-// bubble is a faulty service and a watcher of it that knows version 5; told waits for a version, and says for how long.
-func bubble(t *testing.T, crowd int, seed uint64) (f *faulty, told func(int64) time.Duration, log *bytes.Buffer, w *Watcher) {
+// bubble is a faulty service and a watcher of it that knows version 5, or nothing; told waits for a version, and says for how long.
+func bubble(t *testing.T, crowd int, seed uint64, knows bool) (f *faulty, told func(int64) time.Duration, log *bytes.Buffer, w *Watcher) {
 	f = &faulty{inTurn: newInTurn(time.Minute)}
 	f.serve(f)
-	known, err := listing.Decode([]byte(list(5, true, one)))
-	require.NoError(t, err)
+	var known *listing.List
+	if knows {
+		var err error
+		known, err = listing.Decode([]byte(list(5, true, one)))
+		require.NoError(t, err)
+	}
 	heard := make(chan int64, 64)
 	log = &bytes.Buffer{}
 	w = New(Options{Addr: "all", Known: known, Crowd: crowd, Seed: seed, Log: slog.New(slog.NewTextHandler(log, nil))},
@@ -216,7 +233,7 @@
 				t.Run(fmt.Sprintf("%d, %s, %s", crowd, fault, how), func(t *testing.T) {
 					for seed := range uint64(4) {
 						synctest.Test(t, func(t *testing.T) {
-							f, told, log, w := bubble(t, crowd, seed)
+							f, told, log, w := bubble(t, crowd, seed, true)
 							set := func(fault string) {
 								f.at.Lock()
 								defer f.at.Unlock()
@@ -256,7 +273,7 @@
 // TestNothingNewTooSoon guards against a service that does not wait: it is asked ten times a second, not as often as it answers.
 func TestNothingNewTooSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, _, _, w := bubble(t, 0, 1)
+		f, _, _, w := bubble(t, 0, 1, true)
 		f.always = list(5, false)
 		go w.Run(t.Context())
 		time.Sleep(10 * time.Second)
