Heads of list answers are bounded at 64 KiB: five calls are kept, each could hold 10 MB

Since overdue calls are kept beside the next, up to five answers are read at a time, of which each could hold the library's 10 MB of head. Test: TestEveryPath (pushed, huge) holds that such an answer, as one of over 4 MiB, is dropped and not told; fails without the bound.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -66,6 +66,7 @@
 	keepFor  = time.Minute
 	mostOpen = 5
 	maxList  = 4 << 20
+	mostHead = 64 << 10
 	// mostLogged bounds what the log has of an answer that makes no sense.
 	mostLogged = 300
 )
@@ -106,7 +107,7 @@
 		w.has = *known.Version
 	}
 	// Calls that are kept have a connection each, and dials go on for a while after theirs is given up. A redirection is no list.
-	w.call.Transport = &http.Transport{MaxConnsPerHost: mostOpen + 3, DisableCompression: true,
+	w.call.Transport = &http.Transport{MaxConnsPerHost: mostOpen + 3, MaxResponseHeaderBytes: mostHead, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	w.call.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return w
--- a/internal/discovery/paths_test.go
+++ b/internal/discovery/paths_test.go
@@ -112,6 +112,9 @@
 		http.Redirect(w, r, "http://elsewhere/api/targets", http.StatusFound)
 	case "goes back":
 		fmt.Fprint(w, list(2, false, one))
+	case "long head":
+		w.Header().Set("X", strings.Repeat("x", 1<<20))
+		fmt.Fprint(w, list(7, true, one))
 	case "huge":
 		fmt.Fprint(w, list(7, true, strings.Repeat(one+",", maxList/len(one))+one))
 	default:
@@ -150,7 +153,7 @@
 		{"pushed, an error, garbage, wrong types, nothing", pushed, []string{"500", "nonsense", `{"version":"6"}`, "null"}, 2 * time.Second},
 		{"pushed, not a list", pushed, []string{"[]", `{"version":6,"full":true,"servers":{}}`, `{"version":6,"servers":[null]}`}, 2 * time.Second},
 		{"pushed, sent elsewhere", pushed, many("elsewhere", 2), time.Second},
-		{"pushed, huge", pushed, many("huge", 2), time.Second},
+		{"pushed, huge", pushed, []string{"huge", "long head"}, time.Second},
 		{"pushed, long words", pushed, []string{strings.Replace(list(6, true, one), "SERVING", long, 1), strings.Replace(list(6, true, one), "127.0.0.1:1", long, 1)}, time.Second},
 		{"pushed, the version goes back", pushed, many("goes back", 1), 500 * time.Millisecond},
 		{"pushed, all of it", pushed, []string{"silent", "refused", "goes back", "dial hangs", "half", "silent", "nonsense"}, 5 * time.Second},
@@ -216,6 +219,7 @@
 	return f, func(version int64) time.Duration {
 		began := time.Now()
 		for v := range heard {
+			require.LessOrEqual(t, v, version, "what made no sense was told")
 			if v == version {
 				break
 			}
