--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -181,6 +181,10 @@
 		{"1xx in front", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", mostInformed) + good, ok, 1},
 		{"1xx without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", mostInformed+1) + good, spoilt, 2},
 		{"a second copy", good + good, ok, 2},
+		{"more than its length", good + "y", ok, 2},
+		{"less than its length, ended", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nx", spoilt, 2},
+		{"another protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", spindlehitch.Errored, 2},
+		{"noise for a size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\x00\r\nx\r\n0\r\n\r\n", spoilt, 2},
 		{"reports that cannot be read", strings.Replace(good, "Cont", "Server-Load: concurrent=x,depth=1e99\r\nVolume-Load: -7\r\nCont", 1), ok, 1},
 	} {
 		var said atomic.Int64
