--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -114,8 +114,7 @@
 	served := func(name string) {
 		t.Helper()
 		submit(name, "get")
-		last := h.up.sent[len(h.up.sent)-1]
-		h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+		h.step(h.now, []any{h.ends(spindlehitch.Delivered)})
 	}
 	for i := range 2 { // names are let go as others end
 		h.now = h.now.Add(namesFor/2 - time.Second)
@@ -213,6 +212,64 @@
 	}
 }
 
+// TestDepartAnywhere has a client leave in every state of its request, also in one batch with what came just before or comes just after: no
+// attempt begins from then on, one that is out is called off, at most the one answer is given that was there first, and nothing is kept.
+func TestDepartAnywhere(t *testing.T) {
+	gone, back := spindlehitch.NodeList{Whole: true}, spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}
+	for _, x := range []struct {
+		name    string
+		before  func(h *hand, j *Job)
+		batch   func(h *hand, j *Job) []any // with the departure
+		sent    int
+		answers int
+	}{
+		{"as it comes", func(*hand, *Job) {}, func(_ *hand, j *Job) []any { return []any{submitted{j}, j} }, 0, 0},
+		{"as it comes, with the list", func(h *hand, _ *Job) { h.step(h.now, []any{gone}) }, func(_ *hand, j *Job) []any { return []any{submitted{j}, back, j} }, 0, 0},
+		{"held", func(h *hand, j *Job) { h.step(h.now, []any{gone}); h.step(h.now, []any{submitted{j}}) }, func(_ *hand, j *Job) []any { return []any{j} }, 0, 0},
+		{"held, with the list", func(h *hand, j *Job) { h.step(h.now, []any{gone}); h.step(h.now, []any{submitted{j}}) }, func(_ *hand, j *Job) []any { return []any{back, j} }, 0, 0},
+		{"out", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(_ *hand, j *Job) []any { return []any{j} }, 1, 0},
+		{"as its attempt ends", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{h.ends(spindlehitch.Reset), j} }, 1, 0},
+		{"just before its attempt ends", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{j, h.ends(spindlehitch.NoConnection)} }, 1, 0},
+		{"as it is served", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{h.ends(spindlehitch.Delivered), j} }, 1, 1},
+		{"just before it is served", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{j, h.ends(spindlehitch.Delivered)} }, 1, 0},
+		{"between attempts", func(h *hand, j *Job) {
+			h.step(h.now, []any{submitted{j}})
+			h.step(h.now, []any{h.ends(spindlehitch.Reset)})
+		}, func(_ *hand, j *Job) []any { return []any{j} }, 1, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			h := newHand(t)
+			var answers []Answer
+			j := job("get", h.now, &answers)
+			j.Name = "a"
+			h.held.Add(1) // as Submit does
+			x.before(h, j)
+			h.step(h.now, x.batch(h, j))
+			h.step(h.now, []any{back})
+			h.later(200 * time.Millisecond)
+			if e := h.open[j.ID]; e != nil && e.out {
+				if len(h.up.cancelled) != 1 {
+					t.Errorf("called off: %v", h.up.cancelled)
+				}
+				h.step(h.now, []any{h.ends(spindlehitch.Cancelled)})
+			}
+			h.later(3 * time.Second)
+			if len(h.up.sent) != x.sent || len(answers) != x.answers {
+				t.Errorf("%d attempts, %d answers; want %d, %d", len(h.up.sent), len(answers), x.sent, x.answers)
+			}
+			if len(h.open)+len(h.named)+h.Open() != 0 {
+				t.Errorf("kept: %d requests, %d names, %d open", len(h.open), len(h.named), h.Open())
+			}
+		})
+	}
+}
+
+// ends is the end of the attempt that was sent last.
+func (h *hand) ends(code spindlehitch.Code) Result {
+	a := h.up.sent[len(h.up.sent)-1]
+	return Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: code}
+}
+
 // TestAttemptKnowsItsEnds checks what an attempt can tell at its first byte without the core's goroutine: that its client has left, before
 // the core has come to hear of it, and that the window for a keyed repeat is over.
 func TestAttemptKnowsItsEnds(t *testing.T) {
