--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -260,6 +260,10 @@
 			if len(h.open)+len(h.named)+h.Open() != 0 {
 				t.Errorf("kept: %d requests, %d names, %d open", len(h.open), len(h.named), h.Open())
 			}
+			h.step(h.now, []any{submitted{job("get", h.now, &answers)}, submitted{job("get", h.now, &answers)}})
+			if n := len(h.up.sent) - x.sent; n != 2 {
+				t.Errorf("%d of the next two are sent: the module holds on to one that left", n)
+			}
 		})
 	}
 }
