--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -96,7 +97,8 @@
 	who := peer{addr, h.opt.serial()}
 	a := h.all[who]
 	if a == nil {
-		a = &association{host: h, peer: who, inUse: map[uint16]bool{}, talk: make(chan struct{}, 1), rests: newRests()}
+		maps.DeleteFunc(h.all, func(_ peer, old *association) bool { return old.forgotten() }) // targets come and go
+		a = &association{host: h, peer: who, inUse: map[uint16]bool{}, talk: make(chan struct{}, 1), rests: newRests(), usedAt: time.Now()}
 		h.all[who] = a
 	}
 	h.mu.Unlock()
@@ -123,6 +125,13 @@
 	return &session{wire: w, from: a, qid: qid, bears: can}, nil
 }
 
+// forgotten tells whether nothing is left of it that anybody could want.
+func (a *association) forgotten() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.admin == nil && len(a.inUse) == 0 && time.Since(a.usedAt) > unusedFor && time.Since(a.restAt) > unusedFor
+}
+
 // lose ends the association of an admin queue, if it is still this one's.
 func (a *association) lose(w *wire) {
 	a.mu.Lock()
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -764,3 +764,23 @@
 	c.io.Close()
 	numbers("position-read.success:1|", "position-read.overload:1|", "position-read.error:3|", "concurrent:0|")
 }
+
+// TestTargetsThatAreGoneAreForgotten has a host meet targets that come and go: of one that nobody has asked for in a while nothing is kept.
+func TestTargetsThatAreGoneAreForgotten(t *testing.T) {
+	h := NewHost(HostOptions{KeepAlive: time.Second})
+	meet := func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		l.Close()
+		_, err = h.Dial(context.Background(), l.Addr().String())
+		require.Error(t, err)
+	}
+	meet()
+	meet()
+	require.Len(t, h.all, 2) // their rests hold
+	for _, a := range h.all {
+		a.usedAt, a.restAt = time.Now().Add(-2*unusedFor), time.Now().Add(-2*unusedFor)
+	}
+	meet()
+	require.Len(t, h.all, 1)
+}
