--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -1,6 +1,7 @@
 package nvme
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -784,3 +785,41 @@
 	meet()
 	require.Len(t, h.all, 1)
 }
+
+// TestDataPastItsWindow has a target ask for a write's data just inside the window that the repeat may leave in, and after it: then no byte of
+// the data goes out, and the write cannot have begun. A completion of another command is not taken for its.
+func TestDataPastItsWindow(t *testing.T) {
+	for want, window := range map[spindlehitch.Code]time.Duration{spindlehitch.Reset: patient, spindlehitch.NoConnection: 50 * time.Millisecond} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		before := time.Now().Add(window)
+		asked := make(chan int, 1)
+		go func() {
+			c, _ := l.Accept()
+			defer c.Close()
+			capsule := make([]byte, 72)
+			io.ReadFull(c, capsule)
+			if want == spindlehitch.NoConnection {
+				time.Sleep(time.Until(before))
+			}
+			c.Write(appendPDU(nil, framing{}, typeR2T, 0, dataHead(1, 7, 0, blockSize), nil))
+			n := 0
+			if want == spindlehitch.Reset {
+				n, _ = io.ReadFull(c, make([]byte, 24+blockSize))
+				c.Write(appendPDU(nil, framing{}, typeResp, 0, make([]byte, 16), nil)) // names command 0
+			}
+			more, _ := io.Copy(io.Discard, c)
+			asked <- n + int(more)
+		}()
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		q := &session{wire: &wire{Conn: c, in: bufio.NewReader(c), most: blockSize}, from: &association{talk: make(chan struct{}, 1), inUse: map[uint16]bool{}}}
+		r, reuse, _ := q.Do(core.Attempt{Until: time.Now().Add(patient), Before: before, Payload: &IO{Write: true, NSID: 1, Blocks: 1, Bytes: blockSize,
+			Data: make([]byte, blockSize)}}, func() bool { return true })
+		q.Close()
+		require.Equal(t, want, r.Code)
+		require.False(t, reuse)
+		require.Equal(t, want == spindlehitch.Reset, <-asked > 0)
+	}
+}
