--- a/internal/instance/deployments_test.go
+++ b/internal/instance/deployments_test.go
@@ -49,6 +49,7 @@
 	tries      sync.Map
 	open       atomic.Int64 // connections at the target
 	came, held chan struct{}
+	release    func() // what is held
 	client     http.Client
 }
 
@@ -113,6 +114,7 @@
 func deploy(t *testing.T, mark, limits, settings string, play func(*deployment)) *deployment {
 	d := &deployment{t: t, mark: mark, addrs: newSite(t).addrs, came: make(chan struct{}), held: make(chan struct{}),
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	d.release = sync.OnceFunc(func() { close(d.held) })
 	target := httptest.NewUnstartedServer(d)
 	target.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 		switch s {
@@ -124,6 +126,7 @@
 	}
 	target.Start()
 	t.Cleanup(target.Close)
+	t.Cleanup(d.release)
 	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("after") {
 			<-r.Context().Done()
@@ -203,7 +206,7 @@
 		<-d.came
 		status, _ = d.ask("GET", "/item/0000000000000004", "shared", "six", "")
 		require.Equal(t, http.StatusServiceUnavailable, status, "more than this one may hold")
-		close(d.held)
+		d.release()
 		require.Equal(t, http.StatusOK, <-held)
 		n, _ := d.tries.Load("same")
 		require.EqualValues(t, 1, n.(*atomic.Int64).Load())
