--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -18,6 +18,7 @@
 	"github.com/cactus/go-statsd-client/v5/statsd"
 	"github.com/stretchr/testify/require"
 
+	"spindlehitch"
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/control"
 	"spindlehitch/internal/figures"
@@ -225,8 +226,11 @@
 // TestLimitsFit holds what the parts may have together against the descriptors there are, a few connections that are just being
 // turned away included, whatever share of them one process has.
 func TestLimitsFit(t *testing.T) {
-	for _, sockets := range []int{512, 1024, 4096} {
+	for _, sockets := range []int{64, 96, 128, 256, 512, 1024, 4096} {
 		for _, parts := range []int{1, 2} {
+			if sockets/parts < 64 {
+				continue // fewer than any configuration may have
+			}
 			l := limits{Cores: 1, MemoryMB: 192, Sockets: sockets}.of(parts)
 			total := l.clients() + l.allTargets() + spareFiles + control.MostFiles
 			require.LessOrEqual(t, total, l.Sockets, "%d sockets in %d parts", sockets, parts)
@@ -235,3 +239,13 @@
 		}
 	}
 }
+
+// TestNamesAreKeptForTheSettings checks that a name stays taken for as long as the settings' deadlines and windows of keyed classes tell.
+func TestNamesAreKeptForTheSettings(t *testing.T) {
+	classes := []spindlehitch.Class{{Deadline: 2 * time.Second, Window: time.Hour}, {Deadline: time.Second, Effect: spindlehitch.Keyed, Window: 700 * time.Millisecond}}
+	cfg := &config.Config{}
+	cfg.Module.Classes = classes
+	require.Equal(t, 2*time.Second, namesFor(cfg))
+	classes[1].Window = 9 * time.Second
+	require.Equal(t, 9*time.Second, namesFor(cfg))
+}
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -453,7 +453,11 @@
 
 // Close ends the queue.
 func (s *session) Close() error {
-	err := s.wire.Close()
+	c := s.wire.Conn
+	if secure, ok := c.(*tls.Conn); ok && upstream.Unheard(secure.NetConn()) { // its word of the end would wait for that
+		c = secure.NetConn()
+	}
+	err := upstream.CloseNow(c)
 	s.once.Do(func() { s.from.free(s.qid) })
 	return err
 }
@@ -492,6 +496,7 @@
 	}
 	capsule := appendPDU(nil, s.framing, typeCmd, 0, c[:], data)
 	s.SetDeadline(a.Until)
+	s.SetWriteDeadline(a.WriteBy())
 	if !first() {
 		r.Code = spindlehitch.Moot
 		return r, false, "TARGET_LEAVES"
