--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -298,7 +298,8 @@
 			}
 			continue
 		}
-		a := &answer{status: resp.StatusCode, notRun: resp.Header.Get("Not-Started") == "1", close: resp.Close || resp.StatusCode == http.StatusSwitchingProtocols} // nobody asked to
+		a := &answer{status: resp.StatusCode, notRun: resp.Header.Get("Not-Started") == "1", close: resp.Close}
+		a.close = a.close || a.status == http.StatusSwitchingProtocols // nobody asked to
 		a.load, a.odd = parseLoad(resp.Header.Get("Server-Load"))
 		if n, err := strconv.Atoi(resp.Header.Get("Volume-Load")); err == nil && n >= 0 && n < mostUsed {
 			a.used = n + 1 // the header is the percentage itself; the module's 0 means not told
