For want of room a client's next request stays with the machine, and is not dropped

Seen in review: with the budget of bytes used up, the byte that is read ahead was dropped and its connection ended, also of a client that asks again in the instant in which its answer goes out. TestMoreIsKept holds it.

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -181,30 +181,31 @@
 		if !whole {
 			b = b[:min(len(b), aheadMost-len(c.ahead))]
 		}
-		room := int64(len(b))
-		kept := c.table.room.Take(room)
-		if !kept && !whole || room == 0 {
-			return false
+		room, flooded := int64(len(b)), c.flood.Load()
+		if room == 0 || !flooded && !c.table.room.Take(room) {
+			return false // for want of room a request must not be lost: it stays with the machine
 		}
 		n, again := c.receive(fd, b)
-		if kept {
+		kept := !flooded && len(c.ahead)+n <= aheadMost
+		switch {
+		case kept:
 			c.table.room.Give(room - int64(n))
-		}
-		if again {
-			return false
-		}
-		if kept && !c.flood.Load() && len(c.ahead)+n <= aheadMost {
-			c.ahead, c.aheadAt = append(c.ahead, b[:n]...), time.Now()
-		} else {
-			if kept {
-				c.table.room.Give(int64(n))
-			}
-			c.dropped += n
+			c.ahead = append(c.ahead, b[:n]...)
+		case !flooded:
+			c.table.room.Give(room)
 			c.flood.Store(true)
 			c.end("CLIENT_FLOOD")
 			c.forget()
 		}
-		if room == 1 && n == 1 && cap(b) == 1 {
+		switch {
+		case again:
+			return false
+		case kept:
+			c.aheadAt = time.Now()
+		default:
+			c.dropped += n
+		}
+		if cap(b) == 1 {
 			b, done = upstream.Piece()
 		}
 	}
--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -152,9 +152,23 @@
 		c.Close()
 		empty(t, s)
 	}
+	// Where there is no room for it, it waits with the machine.
 	c := dial(t, addr)
 	io.WriteString(c, good)
 	j := <-b.jobs
+	left := s.opt.Room.Left()
+	s.opt.Room.Give(-left)
+	cc := s.conns.the()
+	io.WriteString(c, strings.Replace(strings.Replace(goodHead, "PUT", "GET", 1), "/put/", "/get/", 1)+"\r\n")
+	require.Eventually(t, func() bool { return cc.flood.Load() || !upstream.Quiet(cc.Conn) }, 20*time.Second, time.Millisecond)
+	j.Done(core.Answer{Payload: []byte("first")})
+	j2(t, b)
+	s.opt.Room.Give(left)
+	c.Close()
+	empty(t, s)
+	c = dial(t, addr)
+	io.WriteString(c, good)
+	j = <-b.jobs
 	io.WriteString(c, strings.Repeat("x", 2*aheadMost))
 	require.Eventually(t, func() bool { return kept() > aheadMost }, 20*time.Second, time.Millisecond)
 	j.Done(core.Answer{Payload: []byte("last")})
