--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -161,6 +161,7 @@
 	cc := s.conns.the()
 	io.WriteString(c, strings.Replace(strings.Replace(goodHead, "PUT", "GET", 1), "/put/", "/get/", 1)+"\r\n")
 	require.Eventually(t, func() bool { return cc.flood.Load() || !upstream.Quiet(cc.Conn) }, 20*time.Second, time.Millisecond)
+	require.False(t, cc.gone(true))
 	j.Done(core.Answer{Payload: []byte("first")})
 	j2(t, b)
 	s.opt.Room.Give(left)
