An instance that leaves a process that goes on takes its targets' actors and connections with it

Where the agents give a new configuration, the old instance's core stopped alone (instance.go decisions): a goroutine for each of its targets stayed for ever, and idle connections until their time, beside the new ones. Answers that came at its end or after it held their connections; they are let go.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -192,6 +192,7 @@
 	box      *mailbox.Box[any]
 	open     map[string]*entry
 	held     atomic.Int64
+	ended    atomic.Bool // nobody reads the box any more
 	seq      uint64
 	routes   []routed
 	timerAt  time.Time          // zero: none
@@ -264,7 +265,20 @@
 func (c *Core) Route(shard int, reply func(node string)) { c.box.Put(routed{shard, reply}) }
 
 // Report hands over the end of an attempt.
-func (c *Core) Report(r Result) { c.box.Put(r) }
+func (c *Core) Report(r Result) {
+	if c.box.Put(r); c.ended.Load() {
+		c.discard()
+	}
+}
+
+// discard lets go of answers that came at the end or after it, which nobody takes any more.
+func (c *Core) discard() {
+	for _, m := range c.box.Take(nil) {
+		if r, ok := m.(Result); ok {
+			Answer{Payload: r.Payload}.Discard()
+		}
+	}
+}
 
 // List hands over news of the targets.
 func (c *Core) List(l spindlehitch.NodeList) { c.box.Put(l) }
@@ -292,6 +306,8 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.ended.Store(true)
+			c.discard()
 			return
 		case <-c.box.Wake():
 		case <-timer.C:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -300,6 +300,30 @@
 	}
 }
 
+// answered is a payload that tells when it is let go.
+type answered chan bool
+
+func (a answered) Discard() { close(a) }
+
+// TestResultsAtTheEnd has answers that hold something come just before the core ends and after it: they are let go.
+func TestResultsAtTheEnd(t *testing.T) {
+	h := newHand(t)
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	for _, end := range []func(){func() { h.Run(ctx) }, func() {}} {
+		for range 20 { // a core that has ended may still take a batch
+			a := make(answered)
+			h.Report(Result{Request: "x", Payload: a})
+			end()
+			select {
+			case <-a:
+			case <-time.After(10 * time.Second):
+				t.Fatal("an answer is held for ever")
+			}
+		}
+	}
+}
+
 // TestClockNeverGoesBack steps the core with times out of order.
 func TestClockNeverGoesBack(t *testing.T) {
 	h := newHand(t)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -316,6 +316,13 @@
 	d.core.List(nodes)
 }
 
+// Stop implements Part. The process may go on, with another configuration: the targets' actors and connections end with this one.
+func (d *decisions) Stop(within context.Context) error {
+	err := d.loop.Stop(within)
+	d.up.Retire()
+	return err
+}
+
 // Tell implements teller.
 func (d *decisions) Tell(to statsd.ExtendedStatSender) { d.numbers.Tell(to) }
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -19,10 +19,13 @@
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch"
+	"spindlehitch/internal/budget"
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/control"
+	"spindlehitch/internal/core"
 	"spindlehitch/internal/figures"
 	"spindlehitch/internal/listing"
+	"spindlehitch/internal/upstream"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -249,3 +252,30 @@
 	classes[1].Window = 9 * time.Second
 	require.Equal(t, 9*time.Second, namesFor(cfg))
 }
+
+// TestTargetsEndWithTheirInstance has an instance leave in a process that goes on: its connections to targets end with it.
+func TestTargetsEndWithTheirInstance(t *testing.T) {
+	ended := make(chan bool)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Config.ConnState = func(_ net.Conn, at http.ConnState) {
+		if at == http.StateClosed {
+			close(ended)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	results := make(chan core.Result, 1)
+	up := upstream.NewRegistry(upstream.Options{Wire: upstream.NewHTTP(budget.New(1 << 20)), Dial: time.Minute, Idle: time.Hour, MostConn: 1, MostAll: 1,
+		Log: slog.New(slog.DiscardHandler)}, func(r core.Result) { results <- r })
+	d := &decisions{loop: loop{run: func(ctx context.Context) { <-ctx.Done() }}, up: up}
+	require.NoError(t, d.Start(context.Background()))
+	up.Apply([]upstream.Target{{ID: "n", Addr: s.Listener.Addr().String()}}, true)
+	up.Send(core.Attempt{Request: "x", Node: "n", Until: time.Now().Add(time.Minute), Payload: &upstream.Message{Method: "GET", URI: "/r/1", ID: "id"}})
+	require.Equal(t, spindlehitch.Delivered, (<-results).Code)
+	require.NoError(t, d.Stop(context.Background()))
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stays")
+	}
+}
