--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -307,11 +307,11 @@
 
 // TestResultsAtTheEnd has answers that hold something come just before the core ends and after it: they are let go.
 func TestResultsAtTheEnd(t *testing.T) {
-	h := newHand(t)
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
-	for _, end := range []func(){func() { h.Run(ctx) }, func() {}} {
-		for range 20 { // a core that has ended may still take a batch
+	for range 20 { // a core that is to end may still take a batch
+		h := newHand(t)
+		for _, end := range []func(){func() { h.Run(ctx) }, func() {}} {
 			a := make(answered)
 			h.Report(Result{Request: "x", Payload: a})
 			end()
