--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -478,3 +479,78 @@
 		require.Equal(t, 1, strings.Count(lines.String(), "BAD_REPORT"), "%s: %s", odd, lines.String())
 	}
 }
+
+// TestEachSendHasOneResult sends, with bodies ahead and without, and calls off while targets come, drain, go, come back under their names and
+// break connections: each send has its one result, and in the end nothing is counted.
+func TestEachSendHasOneResult(t *testing.T) {
+	s := newStandIn(t, func(n int32, _ *http.Request, c net.Conn) bool {
+		switch n % 7 {
+		case 0:
+			return false
+		case 1:
+			return say(c, "200 OK", "x") && say(c, "200 OK", "x")
+		case 2:
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 2*pieceSize))
+			return false
+		}
+		return say(c, "200 OK", "x")
+	})
+	b := newBenchThat(s.Addr().String(), Options{MostConn: 3, MostAll: 5, Rest: 5 * time.Millisecond})
+	b.results = make(chan core.Result, 10000)
+	names := []string{"n", "m", "o"}
+	var sends sync.WaitGroup
+	const each = 300
+	for g := range 4 {
+		sends.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(g), 1))
+			for i := range each {
+				a := core.Attempt{Request: fmt.Sprint(g, "/", i), Node: names[rng.IntN(3)], Until: time.Now().Add(time.Duration(rng.IntN(100)) * time.Millisecond),
+					Payload: &Message{Method: "PUT", URI: "/w/1", ID: "id", Body: []byte("x")}}
+				if rng.IntN(4) == 0 {
+					if u, err := b.Ahead(context.Background(), a.Node, &Message{Method: "PUT", URI: "/w/1", ID: "id"}, 1, time.Second); err == nil {
+						u.Last([]byte("x"))
+						a.Payload = &Message{Method: "PUT", Upload: u}
+						if rng.IntN(2) == 0 {
+							sends.Go(u.Close)
+						}
+					}
+				}
+				b.Send(a)
+				if rng.IntN(3) == 0 {
+					b.Cancel(a.Node, a.Request)
+				}
+			}
+		})
+	}
+	listed := make(chan bool)
+	over := make(chan bool)
+	go func() {
+		defer close(listed)
+		rng := rand.New(rand.NewPCG(9, 9))
+		for {
+			select {
+			case <-over:
+				return
+			default:
+				b.Apply([]Target{{ID: names[rng.IntN(3)], Addr: s.Addr().String(), State: spindlehitch.NodeState(rng.IntN(3))}}, rng.IntN(5) == 0)
+			}
+		}
+	}()
+	ended := map[string]bool{}
+	for range 4 * each {
+		r := b.result(t)
+		require.False(t, ended[r.Request], "%s has two results", r.Request)
+		ended[r.Request] = true
+		core.Answer{Payload: r.Payload}.Discard()
+	}
+	sends.Wait()
+	close(over)
+	<-listed
+	b.Retire()
+	require.Eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.pool.conns.Load() == 0 && len(b.leaving) == 0
+	}, 20*time.Second, time.Millisecond)
+	require.Empty(t, b.results)
+}
