Which answers are alike is kept by what they bring; those turned away in a row are waited behind for 50 ms at most

An exemption of the whole connection let a second answer of another kind through, and each first pair of requests turned away waited for 250 ms.

--- a/internal/upstream/http.go
+++ b/internal/upstream/http.go
@@ -70,12 +70,12 @@
 	room   *budget.Bytes
 	talked bool // more came than was asked for
 	// What comes may be a second answer to the request before, if there was one: what its answer was like, when it was here,
-	// and whether answers here are alike that are no second ones.
+	// and which answers are alike here and no second ones.
 	asked   bool
 	last    uint64
 	heardAt time.Time
-	alike   bool
-	odd     bool // it brought a report that cannot be
+	alike   [2]uint64 // of good ones and others
+	odd     bool      // it brought a report that cannot be
 }
 
 // stallReader reads an answer that has begun, as long as its parts keep coming: each within stall, and all of them until
@@ -178,10 +178,17 @@
 	}
 	c.odd = c.odd || ans.odd
 	// Nothing in an answer tells whose it is. One just like the one before and soon after it may be that one once more: then its
-	// own comes behind it. A target all of whose answers are alike is waited for once.
-	before := c.last
+	// own comes behind it. Where none does, those like it are what the target says, and are not waited behind again.
+	before, heardAt := c.last, c.heardAt
 	c.last, c.heardAt = ans.sum(), time.Now()
-	if again && soon && !ans.close && ans.stream == nil && c.last == before && !c.alike {
+	alike := &c.alike[0]
+	if ans.status != http.StatusOK {
+		alike = &c.alike[1]
+	}
+	if again && soon && !ans.close && ans.stream == nil && c.last == before && c.last != *alike {
+		if at := heardAt.Add(secondWithin); ans.status != http.StatusOK && at.Before(a.Until) {
+			parts.until = at // turned away, most of all: there is little to tell such answers apart, and they come in rows
+		}
 		if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.talked = err == nil
 			r.Code = spindlehitch.Reset
@@ -190,7 +197,7 @@
 			r.Code = spindlehitch.Expired
 			return r, false, "READ_TIMEOUT"
 		}
-		c.alike = true
+		*alike = c.last
 	}
 	r.Code, r.Load, r.Used, r.Payload = ans.code(), ans.load, ans.used, ans.body
 	if s := ans.stream; s != nil {
--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -153,10 +153,12 @@
 		b.send(10 * time.Second)
 		require.Equal(t, want, b.result(t).Code)
 	}
-	s := newStandIn(t, func(_ int32, _ *http.Request, c net.Conn) bool { return say(c, "200 OK", "alike") })
+	s := newStandIn(t, func(n int32, _ *http.Request, c net.Conn) bool {
+		return n < 20 && say(c, "200 OK", "alike") || n >= 20 && say(c, "200 OK", "1") && (n < 21 || say(c, "200 OK", "2"))
+	})
 	b = newBenchThat(s.Addr().String(), Options{MostConn: 4, MostAll: 4, Rest: time.Hour})
 	var waited time.Duration
-	for range 20 {
+	for range 19 {
 		begun := time.Now()
 		b.send(10 * time.Second)
 		require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
@@ -164,6 +166,10 @@
 	}
 	require.Less(t, waited, 10*stallAfter)
 	require.EqualValues(t, 1, s.accepted.Load())
+	for _, want := range []spindlehitch.Code{spindlehitch.Delivered, spindlehitch.Reset} { // another answer twice, all the same
+		b.send(10 * time.Second)
+		require.Equal(t, want, b.result(t).Code)
+	}
 }
 
 // TestLateDial has a connection come up after its attempt is over, called off, of no use any more or at a target that drains by now: it is
