--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -560,3 +560,55 @@
 	}, 20*time.Second, time.Millisecond)
 	require.Empty(t, b.results)
 }
+
+// TestConnectionsThatComeUpLate has a target whose machine takes no connection until it has room: an attempt whose time is over and one that is
+// called off end at once, and nothing of them is there when the machine takes connections again. One that waits gets its own a second later.
+func TestConnectionsThatComeUpLate(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	require.NoError(t, err)
+	for full := false; !full; { // nobody takes what has come up
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond)
+		if full = err != nil; !full {
+			defer c.Close()
+		}
+	}
+	var asked atomic.Int32
+	b := newBench(l.Addr().String())
+	send := func(name string, wait time.Duration) {
+		b.Send(core.Attempt{Request: name, Node: "n", Until: time.Now().Add(wait), Payload: &Message{Method: "GET", URI: "/r/1", ID: name}})
+	}
+	send("over", 100*time.Millisecond)
+	send("called off", time.Minute)
+	send("waits", time.Minute)
+	b.Cancel("n", "called off")
+	for range 2 {
+		r := b.result(t)
+		require.NotEqual(t, "waits", r.Request)
+		require.Equal(t, spindlehitch.NoConnection, r.Code)
+	}
+	require.Eventually(t, func() bool { return b.pool.conns.Load() == 1 }, 10*time.Second, time.Millisecond)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					asked.Add(1)
+					say(c, "200 OK", req.Header.Get("Request-Id"))
+				}
+			}()
+		}
+	}()
+	r := b.result(t)
+	require.Equal(t, spindlehitch.Delivered, r.Code)
+	require.Equal(t, "waits", string(r.Payload.([]byte)))
+	require.EqualValues(t, 1, asked.Load())
+}
