--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -69,6 +69,14 @@
 	require.Eventually(t, func() bool { open, shut := s.conns.count(); return open+shut == 0 }, 20*time.Second, time.Millisecond)
 }
 
+// ended holds that so many connections have their line. It may come a moment after the connection is gone.
+func (l *lines) ended(t *testing.T, want int) {
+	t.Helper()
+	count := func() int { return strings.Count(l.String(), "connection ended") }
+	require.Eventually(t, func() bool { return count() >= want }, 20*time.Second, time.Millisecond)
+	require.Equal(t, want, count())
+}
+
 // the is the one connection there is.
 func (t *connTable) the() (only *clientConn) {
 	t.mu.Lock()
@@ -117,7 +125,7 @@
 	empty(t, s)
 	require.Empty(t, b.jobs)
 	require.Equal(t, room, s.opt.Room.Left())
-	require.Equal(t, 18, strings.Count(log.String(), "connection ended"))
+	log.ended(t, 18)
 	require.Contains(t, log.String(), "CLIENT_FLOOD")
 }
 
@@ -536,7 +544,7 @@
 	}
 	wait.Wait()
 	empty(t, s)
-	require.Equal(t, clients, strings.Count(log.String(), "connection ended"))
+	log.ended(t, clients)
 	require.Equal(t, clients, strings.Count(log.String(), "reason="))
 	require.Equal(t, room, s.opt.Room.Left())
 	resp, _, _ := ask(t, addr, good)
