--- a/internal/instance/deployments_test.go
+++ b/internal/instance/deployments_test.go
@@ -219,6 +219,8 @@
 		require.NotContains(t, all, volume("firstcus"))
 	}
 	require.NotContains(t, first.sent.String(), "nextcust")
+	require.Eventually(t, func() bool { return first.open.Load()+second.open.Load() == 0 }, 20*time.Second, 5*time.Millisecond,
+		"connections stay open at the target of an instance that has left")
 	for _, id := range []string{"one", "two", "same"} { // held, gone ahead of its request, without a body
 		require.Contains(t, second.sent.String(), "Idempotency-Key:[nextcust-"+id+"]")
 	}
