--- a/cmd/spindlehitch/left_test.go
+++ b/cmd/spindlehitch/left_test.go
@@ -52,6 +52,11 @@
 		case <-s.release:
 		case <-r.Context().Done():
 		}
+	case id == "stuck": // after the first of its answer
+		w.Write(make([]byte, 64<<10))
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		s.begun <- "ended"
 	case strings.HasPrefix(id, "endless"):
 		for r.Context().Err() == nil {
 			w.Write(make([]byte, 64<<10))
@@ -173,20 +178,22 @@
 		s.release <- true
 		require.Eventually(t, func() bool { _, part := s.seen(); return len(part) > 0 && part[len(part)-1] == "stalled" }, 20*time.Second, time.Millisecond)
 	}
-	// With its answer passing through.
-	c := ask(w, "endless", "")
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	require.NoError(t, err)
-	io.CopyN(io.Discard, resp.Body, 1<<20)
-	reset(c)
-	for next() != "ended" {
+	// With its answer passing through, and stuck on its way.
+	for _, id := range []string{"endless", "stuck"} {
+		c := ask(w, id, "")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		io.CopyN(io.Discard, resp.Body, 32<<10)
+		reset(c)
+		open(0) // well before the target is given up
+		for next() != "ended" {
+		}
 	}
-	open(0)
 
 	ask(w, "sentinel", "")
 	for next() != "sentinel" {
 	}
 	after, part := s.seen()
-	require.Equal(t, append(whole, "endless", "sentinel"), after)
+	require.Equal(t, append(whole, "endless", "stuck", "sentinel"), after)
 	require.NotContains(t, part, "half")
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -226,6 +226,9 @@
 		if conn.ends() || s.handed.Load() && s.left.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
+		if d, ok := a.Payload.(core.Discarder); ok { // its target may stand still when the client leaves
+			defer context.AfterFunc(r.Context(), d.Discard)()
+		}
 		if !s.write(w, a) {
 			panic(http.ErrAbortHandler) // the client must see that it is not whole
 		}
