--- a/api.go
+++ b/api.go
@@ -69,6 +69,7 @@
 // Settings is what an initiator is told at its start.
 type Settings struct {
 	Initiators   int           // how many share the pool
+	Index        int           // this one's number among them, from 1; 0: not known
 	Tick         time.Duration // least time between two steps
 	Classes      []Class
 	Plans        []Plan
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -14,6 +14,7 @@
 // configuration alike. Unknown fields are skipped.
 type Options struct {
 	PeersTotal *int `json:"peersTotal" validate:"required,gte=1"`
+	Index      *int `json:"index"`
 	Classes    []struct {
 		Name       string  `json:"name"`
 		PromiseUs  int64   `json:"promiseUs" validate:"gt=0"`
@@ -103,6 +104,9 @@
 	if o.Limits.SendCap != nil {
 		s.MaxAttempts = *o.Limits.SendCap
 	}
+	if o.Index != nil && *o.Index >= 0 {
+		s.Index = *o.Index + 1
+	}
 	if o.Rules.ResendRatio != nil {
 		s.Rules.Budget, s.Rules.BudgetShare = true, *o.Rules.ResendRatio
 	}
--- a/scheduler.go
+++ b/scheduler.go
@@ -66,7 +66,10 @@
 	turned   map[ask]*request // turned away, and may come again
 	turnedAt []*request       // the same by time
 	leastAim time.Duration
-	crowd    bool // the even part of what a cold node bears is under one mean request
+	index    int           // this one's number among the initiators, from 0
+	born     time.Duration // the first step
+	service  float64       // what a mean request takes at warm nodes, in seconds; 0: not known
+	atOnce   float64       // how many are there meanwhile
 	volumes  map[string]*volume
 	requests map[string]*request
 	lanes    []*lane
@@ -105,10 +108,13 @@
 		keys:     map[string]*orderKey{},
 		timerAt:  never,
 		askAt:    never,
+		born:     -1,
 		askWait:  time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
-	s.crowd = set.ColdUnits < s.set.MeanUnits*float64(set.Initiators)
+	if s.index = set.Index - 1; s.index < 0 {
+		s.index = s.rng.IntN(set.Initiators)
+	}
 	if set.AskForList {
 		s.askAt = 0
 	}
@@ -128,7 +134,9 @@
 
 // Step takes what happened up to now and returns what to do. The slice is valid until the next Step.
 func (s *Scheduler) Step(now time.Duration, events []Event) []Action {
-	s.now, s.actions = now, s.actions[:0]
+	if s.now, s.actions = now, s.actions[:0]; s.born < 0 {
+		s.born = now
+	}
 	// A timer that comes late: this initiator stood still, and what it finds has waited here, at no node.
 	s.stalled = 0
 	if late := now - s.timerAt; late >= 0 {
@@ -197,27 +205,6 @@
 	return max(v.plan.Reserve, v.plan.Rate)/v.hosts + max(s.set.LargestUnits, s.set.MeanUnits)
 }
 
-func (s *Scheduler) ownRate(v *volume) float64 {
-	tau := 2 * s.set.Meter.Seconds()
-	return v.own * math.Exp(-(s.now-v.ownAt).Seconds()/tau)
-}
-
-// meter notes own service and what the answer tells of the volume's service everywhere.
-func (s *Scheduler) meter(v *volume, units float64, used int) {
-	if s.set.Meter <= 0 {
-		return
-	}
-	v.own, v.ownAt = s.ownRate(v)+units/(2*s.set.Meter.Seconds()), s.now
-	if used > 0 {
-		told := float64(used-1) / 100 * v.plan.Rate
-		if v.totalAt == 0 {
-			v.total = told
-		}
-		v.total += (told - v.total) * 0.3
-		v.totalAt = s.now
-	}
-}
-
 // tag gives the request its start and finish tag from the volume's bucket and the lane's tags.
 func (s *Scheduler) tag(r *request, l *lane) {
 	v, f, rho := r.vol, l.flow(r.vol), s.rho(r.vol)
@@ -455,7 +442,8 @@
 		r.vol.store, r.drawn = r.vol.store-r.Units, true
 	}
 	if s.set.Rules.FallWithin > 0 {
-		n.recent = append(n.recent, draw{s.now, r.Units})
+		n.spend(s.now, r.Units, s.cold(n))
+		l.sent.add(s.now, r.Units, s.set.Rules.WarmWithin)
 	}
 	r.sent++
 	r.out, r.outAt = n, s.now
@@ -487,10 +475,8 @@
 			s.nodes = append(s.nodes, n)
 		}
 		if x.Started != n.Started && s.now-x.Started < s.set.Rules.WarmWithin {
-			n.window, n.streak, n.latency, n.load = 1, 0, 0, -1
-			if s.crowd { // each starts at a moment of its own, so that what was held does not come at once
-				n.openAt = s.now + time.Duration(s.rng.Float64()*float64(s.set.Rules.FallWithin/2))
-			}
+			n.share = s.share(x.Shard) // by what was sent before
+			n.window, n.streak, n.latency, n.load, n.served = 1, 0, 0, -1, nil
 		}
 		n.Node = x
 	}
@@ -561,16 +547,6 @@
 	return false
 }
 
-// Avoided tells how many of the listed nodes get no request, or one trial at a time.
-func (s *Scheduler) Avoided() (n int) {
-	for _, x := range s.nodes {
-		if x.State == Draining || s.avoids(x) {
-			n++
-		}
-	}
-	return n
-}
-
 // patience is the time-out of an attempt. It is long: the data is nowhere else, so a premature second attempt
 // only adds load, even where answers get lost. It frees the slot of an attempt that was lost.
 func (s *Scheduler) patience(n *node, r *request) time.Duration {
@@ -594,6 +570,7 @@
 			n.heard = s.now
 			return
 		}
+		s.noteWarm(n, took, e.Load)
 		if n.latency == 0 {
 			n.latency, n.base = took, took
 		}
@@ -687,8 +664,7 @@
 	}
 	r.lane = s.place(r)
 	if r.fullAim <= s.now { // a later try of what was turned away, past its aim already
-		r.late = true
-		s.answer(r)
+		r.late = true // answered once all events are known: its client may have left
 		return
 	}
 	s.tag(r, r.lane)
@@ -791,20 +767,6 @@
 	}
 }
 
-// forget drops a finished request that has no attempt out.
-func (s *Scheduler) forget(r *request) {
-	delete(s.requests, r.ID)
-	r.vol.backlog--
-	k := s.keys[r.Extent]
-	if k == nil || !r.class.InOrder {
-		return
-	}
-	k.line = without(k.line, r)
-	if len(k.line) == 0 && k.rest <= s.now {
-		delete(s.keys, r.Extent)
-	}
-}
-
 // answerDue ends the held requests that can no longer make their aim, and those of which half the time is
 // over without an attempt: what still comes of them earns next to nothing, and clients pay for being held.
 func (s *Scheduler) answerDue() {
@@ -881,27 +843,40 @@
 	return k.rest
 }
 
-// coldGate keeps what this initiator sends to a cold node within its part of what such a node bears, growing
-// along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is
-// under one mean request the node's own reports tell of all initiators' sends: while it holds few requests,
-// each may have one out there. They are as late as FallWithin allows; without one, a request a span may go.
+// coldGate keeps the sum of what all initiators send to a cold node within what it bears, whatever others do
+// (docs/design.md, Cold nodes): half by parts, which need no word from anybody, and half by answers, each of
+// which lets as much go once more. Where the even part is under one mean request, parts follow what was sent.
 func (s *Scheduler) coldGate(n *node, r *request) time.Duration {
 	ru, units := s.set.Rules, r.Units
 	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick) // also while warm: a start is told late
-	n.served = since(n.served, s.now-ru.FallWithin+s.set.Tick)
+	n.served = since(n.served, s.now-s.answersCount()+s.set.Tick)
 	if !s.cold(n) {
 		return 0 // before the sums: every held request comes here at every step
 	}
 	if at, governed := s.rationed(ColdWork, n, r, units); governed {
 		return at
 	}
-	sum, shown := total(n.recent), total(n.served)
-	part := s.set.ColdUnits / float64(s.set.Initiators) * s.grown(n) * s.crew.part(s.now)
-	if sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
-		return 0
+	each := s.crew.part(s.now) / float64(s.set.Initiators)
+	half := each
+	if s.answersCount() > 0 {
+		half /= 2
 	}
+	part, sum := s.set.ColdUnits*s.grown(n)*half, total(n.recent)
+	crowd := part < s.set.MeanUnits
 	few := n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
-	if s.crowd && len(n.out) == 0 && (sum == 0 || few) {
+	if total(n.served) >= units && (few || !crowd) {
+		return 0
+	}
+	if n.Started < s.born && s.now-s.born < ru.FallWithin {
+		return s.born + ru.FallWithin // what was sent before this process began is not known
+	}
+	if crowd { // by what is sent from here, and with half of what is put down to chance
+		bears := s.bears(n)
+		calls := bears / s.set.MeanUnits
+		part = bears * each * min(1, 0.5+(math.Sqrt(calls)+1)/calls) * n.share
+	}
+	// One over the part goes from as few initiators as the part is of it, others at each node.
+	if sum+units <= part || sum == 0 && units*s.rank(n) <= part {
 		return 0
 	}
 	return s.now + ru.FallWithin/16
@@ -961,16 +936,6 @@
 	return best
 }
 
-// Where names the node that a request for the shard would go to now; empty: none. It is asked for where a
-// body must be on its way before the request can be decided on.
-func (s *Scheduler) Where(shard int) string {
-	r := &request{Request: Request{Shard: shard}}
-	if l := s.place(r); l.node != nil {
-		return l.node.ID
-	}
-	return ""
-}
-
 // wait estimates how long a request newly put in the lane would take.
 func (s *Scheduler) wait(l *lane) float64 {
 	n := l.node
--- a/state.go
+++ b/state.go
@@ -3,6 +3,8 @@
 // What the module in scheduler.go keeps, and small helpers. No decision is taken here.
 
 import (
+	"cmp"
+	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -91,6 +93,7 @@
 	flows []*flow
 	byVol map[*volume]*flow
 	wake  time.Duration
+	sent  pace
 }
 
 // node is one server process.
@@ -103,14 +106,16 @@
 	base    float64       // a low quantile of it: what the node takes when little waits there
 	heard   time.Duration // when it last answered an attempt
 	told    time.Duration // when it last reported its load
+	atOnce  float64       // requests that it says to hold, smoothed
+	share   float64       // of what goes there, this initiator's over an even one, as its start was told
 	load    float64       // requests that it last said to hold or have waiting; -1: never told
 	pressed time.Duration // when a request here was last late or set aside
 	streak  float64       // bad outcomes since the last good one
 	openAt  time.Duration // no attempt before
 	last    string        // extent sent last
 	run     int           // how often in a row
-	recent  []draw        // units sent within the fall window
-	served  []draw        // and answered
+	recent  []draw        // units sent within the fall window that no answer stood for
+	served  []draw        // units answered that nothing was sent for yet
 }
 
 type draw struct {
@@ -118,6 +123,94 @@
 	units float64
 }
 
+// spend notes that units are sent, for as many answered ones or as part of what may be sent unasked.
+func (n *node) spend(now time.Duration, units float64, cold bool) {
+	if !cold || total(n.served) < units {
+		n.recent = append(n.recent, draw{now, units})
+		return
+	}
+	for units > 0 && len(n.served) > 0 {
+		d := &n.served[0]
+		took := min(units, d.units)
+		d.units, units = d.units-took, units-took
+		if d.units <= 0 {
+			n.served = n.served[1:]
+		}
+	}
+}
+
+// pace is the units sent over about as long as it looks back.
+type pace struct {
+	units float64
+	at    time.Duration
+}
+
+func (p *pace) now(now, over time.Duration) float64 {
+	return p.units * math.Exp(-(now-p.at).Seconds()/max(over.Seconds(), 1e-3))
+}
+
+func (p *pace) add(now time.Duration, units float64, over time.Duration) {
+	p.units, p.at = p.now(now, over)+units, now
+}
+
+// noteWarm notes how long warm nodes take and how many they have in hand meanwhile.
+func (s *Scheduler) noteWarm(n *node, took float64, l *Load) {
+	if l == nil || !(l.InFlight >= 0 && l.InFlight < 1e6) || s.cold(n) {
+		return
+	}
+	s.service = cmp.Or(s.service, took)
+	s.service += (took - s.service) * windowGain / 8
+	s.atOnce += (l.InFlight - s.atOnce) * windowGain / 8
+	n.atOnce += (l.InFlight - n.atOnce) * windowGain
+}
+
+// bears is the units that a cold node bears now within the span of the rule, from all: by the settings along the slowest ramp, or
+// by what warm nodes do. They serve as many as are there for as long as one takes (Little's law), and can do no less; reports
+// tell of everybody's. It takes longer here while the node is cold.
+func (s *Scheduler) bears(n *node) float64 {
+	ru, grown := s.set.Rules, s.grown(n)
+	told := s.set.ColdUnits * grown
+	if s.service <= 0 || ru.ColdShare <= 0 {
+		return told
+	}
+	takes := max(n.latency, s.service/(ru.ColdShare*grown)) / max(1, s.atOnce)
+	return max(told, s.set.MeanUnits*ru.FallMultiple*ru.FallWithin.Seconds()/takes)
+}
+
+// share is this initiator's part of all that is sent to the shard, in even parts, as its nodes and warm ones tell: they had so many
+// in hand for as long as one took (Little's law), and this is what went there from here. Little sent says little, so one request of
+// each in as many spans as a node takes to warm counts too. Its mean over all initiators is one.
+func (s *Scheduler) share(shard int) float64 {
+	if s.service <= 0 {
+		return 1
+	}
+	rate := max(1, s.atOnce) / s.service
+	for _, n := range s.nodes {
+		if n.Shard == shard && n.latency > 0 {
+			rate = max(rate, n.atOnce/n.latency)
+		}
+	}
+	over, all := s.set.Rules.WarmWithin, float64(s.set.Initiators)
+	sent := s.laneOf(max(shard, 0)).sent.now(s.now, over) / s.set.MeanUnits
+	little := s.set.Rules.FallWithin.Seconds() / over.Seconds()
+	rate *= over.Seconds() * (1 - math.Exp(-(s.now-s.born).Seconds()/over.Seconds())) // since this process began
+	return (sent + little) * all / (rate + little*all)
+}
+
+// rank is this initiator's place among all at a node, from 0 to 1, known without talk.
+func (s *Scheduler) rank(n *node) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(n.ID))
+	size := s.set.Initiators
+	return (float64((s.index+int(h.Sum32()%uint32(size)))%size) + 1) / float64(size)
+}
+
+// answersCount is how long an answer of a cold node lets as much go once more: with what comes in the span of the rule a node
+// serves half of what it bears in that time.
+func (s *Scheduler) answersCount() time.Duration {
+	return max(0, time.Duration(float64(s.set.Rules.FallWithin)*(s.set.Rules.FallMultiple/2-1)))
+}
+
 // crew is the processes that act for this initiator: for the rules they are one.
 type crew struct {
 	size, before float64 // now, and until lately; 0: one
@@ -276,3 +369,58 @@
 }
 
 func (s *Scheduler) act(a Action) { s.actions = append(s.actions, a) }
+
+// Avoided tells how many of the listed nodes get no request, or one trial at a time.
+func (s *Scheduler) Avoided() (n int) {
+	for _, x := range s.nodes {
+		if x.State == Draining || s.avoids(x) {
+			n++
+		}
+	}
+	return n
+}
+
+// Where names the node that a request for the shard would go to now; empty: none. It is asked for where a
+// body must be on its way before the request can be decided on.
+func (s *Scheduler) Where(shard int) string {
+	r := &request{Request: Request{Shard: shard}}
+	if l := s.place(r); l.node != nil {
+		return l.node.ID
+	}
+	return ""
+}
+
+// forget drops a finished request that has no attempt out.
+func (s *Scheduler) forget(r *request) {
+	delete(s.requests, r.ID)
+	r.vol.backlog--
+	k := s.keys[r.Extent]
+	if k == nil || !r.class.InOrder {
+		return
+	}
+	k.line = without(k.line, r)
+	if len(k.line) == 0 && k.rest <= s.now {
+		delete(s.keys, r.Extent)
+	}
+}
+
+func (s *Scheduler) ownRate(v *volume) float64 {
+	tau := 2 * s.set.Meter.Seconds()
+	return v.own * math.Exp(-(s.now-v.ownAt).Seconds()/tau)
+}
+
+// meter notes own service and what the answer tells of the volume's service everywhere.
+func (s *Scheduler) meter(v *volume, units float64, used int) {
+	if s.set.Meter <= 0 {
+		return
+	}
+	v.own, v.ownAt = s.ownRate(v)+units/(2*s.set.Meter.Seconds()), s.now
+	if used > 0 {
+		told := float64(used-1) / 100 * v.plan.Rate
+		if v.totalAt == 0 {
+			v.total = told
+		}
+		v.total += (told - v.total) * 0.3
+		v.totalAt = s.now
+	}
+}
