Cold nodes in a crowd: small answers let larger requests go, as seldom as they are smaller

Cause: coldGate asked for all of its units (total(served) >= units).

Now it goes with the chance of what was answered over its units, drawn once for each request, and spends what there is: the sum expected is the same. Only in a crowd: where parts are larger each initiator keeps to its own sum.

--- a/scheduler.go
+++ b/scheduler.go
@@ -442,7 +442,7 @@
 		r.vol.store, r.drawn = r.vol.store-r.Units, true
 	}
 	if s.set.Rules.FallWithin > 0 {
-		n.spend(s.now, r.Units, s.cold(n))
+		n.spend(s.now, r.Units, r.luck, s.cold(n))
 		l.sent.add(s.now, r.Units, s.set.Rules.WarmWithin)
 	}
 	r.sent++
@@ -637,7 +637,8 @@
 	}
 	v.hosts = float64(max(1, e.Initiators))
 	e.Units = max(e.Units, 0)
-	r := &request{Request: e, class: c, vol: v, born: s.now, heldAt: s.now, due: s.now + e.Budget}
+	r := &request{Request: e, class: c, vol: v, born: s.now, heldAt: s.now, due: s.now + e.Budget,
+		luck: 1 - s.rng.Float64()}
 	r.by = s.now + max(e.Budget/2-4*s.set.Tick, s.set.Tick)
 	r.fullAim = s.now + c.Aim
 	if waited := c.Deadline - e.Budget; s.stalled > 0 && waited < s.stalled+s.leastAim/beatParts {
@@ -864,7 +865,10 @@
 	part, sum := s.set.ColdUnits*s.grown(n)*half, total(n.recent)
 	crowd := part < s.set.MeanUnits
 	few := n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
-	if total(n.served) >= units && (few || !crowd) {
+	if !crowd {
+		r.luck = 1
+	}
+	if shown := total(n.served); shown >= max(units*r.luck, 1e-9) && (few || !crowd) {
 		return 0
 	}
 	if n.Started < s.born && s.now-s.born < ru.FallWithin {
--- a/scheduler_test.go
+++ b/scheduler_test.go
@@ -581,6 +581,27 @@
 	}
 }
 
+// TestSmallAnswersServeLargeRequests has a crowd's initiators get one unit answered by a cold node and ask for two: one in two
+// sends, so that the sum stays the same, where none could with units alone.
+func TestSmallAnswersServeLargeRequests(t *testing.T) {
+	sent := 0
+	for i := range 200 {
+		set := plain()
+		set.Initiators, set.Index, set.ColdUnits, set.LargestUnits = 200, i+1, 10, 2
+		set.Rules = Rules{ColdShare: 0.2, WarmWithin: 10 * time.Second, FallWithin: time.Second, FallMultiple: 4}
+		r := newRig(t, set, Node{ID: "n", Started: time.Second - ms})
+		r.s, _ = New(set, uint64(i))
+		r.s.Step(0, nil)
+		r.step(NodeList{Whole: true, Nodes: []Node{{ID: "n", Started: time.Second - ms}}})
+		n := r.s.byID["n"]
+		n.served, n.load, n.told = []draw{{r.now, 1}}, 1, r.now
+		n.recent = []draw{{r.now, 1}} // its part is used up
+		r.step(req("a", "v", 2))
+		sent += len(r.sends)
+	}
+	require.InDelta(t, 100, sent, 25)
+}
+
 // TestConnectionsAreScarce guards against what the fleet's days showed: 80 initiators opened two connections and more to
 // each of their nodes for requests that had time to wait for the first, where the settings price each handshake.
 func TestConnectionsAreScarce(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -37,6 +37,7 @@
 	start    time.Duration // start tag
 	finish   time.Duration // finish tag
 	retryAt  time.Duration // no attempt before
+	luck     float64       // from 0 to 1: how much smaller answers have to be that it goes for
 	heldAt   time.Duration // since when it is held, now or last
 	sent     int
 	out      *node // where its attempt is, if any
@@ -123,9 +124,10 @@
 	units float64
 }
 
-// spend notes that units are sent, for as many answered ones or as part of what may be sent unasked.
-func (n *node) spend(now time.Duration, units float64, cold bool) {
-	if !cold || total(n.served) < units {
+// spend notes that units are sent, for answered ones or as part of what may be sent unasked. Fewer answered ones stand for them as
+// seldom as they are fewer, so that small answers are of use to large requests, and the sum is the same.
+func (n *node) spend(now time.Duration, units, luck float64, cold bool) {
+	if !cold || total(n.served) < max(units*luck, 1e-9) {
 		n.recent = append(n.recent, draw{now, units})
 		return
 	}
