--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -24,7 +24,8 @@
 	t.Helper()
 	m, err := spindlehitch.New(spindlehitch.Settings{Initiators: 1, Tick: time.Millisecond, MeanUnits: 1, LargestUnits: 1,
 		Classes: []spindlehitch.Class{{Name: "get", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1},
-			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe}},
+			{Name: "put", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Unsafe},
+			{Name: "keyed", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Effect: spindlehitch.Keyed, Window: 500 * time.Millisecond}},
 		Plans: []spindlehitch.Plan{{Name: "std", Rate: 1000, Reserve: 1000, Weight: 1, Price: 1}}}, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -32,6 +33,9 @@
 	return m
 }
 
+// namesFor is far from any constant.
+const namesFor = 17 * time.Second
+
 // hand is a core stepped by hand.
 type hand struct {
 	*Core
@@ -41,7 +45,7 @@
 
 func newHand(t *testing.T) *hand {
 	h := &hand{up: &fake{}, now: time.Now()}
-	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond})
+	h.Core = New(module(t), h.up, NewClock(), Options{MostHeld: 100, Margin: 10 * time.Millisecond, NamesFor: namesFor})
 	h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
 	return h
 }
@@ -107,6 +111,17 @@
 	conflict("its client gone, its attempt out")
 	h.step(h.now, []any{Result{Request: h.up.sent[0].Request, Node: "n", Code: spindlehitch.Cancelled}})
 	conflict("may have run")
+	served := func(name string) {
+		t.Helper()
+		submit(name, "get")
+		h.step(h.now, []any{h.ends(spindlehitch.Delivered)})
+	}
+	for i := range 2 { // names are let go as others end
+		h.now = h.now.Add(namesFor/2 - time.Second)
+		served(fmt.Sprint("other", i))
+	}
+	conflict("may have run, a while ago")
+	h.up.sent = h.up.sent[:1]
 	if len(h.up.sent) != 1 || h.Open() != 0 {
 		t.Errorf("%d attempts, %d open; want one, none", len(h.up.sent), h.Open())
 	}
@@ -122,12 +137,17 @@
 		}
 		h.step(h.now, []any{spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}})
 	}
-	submit("c", "get")
-	last := h.up.sent[len(h.up.sent)-1]
-	h.step(h.now, []any{Result{Request: last.Request, Number: last.Number, Node: "n", Code: spindlehitch.Delivered}})
+	served("c")
 	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n != 1 {
 		t.Errorf("%d names are kept, want the last alone", n)
 	}
+	for i := range 2*mostNames + 10 {
+		h.now, h.up.sent = h.now.Add(time.Millisecond/10), nil
+		served(fmt.Sprint("many", i))
+	}
+	if n := len(h.named) + len(h.ran[0]) + len(h.ran[1]); n > 2*mostNames || n < mostNames {
+		t.Errorf("%d names are kept of a flood", n)
+	}
 }
 
 // TestDeadlineRunsFromArrival guards against counting a request's time from when a busy process got to it.
@@ -192,6 +212,118 @@
 	}
 }
 
+// TestDepartAnywhere has a client leave in every state of its request, also in one batch with what came just before or comes just after: no
+// attempt begins from then on, one that is out is called off, at most the one answer is given that was there first, and nothing is kept.
+func TestDepartAnywhere(t *testing.T) {
+	gone, back := spindlehitch.NodeList{Whole: true}, spindlehitch.NodeList{Whole: true, Nodes: []spindlehitch.Node{{ID: "n"}}}
+	for _, x := range []struct {
+		name    string
+		before  func(h *hand, j *Job)
+		batch   func(h *hand, j *Job) []any // with the departure
+		sent    int
+		answers int
+	}{
+		{"as it comes", func(*hand, *Job) {}, func(_ *hand, j *Job) []any { return []any{submitted{j}, j} }, 0, 0},
+		{"as it comes, with the list", func(h *hand, _ *Job) { h.step(h.now, []any{gone}) }, func(_ *hand, j *Job) []any { return []any{submitted{j}, back, j} }, 0, 0},
+		{"held", func(h *hand, j *Job) { h.step(h.now, []any{gone}); h.step(h.now, []any{submitted{j}}) }, func(_ *hand, j *Job) []any { return []any{j} }, 0, 0},
+		{"held, with the list", func(h *hand, j *Job) { h.step(h.now, []any{gone}); h.step(h.now, []any{submitted{j}}) }, func(_ *hand, j *Job) []any { return []any{back, j} }, 0, 0},
+		{"out", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(_ *hand, j *Job) []any { return []any{j} }, 1, 0},
+		{"as its attempt ends", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{h.ends(spindlehitch.Reset), j} }, 1, 0},
+		{"just before its attempt ends", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{j, h.ends(spindlehitch.NoConnection)} }, 1, 0},
+		{"as it is served", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{h.ends(spindlehitch.Delivered), j} }, 1, 1},
+		{"just before it is served", func(h *hand, j *Job) { h.step(h.now, []any{submitted{j}}) }, func(h *hand, j *Job) []any { return []any{j, h.ends(spindlehitch.Delivered)} }, 1, 0},
+		{"between attempts", func(h *hand, j *Job) {
+			h.step(h.now, []any{submitted{j}})
+			h.step(h.now, []any{h.ends(spindlehitch.Reset)})
+		}, func(_ *hand, j *Job) []any { return []any{j} }, 1, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			h := newHand(t)
+			var answers []Answer
+			j := job("get", h.now, &answers)
+			j.Name = "a"
+			h.held.Add(1) // as Submit does
+			x.before(h, j)
+			h.step(h.now, x.batch(h, j))
+			h.step(h.now, []any{back})
+			h.later(200 * time.Millisecond)
+			if e := h.open[j.ID]; e != nil && e.out {
+				if len(h.up.cancelled) != 1 {
+					t.Errorf("called off: %v", h.up.cancelled)
+				}
+				h.step(h.now, []any{h.ends(spindlehitch.Cancelled)})
+			}
+			h.later(3 * time.Second)
+			if len(h.up.sent) != x.sent || len(answers) != x.answers {
+				t.Errorf("%d attempts, %d answers; want %d, %d", len(h.up.sent), len(answers), x.sent, x.answers)
+			}
+			if len(h.open)+len(h.named)+h.Open() != 0 {
+				t.Errorf("kept: %d requests, %d names, %d open", len(h.open), len(h.named), h.Open())
+			}
+			h.step(h.now, []any{submitted{job("get", h.now, &answers)}, submitted{job("get", h.now, &answers)}})
+			if n := len(h.up.sent) - x.sent; n != 2 {
+				t.Errorf("%d of the next two are sent: the module holds on to one that left", n)
+			}
+		})
+	}
+}
+
+// ends is the end of the attempt that was sent last.
+func (h *hand) ends(code spindlehitch.Code) Result {
+	a := h.up.sent[len(h.up.sent)-1]
+	return Result{Request: a.Request, Number: a.Number, Node: a.Node, Code: code}
+}
+
+// TestAttemptKnowsItsEnds checks what an attempt can tell at its first byte without the core's goroutine: that its client has left, before
+// the core has come to hear of it, and that the window for a keyed repeat is over.
+func TestAttemptKnowsItsEnds(t *testing.T) {
+	h := newHand(t)
+	var answers []Answer
+	j := job("keyed", h.now, &answers)
+	h.step(h.now, []any{submitted{j}})
+	first := h.up.sent[0]
+	h.step(h.now, []any{Result{Request: first.Request, Node: "n", Code: spindlehitch.Reset}})
+	h.later(200 * time.Millisecond)
+	if len(h.up.sent) != 2 {
+		t.Fatalf("%d attempts, want 2", len(h.up.sent))
+	}
+	again := h.up.sent[1]
+	if !first.Before.IsZero() || again.Before.IsZero() || !again.Before.Before(first.Until.Add(-time.Second)) || again.WriteBy() != again.Before {
+		t.Errorf("the first may leave until %v, a repeat until %v; want it within the window", first.Before, again.Before)
+	}
+	if !again.Allowed() {
+		t.Error("within its window, its client there: not allowed")
+	}
+	h.Depart(j)
+	if again.Allowed() {
+		t.Error("its client has left: allowed")
+	}
+}
+
+// answered is a payload that tells when it is let go.
+type answered chan bool
+
+func (a answered) Discard() { close(a) }
+
+// TestResultsAtTheEnd has answers that hold something come just before the core ends and after it: they are let go.
+func TestResultsAtTheEnd(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	for range 20 { // a core that is to end may still take a batch
+		h := newHand(t)
+		for _, end := range []func(){func() { h.Run(ctx) }, func() {}} {
+			a := make(answered)
+			h.Report(Result{Request: "x", Payload: a})
+			end()
+			select {
+			case <-a:
+			case <-time.After(10 * time.Second):
+				t.Fatal("an answer is held for ever")
+			}
+		}
+	}
+}
+
 // TestClockNeverGoesBack steps the core with times out of order.
 func TestClockNeverGoesBack(t *testing.T) {
 	h := newHand(t)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -49,7 +51,7 @@
 func (b *back) Depart(j *core.Job)                  { b.gone <- j }
 func (b *back) Route(shard int, reply func(string)) { reply("n") }
 
-func newFront(t *testing.T, most int) (*Server, *back, string) {
+func newFront(t *testing.T, most int, edit ...func(*Server)) (*Server, *back, string) {
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
 	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
@@ -59,6 +61,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	for _, e := range edit {
+		e(s)
+	}
 	go s.Serve(l)
 	t.Cleanup(func() { s.http.Close() })
 	return s, b, l.Addr().String()
@@ -155,6 +160,11 @@
 		{"length and coding", swap("Content-Length: 4\r\n\r\nbody", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+good), 400},
 		{"length and coding of old", strings.Replace(swap("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked"), "HTTP/1.1", "HTTP/1.0", 1), 505},
 		{"read with a body", strings.Replace(swap("PUT", "GET"), "/put/", "/get/", 1), 400},
+		{"no host", swap("Host: a\r\n", ""), 400},
+		{"no plan", swap("Tier: std\r\n", ""), 400},
+		{"no info", swap("IO-Info: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\n", ""), 400},
+		{"empty id", swap("Request-Id: id1", "Request-Id:"), 400},
+		{"odd key", swap("7f3a9c21e0b4d655", "7f3a9c21e0b4d65g"), 400},
 		{"two ids", swap("Tier:", "Request-Id: id2\r\nTier:"), 400},
 		{"two plans", swap("Tier: std", "Tier: std\r\nTier: std"), 400},
 		{"two infos", swap("IO-Info:", "IO-Info: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\nIO-Info:"), 400},
@@ -660,7 +670,7 @@
 		}
 	}()
 	var clients sync.WaitGroup
-	var lost, answered, crossed, early atomic.Int64
+	var lost, answered, crossed, early, reset atomic.Int64
 	var left atomic.Pointer[time.Time]
 	begun := make(chan bool, 12)
 	for i := range cap(begun) {
@@ -682,6 +692,9 @@
 					return // it had ended
 				}
 				resp, err := http.ReadResponse(in, nil)
+				if errors.Is(err, syscall.ECONNRESET) {
+					reset.Add(1)
+				}
 				if err != nil {
 					// A request may cross the end of its connection: clients send it once more elsewhere.
 					crossed.Add(1)
@@ -714,6 +727,7 @@
 	}
 	clients.Wait()
 	t.Logf("%d answered, %d crossed the end of their connection", answered.Load(), crossed.Load())
+	require.Zero(t, reset.Load(), "connections ended by a reset")
 	if lost.Load() > 0 || early.Load() > 0 || answered.Load() < 100 {
 		t.Errorf("%d answers cut, %d connections ended early, %d answers whole", lost.Load(), early.Load(), answered.Load())
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -157,7 +157,7 @@
 		out.Stock = part
 	}
 	up := upstream.NewRegistry(out, func(r core.Result) { in.core.Report(r) })
-	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, Avoided: numbers.Avoided}
+	bounds := core.Options{MostHeld: cfg.MostHeld, Margin: answerMargin, NamesFor: namesFor(cfg), Avoided: numbers.Avoided}
 	if duties != nil {
 		bounds.Avoids = duties.runner.Avoid
 	}
@@ -171,7 +171,7 @@
 	clients := front.New(in.core, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(), Ready: listed.Load,
 		ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: in.leave, Room: room, Ahead: up.Ahead, Log: log})
 	// What there may be of connections and bytes is set here alone, now and whenever the processes become more or fewer.
-	limits := &shares{limits: limits(cfg.Limits), room: room, up: up, clients: clients, core: in.core}
+	limits := &shares{limits: granted(cfg.Limits), room: room, up: up, clients: clients, core: in.core}
 	limits.divide(1)
 	in.fronts = &fronts{name: cfg.Name, log: log, known: make(chan struct{})}
 
@@ -277,6 +277,17 @@
 	return func(r spindlehitch.Request) float64 { return classes[r.Class] * plans[r.Plan] }
 }
 
+// namesFor is how long a name may not come again: no attempt lasts longer than its client, and repeats are remembered for a window.
+func namesFor(cfg *config.Config) time.Duration {
+	d := longest(cfg)
+	for _, c := range cfg.Module.Classes {
+		if c.Effect == spindlehitch.Keyed {
+			d = max(d, c.Window)
+		}
+	}
+	return d
+}
+
 // longest is the longest any client waits.
 func longest(cfg *config.Config) (d time.Duration) {
 	for _, c := range cfg.Module.Classes {
@@ -305,6 +316,13 @@
 	d.core.List(nodes)
 }
 
+// Stop implements Part. The process may go on, with another configuration: the targets' actors and connections end with this one.
+func (d *decisions) Stop(within context.Context) error {
+	err := d.loop.Stop(within)
+	d.up.Retire()
+	return err
+}
+
 // Tell implements teller.
 func (d *decisions) Tell(to statsd.ExtendedStatSender) { d.numbers.Tell(to) }
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -18,10 +18,14 @@
 	"github.com/cactus/go-statsd-client/v5/statsd"
 	"github.com/stretchr/testify/require"
 
+	"spindlehitch"
+	"spindlehitch/internal/budget"
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/control"
+	"spindlehitch/internal/core"
 	"spindlehitch/internal/figures"
 	"spindlehitch/internal/listing"
+	"spindlehitch/internal/upstream"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -225,8 +229,11 @@
 // TestLimitsFit holds what the parts may have together against the descriptors there are, a few connections that are just being
 // turned away included, whatever share of them one process has.
 func TestLimitsFit(t *testing.T) {
-	for _, sockets := range []int{512, 1024, 4096} {
+	for _, sockets := range []int{64, 96, 128, 256, 512, 1024, 4096} {
 		for _, parts := range []int{1, 2} {
+			if sockets/parts < 64 {
+				continue // fewer than any configuration may have
+			}
 			l := limits{Cores: 1, MemoryMB: 192, Sockets: sockets}.of(parts)
 			total := l.clients() + l.allTargets() + spareFiles + control.MostFiles
 			require.LessOrEqual(t, total, l.Sockets, "%d sockets in %d parts", sockets, parts)
@@ -235,3 +242,40 @@
 		}
 	}
 }
+
+// TestNamesAreKeptForTheSettings checks that a name stays taken for as long as the settings' deadlines and windows of keyed classes tell.
+func TestNamesAreKeptForTheSettings(t *testing.T) {
+	classes := []spindlehitch.Class{{Deadline: 2 * time.Second, Window: time.Hour}, {Deadline: time.Second, Effect: spindlehitch.Keyed, Window: 700 * time.Millisecond}}
+	cfg := &config.Config{}
+	cfg.Module.Classes = classes
+	require.Equal(t, 2*time.Second, namesFor(cfg))
+	classes[1].Window = 9 * time.Second
+	require.Equal(t, 9*time.Second, namesFor(cfg))
+}
+
+// TestTargetsEndWithTheirInstance has an instance leave in a process that goes on: its connections to targets end with it.
+func TestTargetsEndWithTheirInstance(t *testing.T) {
+	ended := make(chan bool)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Config.ConnState = func(_ net.Conn, at http.ConnState) {
+		if at == http.StateClosed {
+			close(ended)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	results := make(chan core.Result, 1)
+	up := upstream.NewRegistry(upstream.Options{Wire: upstream.NewHTTP(budget.New(1 << 20)), Dial: time.Minute, Idle: time.Hour, MostConn: 1, MostAll: 1,
+		Log: slog.New(slog.DiscardHandler)}, func(r core.Result) { results <- r })
+	d := &decisions{loop: loop{run: func(ctx context.Context) { <-ctx.Done() }}, up: up}
+	require.NoError(t, d.Start(context.Background()))
+	up.Apply([]upstream.Target{{ID: "n", Addr: s.Listener.Addr().String()}}, true)
+	up.Send(core.Attempt{Request: "x", Node: "n", Until: time.Now().Add(time.Minute), Payload: &upstream.Message{Method: "GET", URI: "/r/1", ID: "id"}})
+	require.Equal(t, spindlehitch.Delivered, (<-results).Code)
+	require.NoError(t, d.Stop(context.Background()))
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the connection stays")
+	}
+}
