Cold nodes in a crowd: first sends by what was sent before, then one out at a time by reports

Changed: in a crowd first sends have N less a multiple-th of it, by what was sent before; whoever the node has answered within the span and told that it holds few has one out there at a time from then on, as before. Each such send follows an answer, so they come to what the node does in the span.

What decides (bears, share, rank) stands in scheduler.go, which says other things more briefly for it.

--- a/scheduler.go
+++ b/scheduler.go
@@ -87,21 +87,11 @@
 	if set.Initiators < 1 {
 		return nil, fmt.Errorf("settings name %d initiators", set.Initiators)
 	}
-	s := &Scheduler{
-		set:      set.clone(),
-		rng:      rand.New(rand.NewPCG(seed, seed)),
-		classes:  map[string]*Class{},
-		plans:    map[string]*Plan{},
-		turned:   map[ask]*request{},
-		leastAim: never,
-		volumes:  map[string]*volume{},
-		requests: map[string]*request{},
-		byID:     map[string]*node{},
-		keys:     map[string]*orderKey{},
-		timerAt:  never,
-		askAt:    never,
-		born:     -1,
-		askWait:  time.Second,
+	s := &Scheduler{set: set.clone(), rng: rand.New(rand.NewPCG(seed, seed)), leastAim: never,
+		classes: map[string]*Class{}, plans: map[string]*Plan{}, turned: map[ask]*request{},
+		volumes: map[string]*volume{}, requests: map[string]*request{},
+		byID: map[string]*node{}, keys: map[string]*orderKey{},
+		timerAt: never, askAt: never, born: never, askWait: time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
 	if s.index = set.Index - 1; s.index < 0 {
@@ -126,9 +116,7 @@
 
 // Step takes what happened up to now and returns what to do. The slice is valid until the next Step.
 func (s *Scheduler) Step(now time.Duration, events []Event) []Action {
-	if s.now, s.actions = now, s.actions[:0]; s.born < 0 {
-		s.born = now
-	}
+	s.now, s.born, s.actions = now, min(s.born, now), s.actions[:0]
 	// A timer that comes late: this initiator stood still, and what it finds has waited here, at no node.
 	s.stalled = 0
 	if late := now - s.timerAt; late >= 0 {
@@ -858,23 +846,23 @@
 // which lets as much go once more. Where the even part is under one mean request, parts follow what was sent.
 func (s *Scheduler) coldGate(n *node, r *request) time.Duration {
 	ru, units := s.set.Rules, r.Units
-	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick) // also while warm: a start is told late
-	n.served = since(n.served, s.now-s.answersCount()+s.set.Tick)
+	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick)                     // also while warm: a start is told late
+	answers := time.Duration(float64(ru.FallWithin) * max(0, ru.FallMultiple/2-1)) // how long they count
+	n.served = since(n.served, s.now-answers+s.set.Tick)
 	if !s.cold(n) {
 		return 0 // before the sums: every held request comes here at every step
 	}
 	if at, governed := s.rationed(ColdWork, n, r, units); governed {
 		return at
 	}
-	each := s.crew.part(s.now) / float64(s.set.Initiators)
-	half := each
-	if s.answersCount() > 0 {
-		half /= 2
+	each, sum := s.crew.part(s.now)/float64(s.set.Initiators), total(n.recent)
+	part := s.set.ColdUnits * s.grown(n) * each
+	if answers > 0 {
+		part /= 2
 	}
-	part, sum := s.set.ColdUnits*s.grown(n)*half, total(n.recent)
 	crowd := part < s.set.MeanUnits
-	few := n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
-	if crowd && few && len(n.out) == 0 || !crowd && total(n.served) >= units {
+	few := len(n.out) == 0 && n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
+	if crowd && few || !crowd && total(n.served) >= units {
 		return 0
 	}
 	if n.Started < s.born && s.now-s.born < ru.FallWithin {
@@ -890,9 +878,8 @@
 	return s.now + ru.FallWithin/16
 }
 
-// bears is the units that a cold node bears now within the span of the rule, from all: by the settings along the slowest ramp, or
-// by what warm nodes do. They serve as many as are there for as long as one takes (Little's law), and can do no less; reports
-// tell of everybody's. It takes longer here while the node is cold.
+// bears is the units that a cold node bears now in the span of the rule, from all: along the slowest ramp, by
+// the settings or, if that is more, by what warm nodes do (Little's law). It takes longer here while cold.
 func (s *Scheduler) bears(n *node) float64 {
 	ru, grown := s.set.Rules, s.grown(n)
 	told := s.set.ColdUnits * grown
@@ -903,9 +890,9 @@
 	return max(told, s.set.MeanUnits*ru.FallMultiple*ru.FallWithin.Seconds()/takes)
 }
 
-// share is this initiator's part of all that is sent to the shard, in even parts, as its nodes and warm ones tell: they had so many
-// in hand for as long as one took (Little's law), and this is what went there from here. Little sent says little, so one request of
-// each in as many spans as a node takes to warm counts too. Its mean over all initiators is one.
+// share is this initiator's part of all that is sent to the shard, in even parts: what went from here of what
+// its node and warm ones had in hand for as long as one took. Little sent says little, so one request of each
+// in as many spans as a node takes to warm counts too. Its mean over all initiators is one.
 func (s *Scheduler) share(shard int) float64 {
 	if s.service <= 0 {
 		return 1
@@ -918,23 +905,16 @@
 	}
 	over, all := s.set.Rules.WarmWithin, float64(s.set.Initiators)
 	sent := s.laneOf(max(shard, 0)).sent.now(s.now, over) / s.set.MeanUnits
-	little := s.set.Rules.FallWithin.Seconds() / over.Seconds()
-	rate *= over.Seconds() * (1 - math.Exp(-(s.now-s.born).Seconds()/over.Seconds())) // since this process began
-	return (sent + little) * all / (rate + little*all)
+	little := s.set.Rules.FallWithin.Seconds() / over.Seconds() * all
+	rate *= over.Seconds() * (1 - math.Exp(-(s.now-s.born).Seconds()/over.Seconds())) // in its life
+	return (sent*all + little) / (rate + little)
 }
 
 // rank is this initiator's place among all at a node, from 0 to 1, known without talk.
 func (s *Scheduler) rank(n *node) float64 {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(n.ID))
-	size := s.set.Initiators
-	return (float64((s.index+int(h.Sum32()%uint32(size)))%size) + 1) / float64(size)
-}
-
-// answersCount is how long an answer of a cold node lets as much go once more: with what comes in the span of the rule a node
-// serves half of what it bears in that time.
-func (s *Scheduler) answersCount() time.Duration {
-	return max(0, time.Duration(float64(s.set.Rules.FallWithin)*(s.set.Rules.FallMultiple/2-1)))
+	h.Write([]byte(n.ID))
+	return (float64((uint32(s.index)+h.Sum32())%uint32(s.set.Initiators)) + 1) / float64(s.set.Initiators)
 }
 
 // budgetGate keeps further attempts within the ration, counted against us at both edges.
