--- a/scheduler.go
+++ b/scheduler.go
@@ -846,8 +846,9 @@
 // which lets as much go once more. Where the even part is under one mean request, parts follow what was sent.
 func (s *Scheduler) coldGate(n *node, r *request) time.Duration {
 	ru, units := s.set.Rules, r.Units
-	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick)                     // also while warm: a start is told late
-	answers := time.Duration(float64(ru.FallWithin) * max(0, ru.FallMultiple/2-1)) // how long they count
+	// Also while it is warm: a start is told late.
+	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick)
+	answers := time.Duration(float64(ru.FallWithin) * max(0, ru.FallMultiple/2-1)) // they count for so long
 	n.served = since(n.served, s.now-answers+s.set.Tick)
 	if !s.cold(n) {
 		return 0 // before the sums: every held request comes here at every step
