--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -69,6 +69,14 @@
 	require.Eventually(t, func() bool { open, shut := s.conns.count(); return open+shut == 0 }, 20*time.Second, time.Millisecond)
 }
 
+// ended holds that so many connections have their line. It may come a moment after the connection is gone.
+func (l *lines) ended(t *testing.T, want int) {
+	t.Helper()
+	count := func() int { return strings.Count(l.String(), "connection ended") }
+	require.Eventually(t, func() bool { return count() >= want }, 20*time.Second, time.Millisecond)
+	require.Equal(t, want, count())
+}
+
 // the is the one connection there is.
 func (t *connTable) the() (only *clientConn) {
 	t.mu.Lock()
@@ -117,7 +125,7 @@
 	empty(t, s)
 	require.Empty(t, b.jobs)
 	require.Equal(t, room, s.opt.Room.Left())
-	require.Equal(t, 18, strings.Count(log.String(), "connection ended"))
+	log.ended(t, 18)
 	require.Contains(t, log.String(), "CLIENT_FLOOD")
 }
 
@@ -152,9 +160,24 @@
 		c.Close()
 		empty(t, s)
 	}
+	// Where there is no room for it, it waits with the machine.
 	c := dial(t, addr)
 	io.WriteString(c, good)
 	j := <-b.jobs
+	left := s.opt.Room.Left()
+	s.opt.Room.Give(-left)
+	cc := s.conns.the()
+	io.WriteString(c, strings.Replace(strings.Replace(goodHead, "PUT", "GET", 1), "/put/", "/get/", 1)+"\r\n")
+	require.Eventually(t, func() bool { return cc.flood.Load() || !upstream.Quiet(cc.Conn) }, 20*time.Second, time.Millisecond)
+	require.False(t, cc.gone(true))
+	j.Done(core.Answer{Payload: []byte("first")})
+	j2(t, b)
+	s.opt.Room.Give(left)
+	c.Close()
+	empty(t, s)
+	c = dial(t, addr)
+	io.WriteString(c, good)
+	j = <-b.jobs
 	io.WriteString(c, strings.Repeat("x", 2*aheadMost))
 	require.Eventually(t, func() bool { return kept() > aheadMost }, 20*time.Second, time.Millisecond)
 	j.Done(core.Answer{Payload: []byte("last")})
@@ -354,6 +377,47 @@
 	}
 }
 
+// behind is a listener of a process that is slow to accept.
+type behind struct {
+	*net.TCPListener
+	on chan bool
+}
+
+func (b behind) Accept() (net.Conn, error) {
+	<-b.on
+	return b.TCPListener.Accept()
+}
+
+// TestTakesWhatWaits has the process leave while it has not come to accept a connection with a request on it: it is served.
+func TestTakesWhatWaits(t *testing.T) {
+	other, b, _ := newFront(t, 64)
+	opt := other.opt
+	opt.Leave = core.Leave{Answer: 5 * time.Second}
+	s := New(b, opt)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	late := behind{l.(*net.TCPListener), make(chan bool)}
+	go s.Serve(late)
+	c := dial(t, l.Addr().String())
+	io.WriteString(c, good)
+	require.Eventually(t, func() bool { return s.listener.Load() != nil }, 20*time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	require.Eventually(t, func() bool { return s.left.Load() != nil }, 20*time.Second, time.Millisecond)
+	time.AfterFunc(takeWithin/4, func() { close(late.on) })
+	select {
+	case j := <-b.jobs:
+		j.Done(core.Answer{Payload: []byte("x")})
+	case <-time.After(5 * time.Second):
+		t.Fatal("it was not taken")
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	c.Close()
+	require.NoError(t, <-stopped)
+}
+
 // TestPartReadAsItEnds has the process leave while part of a request has come: its end may still come for a while; after that it is
 // refused or dropped, never sent on.
 func TestPartReadAsItEnds(t *testing.T) {
@@ -481,7 +545,7 @@
 	}
 	wait.Wait()
 	empty(t, s)
-	require.Equal(t, clients, strings.Count(log.String(), "connection ended"))
+	log.ended(t, clients)
 	require.Equal(t, clients, strings.Count(log.String(), "reason="))
 	require.Equal(t, room, s.opt.Room.Left())
 	resp, _, _ := ask(t, addr, good)
--- a/scheduler.go
+++ b/scheduler.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -21,39 +22,30 @@
 	// latencyRise is how far above its base a node may answer before the depth shrinks: what waits there can
 	// no longer be ordered. At 1.25 the simulator's days lost 0.01, at 1.75 0.04.
 	latencyRise = 1.0
-	// calmAims is how many least aims without a lapsed or set-aside request make a node calm: then it may
-	// have twice the depth. Half queues more between surges, double idles cores (without: quiet days lose
-	// 0.2).
-	calmAims = 30
-	// windowGain is the part by which an answer moves depth and base. Half lags, double is noisy.
-	windowGain = 0.1
-	// windowPush is the depth that each initiator leans on a node with. Half adapts slowly, double queues.
-	windowPush = 0.25
-	// errorPart is forgiven of an error: quick ones cost little, so more of them than silences mean trouble.
-	errorPart = 0.75
-	// windowMost bounds the depth, whatever the estimates. Half would bind a lone host, double guards less.
-	windowMost = 16
+	// calmAims is how many least aims without a lapsed or set-aside request make a node calm: it may have
+	// twice the depth. Half queues more between surges, double idles cores (without: quiet days lose 0.2).
+	calmAims   = 30
+	windowGain = 0.1  // part by which an answer moves depth and base. Half lags, double is noisy.
+	windowPush = 0.25 // depth that each initiator leans on a node with. Half adapts slowly, double queues.
+	errorPart  = 0.75 // forgiven of an error: quick ones cost little, so more of them mean trouble.
+	windowMost = 16   // bounds the depth, whatever the estimates. Half would bind a lone host.
 	// spellAims is how many least aims an answer stays telling: one after a longer gap outweighs all before,
 	// and the latency expected falls to the base. Half forgets others' queues, double believes them too long.
-	spellAims = 4
-	beatParts = 8  // how many timers fit in a least aim, so that own pauses show. Half misses some.
-	keepAims  = 60 // how many least aims what is idle stays known. Half forgets more, double holds more.
-	// quietFactor is how many usual latencies without an answer make a node quiet. Half takes pauses for it.
-	quietFactor = 4
-	// shareFloor is the least part of an even share that a host is taken to have. Double makes all even.
-	shareFloor = 0.5
+	spellAims   = 4
+	beatParts   = 8   // how many timers fit in a least aim, so that own pauses show. Half misses some.
+	keepAims    = 60  // how many least aims what is idle stays known. Half forgets more, double holds more.
+	quietFactor = 4   // usual latencies without an answer that make a node quiet. Half takes pauses for it.
+	shareFloor  = 0.5 // least part of an even share that a host is taken to have. Double makes all even.
 	// loadFree is how many requests a node may report before they tell of a queue: what it serves at once is
 	// no wait, and reports are late. At 0, with the part below learned, the simulator's days lost 0.08.
 	loadFree = 4
 	// loadAdds is the part of the base latency that each one past them adds. Learned from answers it came out
 	// high, as few of those that met a report had met the load in it.
 	loadAdds = 0.25
-	// coldLoad is how many requests a cold node may report for initiators that are a crowd to send it the
-	// next. Half refuses what it would serve in time (0.903 on the fleet's days, 0.919 so), half as many
-	// more is no better.
-	coldLoad = 8
-	// meterFresh is how many periods a reading of use is believed. Half drops seldom ones, double lags.
-	meterFresh = 5
+	// coldLoad is how many requests a cold node may report for a crowd of initiators to send the next. Half
+	// refuses what it would serve in time (0.903 on the fleet's days, 0.919 so), more is no better.
+	coldLoad   = 8
+	meterFresh = 5 // how many periods a reading of use is believed. Half drops seldom ones, double lags.
 )
 
 // Scheduler decides for one initiator. It is not safe for concurrent use.
@@ -66,7 +58,10 @@
 	turned   map[ask]*request // turned away, and may come again
 	turnedAt []*request       // the same by time
 	leastAim time.Duration
-	crowd    bool // the even part of what a cold node bears is under one mean request
+	index    int           // this one's number among the initiators, from 0
+	born     time.Duration // the first step
+	service  float64       // what a mean request takes at warm nodes, in seconds; 0: not known
+	atOnce   float64       // how many are there meanwhile
 	volumes  map[string]*volume
 	requests map[string]*request
 	lanes    []*lane
@@ -92,23 +87,16 @@
 	if set.Initiators < 1 {
 		return nil, fmt.Errorf("settings name %d initiators", set.Initiators)
 	}
-	s := &Scheduler{
-		set:      set.clone(),
-		rng:      rand.New(rand.NewPCG(seed, seed)),
-		classes:  map[string]*Class{},
-		plans:    map[string]*Plan{},
-		turned:   map[ask]*request{},
-		leastAim: never,
-		volumes:  map[string]*volume{},
-		requests: map[string]*request{},
-		byID:     map[string]*node{},
-		keys:     map[string]*orderKey{},
-		timerAt:  never,
-		askAt:    never,
-		askWait:  time.Second,
+	s := &Scheduler{set: set.clone(), rng: rand.New(rand.NewPCG(seed, seed)), leastAim: never,
+		classes: map[string]*Class{}, plans: map[string]*Plan{}, turned: map[ask]*request{},
+		volumes: map[string]*volume{}, requests: map[string]*request{},
+		byID: map[string]*node{}, keys: map[string]*orderKey{},
+		timerAt: never, askAt: never, born: never, askWait: time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
-	s.crowd = set.ColdUnits < s.set.MeanUnits*float64(set.Initiators)
+	if s.index = set.Index - 1; s.index < 0 {
+		s.index = s.rng.IntN(set.Initiators)
+	}
 	if set.AskForList {
 		s.askAt = 0
 	}
@@ -128,7 +116,7 @@
 
 // Step takes what happened up to now and returns what to do. The slice is valid until the next Step.
 func (s *Scheduler) Step(now time.Duration, events []Event) []Action {
-	s.now, s.actions = now, s.actions[:0]
+	s.now, s.born, s.actions = now, min(s.born, now), s.actions[:0]
 	// A timer that comes late: this initiator stood still, and what it finds has waited here, at no node.
 	s.stalled = 0
 	if late := now - s.timerAt; late >= 0 {
@@ -208,21 +196,18 @@
 		return
 	}
 	v.own, v.ownAt = s.ownRate(v)+units/(2*s.set.Meter.Seconds()), s.now
-	if used > 0 {
-		told := float64(used-1) / 100 * v.plan.Rate
+	if told := float64(used-1) / 100 * v.plan.Rate; used > 0 {
 		if v.totalAt == 0 {
 			v.total = told
 		}
-		v.total += (told - v.total) * 0.3
-		v.totalAt = s.now
+		v.total, v.totalAt = v.total+(told-v.total)*0.3, s.now
 	}
 }
 
 // tag gives the request its start and finish tag from the volume's bucket and the lane's tags.
 func (s *Scheduler) tag(r *request, l *lane) {
 	v, f, rho := r.vol, l.flow(r.vol), s.rho(r.vol)
-	v.tokens = min(s.sigma(v), v.tokens+(s.now-v.filled).Seconds()*rho)
-	v.filled = s.now
+	v.tokens, v.filled = min(s.sigma(v), v.tokens+(s.now-v.filled).Seconds()*rho), s.now
 	switch {
 	case v.tokens >= r.Units:
 		r.start = s.now
@@ -231,8 +216,7 @@
 	default:
 		r.start = max(f.maxS, s.now) + seconds(r.Units/rho)
 	}
-	f.maxS = r.start
-	r.finish = r.start + (r.fullAim - s.now)
+	f.maxS, r.finish = r.start, r.start+(r.fullAim-s.now)
 	v.tokens -= r.Units
 }
 
@@ -455,16 +439,19 @@
 		r.vol.store, r.drawn = r.vol.store-r.Units, true
 	}
 	if s.set.Rules.FallWithin > 0 {
-		n.recent = append(n.recent, draw{s.now, r.Units})
+		n.spend(s.now, r.Units, s.cold(n))
+		l.sent.add(s.now, r.Units, s.set.Rules.WarmWithin)
 	}
 	r.sent++
 	r.out, r.outAt = n, s.now
 	n.out = append(n.out, r)
 	n.wide = max(n.wide, len(n.out))
-	wait := s.patience(n, r)
-	wait = min(wait, max(r.due-s.now, s.set.Tick))
+	wait, within := min(s.patience(n, r), max(r.due-s.now, s.set.Tick)), time.Duration(0)
+	if r.mayRun && r.class.Effect == Keyed {
+		within = max(s.repeatBy(r)-s.now, 1) // it may wait for a connection yet
+	}
 	s.act(Action{Kind: Send, Request: r.ID, Node: n.ID, Wait: wait, Ahead: r.ahead(s.now),
-		Permit: permit, Within: r.within(s.now, s.set.Tick)})
+		Permit: permit, Within: within})
 }
 
 // ---- Node health ----
@@ -488,10 +475,8 @@
 			s.nodes = append(s.nodes, n)
 		}
 		if x.Started != n.Started && s.now-x.Started < s.set.Rules.WarmWithin {
-			n.window, n.streak, n.latency, n.load = 1, 0, 0, -1
-			if s.crowd { // each starts at a moment of its own, so that what was held does not come at once
-				n.openAt = s.now + time.Duration(s.rng.Float64()*float64(s.set.Rules.FallWithin/2))
-			}
+			n.share = s.share(x.Shard) // by what was sent before
+			n.window, n.streak, n.latency, n.load, n.served = 1, 0, 0, -1, nil
 		}
 		n.Node = x
 	}
@@ -499,8 +484,6 @@
 		if e.Whole && !named[n.ID] {
 			n.State = Removed
 		}
-	}
-	for _, n := range s.nodes {
 		if n.State == Up && n.Shard >= 0 {
 			s.laneOf(n.Shard)
 		}
@@ -562,16 +545,6 @@
 	return false
 }
 
-// Avoided tells how many of the listed nodes get no request, or one trial at a time.
-func (s *Scheduler) Avoided() (n int) {
-	for _, x := range s.nodes {
-		if x.State == Draining || s.avoids(x) {
-			n++
-		}
-	}
-	return n
-}
-
 // patience is the time-out of an attempt. It is long: the data is nowhere else, so a premature second attempt
 // only adds load, even where answers get lost. It frees the slot of an attempt that was lost.
 func (s *Scheduler) patience(n *node, r *request) time.Duration {
@@ -595,6 +568,7 @@
 			n.heard = s.now
 			return
 		}
+		s.noteWarm(n, took, e.Load)
 		if n.latency == 0 {
 			n.latency, n.base = took, took
 		}
@@ -688,8 +662,7 @@
 	}
 	r.lane = s.place(r)
 	if r.fullAim <= s.now { // a later try of what was turned away, past its aim already
-		r.late = true
-		s.answer(r)
+		r.late = true // answered once all events are known: its client may have left
 		return
 	}
 	s.tag(r, r.lane)
@@ -741,14 +714,16 @@
 
 // mayRepeat tells whether a further attempt of the request could ever be allowed.
 func (s *Scheduler) mayRepeat(r *request) bool {
-	if r.At != "" { // its body is gone
-		return false
-	}
-	if s.set.MaxAttempts > 0 && r.sent >= s.set.MaxAttempts {
+	if r.At != "" || s.set.MaxAttempts > 0 && r.sent >= s.set.MaxAttempts { // its body is gone, or its tries
 		return false
 	}
 	return !r.mayRun || r.class.Effect == Pure ||
-		r.class.Effect == Keyed && !r.Keyless && s.now < r.repeatBy(s.set.Tick)
+		r.class.Effect == Keyed && !r.Keyless && s.now < s.repeatBy(r)
+}
+
+// repeatBy is until when nodes surely drop a repeat: under the window, since to write takes a while.
+func (s *Scheduler) repeatBy(r *request) time.Duration {
+	return r.ranSince + r.class.Window - 4*s.set.Tick
 }
 
 // answer gives the final answer: a refusal where a client's retry is harmless, otherwise a failure.
@@ -769,13 +744,11 @@
 	s.act(end)
 	s.turned[r.sameAs()] = r
 	s.turnedAt = append(s.turnedAt, r)
-	for old := s.turnedAt[0]; s.now > old.born+old.class.Deadline; old = s.turnedAt[0] {
-		if s.turned[old.sameAs()] == old {
+	for len(s.turnedAt) > 0 && s.now > s.turnedAt[0].born+s.turnedAt[0].class.Deadline {
+		if old := s.turnedAt[0]; s.turned[old.sameAs()] == old {
 			delete(s.turned, old.sameAs())
 		}
-		if s.turnedAt = s.turnedAt[1:]; len(s.turnedAt) == 0 {
-			break
-		}
+		s.turnedAt = s.turnedAt[1:]
 	}
 	s.finish(r)
 }
@@ -792,20 +765,6 @@
 	}
 }
 
-// forget drops a finished request that has no attempt out.
-func (s *Scheduler) forget(r *request) {
-	delete(s.requests, r.ID)
-	r.vol.backlog--
-	k := s.keys[r.Extent]
-	if k == nil || !r.class.InOrder {
-		return
-	}
-	k.line = without(k.line, r)
-	if len(k.line) == 0 && k.rest <= s.now {
-		delete(s.keys, r.Extent)
-	}
-}
-
 // answerDue ends the held requests that can no longer make their aim, and those of which half the time is
 // over without an attempt: what still comes of them earns next to nothing, and clients pay for being held.
 func (s *Scheduler) answerDue() {
@@ -882,32 +841,82 @@
 	return k.rest
 }
 
-// coldGate keeps what this initiator sends to a cold node within its part of what such a node bears, growing
-// along the slowest ramp; what the node answered within the span it has shown to bear. Where the part is
-// under one mean request the node's own reports tell of all initiators' sends: while it holds few requests,
-// each may have one out there. They are as late as FallWithin allows; without one, a request a span may go.
+// coldGate keeps the sum of what all initiators send to a cold node within what it bears, whatever others do
+// (docs/design.md, Cold nodes): half by parts, which need no word from anybody, and half by answers, each of
+// which lets as much go once more. Where the even part is under one mean request, parts follow what was sent.
 func (s *Scheduler) coldGate(n *node, r *request) time.Duration {
 	ru, units := s.set.Rules, r.Units
-	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick) // also while warm: a start is told late
-	n.served = since(n.served, s.now-ru.FallWithin+s.set.Tick)
+	n.recent = since(n.recent, s.now-ru.FallWithin-s.set.Tick)                     // also while warm: a start is told late
+	answers := time.Duration(float64(ru.FallWithin) * max(0, ru.FallMultiple/2-1)) // how long they count
+	n.served = since(n.served, s.now-answers+s.set.Tick)
 	if !s.cold(n) {
 		return 0 // before the sums: every held request comes here at every step
 	}
 	if at, governed := s.rationed(ColdWork, n, r, units); governed {
 		return at
 	}
-	sum, shown := total(n.recent), total(n.served)
-	part := s.set.ColdUnits / float64(s.set.Initiators) * s.grown(n) * s.crew.part(s.now)
-	if sum+units <= max(part, part*(1-1/max(ru.FallMultiple, 1))+shown) {
+	each, sum := s.crew.part(s.now)/float64(s.set.Initiators), total(n.recent)
+	part := s.set.ColdUnits * s.grown(n) * each
+	if answers > 0 {
+		part /= 2
+	}
+	crowd := part < s.set.MeanUnits
+	few := len(n.out) == 0 && n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
+	if crowd && few || !crowd && total(n.served) >= units {
 		return 0
 	}
-	few := n.load >= 0 && n.load <= coldLoad && s.now-n.told < ru.FallWithin
-	if s.crowd && len(n.out) == 0 && (sum == 0 || few) {
+	if n.Started < s.born && s.now-s.born < ru.FallWithin {
+		return s.born + ru.FallWithin // what was sent before this process began is not known
+	}
+	if crowd { // by what is sent from here; answers have as much as the node does in the span
+		part, n.served = s.bears(n)*(1-1/max(ru.FallMultiple, 2))*each*n.share, nil
+	}
+	// One over the part goes from as few initiators as the part is of it, others at each node.
+	if sum+units <= part || sum == 0 && units*s.rank(n) <= part {
 		return 0
 	}
 	return s.now + ru.FallWithin/16
 }
 
+// bears is the units that a cold node bears now in the span of the rule, from all: along the slowest ramp, by
+// the settings or, if that is more, by what warm nodes do (Little's law). It takes longer here while cold.
+func (s *Scheduler) bears(n *node) float64 {
+	ru, grown := s.set.Rules, s.grown(n)
+	told := s.set.ColdUnits * grown
+	if s.service <= 0 || ru.ColdShare <= 0 {
+		return told
+	}
+	takes := max(n.latency, s.service/(ru.ColdShare*grown)) / max(1, s.atOnce)
+	return max(told, s.set.MeanUnits*ru.FallMultiple*ru.FallWithin.Seconds()/takes)
+}
+
+// share is this initiator's part of all that is sent to the shard, in even parts: what went from here of what
+// its node and warm ones had in hand for as long as one took. Little sent says little, so one request of each
+// in as many spans as a node takes to warm counts too. Its mean over all initiators is one.
+func (s *Scheduler) share(shard int) float64 {
+	if s.service <= 0 {
+		return 1
+	}
+	rate := max(1, s.atOnce) / s.service
+	for _, n := range s.nodes {
+		if n.Shard == shard && n.latency > 0 {
+			rate = max(rate, n.atOnce/n.latency)
+		}
+	}
+	over, all := s.set.Rules.WarmWithin, float64(s.set.Initiators)
+	sent := s.laneOf(max(shard, 0)).sent.now(s.now, over) / s.set.MeanUnits
+	little := s.set.Rules.FallWithin.Seconds() / over.Seconds() * all
+	rate *= over.Seconds() * (1 - math.Exp(-(s.now-s.born).Seconds()/over.Seconds())) // in its life
+	return (sent*all + little) / (rate + little)
+}
+
+// rank is this initiator's place among all at a node, from 0 to 1, known without talk.
+func (s *Scheduler) rank(n *node) float64 {
+	h := fnv.New32a()
+	h.Write([]byte(n.ID))
+	return (float64((uint32(s.index)+h.Sum32())%uint32(s.set.Initiators)) + 1) / float64(s.set.Initiators)
+}
+
 // budgetGate keeps further attempts within the ration, counted against us at both edges.
 func (s *Scheduler) budgetGate(n *node, r *request) time.Duration {
 	ru := s.set.Rules
@@ -962,16 +971,6 @@
 	return best
 }
 
-// Where names the node that a request for the shard would go to now; empty: none. It is asked for where a
-// body must be on its way before the request can be decided on.
-func (s *Scheduler) Where(shard int) string {
-	r := &request{Request: Request{Shard: shard}}
-	if l := s.place(r); l.node != nil {
-		return l.node.ID
-	}
-	return ""
-}
-
 // wait estimates how long a request newly put in the lane would take.
 func (s *Scheduler) wait(l *lane) float64 {
 	n := l.node
