Fault runs count a request as lost that was asked and not answered, not one that waited for its generator

Checked: all of them are 'Client.Timeout exceeded while awaiting headers'; the generator has 64 connections for 250 requests a second, and its five seconds ran while a request waited for one of them. Ruled out: the instance, which answers each within its 2 s.

Changed: the five seconds run from when a request has its connection, and one that got none in that time was never asked. What was asked is held to the same bound as before.

--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strings"
 	"sync"
@@ -110,7 +111,7 @@
 		work.Wait()
 	})
 	for i, n := range all {
-		client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 64}}
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, MaxConnsPerHost: 64}}
 		work.Go(func() {
 			defer client.CloseIdleConnections()
 			due := time.Now()
@@ -137,8 +138,21 @@
 	}
 }
 
+// answerWithin is how long a request may go without an answer, from when it has a connection. One that gets none of its generator's in that
+// time was never asked.
+const answerWithin = 5 * time.Second
+
 func (n *Instance) ask(ctx context.Context, client *http.Client, id string, shard int) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Listen+"/position-read/7f3a9c21e0b4d655", nil)
+	within, stop := context.WithCancel(ctx)
+	defer stop()
+	var asked atomic.Bool
+	late := time.AfterFunc(answerWithin, stop)
+	defer late.Stop()
+	within = httptrace.WithClientTrace(within, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		asked.Store(true)
+		late.Reset(answerWithin)
+	}})
+	req, err := http.NewRequestWithContext(within, http.MethodGet, "http://"+n.Listen+"/position-read/7f3a9c21e0b4d655", nil)
 	if err != nil {
 		return
 	}
@@ -148,7 +162,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && (asked.Load() || within.Err() == nil) {
 			n.Lost.Add(1)
 		}
 		return
