slope: the table of what a fleet costs by size, and its fits

The package has the table's type with its checks, and fits by gonum's linear regression: a line or a square, each size weighed by its distance as a part of itself, the largest left out of the fit and foretold from the rest.

--- /dev/null
+++ b/internal/scale/slope/fit.go
@@ -0,0 +1,88 @@
+package slope
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// fewest is how many sizes a slope takes: three that are fitted and one that is foretold.
+const fewest = 4
+
+// Point is what was measured at one size.
+type Point struct {
+	Size float64 `json:"size"`
+	Cost float64 `json:"cost"`
+}
+
+// Line is what was fitted: Base + Rise x size^Power.
+type Line struct {
+	Base, Rise  float64
+	Error       float64 // standard error of Rise
+	Power       float64 // 1 or 2
+	Noise       float64 // residual of the points fitted, as a part of each; root of the mean square
+	Least, Most float64 // sizes measured, the one left out included
+	Foretold    float64 // at the largest size, which was left out
+	Off         float64 // Foretold less what was measured there, as a part of it
+}
+
+// Fit fits what was measured at four sizes or more, the largest left out and foretold from the rest. Of a line and a square it takes the one that is nearer to
+// the points fitted. Each counts by its distance as a part of itself, or the larger sizes would drown the smaller ones.
+func Fit(points []Point) (Line, error) {
+	points = slices.Clone(points)
+	slices.SortFunc(points, func(a, b Point) int {
+		if a.Size < b.Size {
+			return -1
+		}
+		return 1
+	})
+	if len(points) < fewest {
+		return Line{}, fmt.Errorf("%d sizes are too few for a slope, %d are needed", len(points), fewest)
+	}
+	for i, p := range points {
+		if math.IsNaN(p.Cost) || math.IsInf(p.Cost, 0) || !(p.Size >= 0) {
+			return Line{}, fmt.Errorf("point %d: %v at a size of %v is no measurement", i, p.Cost, p.Size)
+		}
+		if i > 0 && points[i-1].Size == p.Size {
+			return Line{}, fmt.Errorf("point %d: a size of %v is there twice", i, p.Size)
+		}
+	}
+	rest, last := points[:len(points)-1], points[len(points)-1]
+	best := fit(rest, 1)
+	// A square has to be clearly nearer: a line is what is expected, and noise takes turns.
+	if square := fit(rest, 2); square.Noise < best.Noise/2 && square.Rise > 0 {
+		best = square
+	}
+	best.Least, best.Most = rest[0].Size, last.Size
+	best.Foretold = best.Base + best.Rise*math.Pow(last.Size, best.Power)
+	if last.Cost != 0 {
+		best.Off = (best.Foretold - last.Cost) / math.Abs(last.Cost)
+	}
+	return best, nil
+}
+
+func fit(points []Point, power float64) Line {
+	x, y, w := make([]float64, len(points)), make([]float64, len(points)), make([]float64, len(points))
+	for i, p := range points {
+		x[i], y[i], w[i] = math.Pow(p.Size, power), p.Cost, 1
+		if p.Cost != 0 {
+			w[i] = 1 / (p.Cost * p.Cost)
+		}
+	}
+	l := Line{Power: power}
+	l.Base, l.Rise = stat.LinearRegression(x, y, w, false)
+	mean := stat.Mean(x, w)
+	square, spread := 0.0, 0.0
+	for i := range x {
+		r := y[i] - l.Base - l.Rise*x[i]
+		square += w[i] * r * r
+		spread += w[i] * (x[i] - mean) * (x[i] - mean)
+	}
+	l.Noise = math.Sqrt(square / float64(len(x)))
+	if spread > 0 && len(x) > 2 {
+		l.Error = math.Sqrt(square / float64(len(x)-2) / spread)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/scale/slope/slope.go
@@ -0,0 +1,155 @@
+// Package slope has what each role of a fleet costs by size: slopes that were measured, the size that decides the design, and the
+// figures and verdicts of docs/CAPACITY.md that follow from both. The table slopes.json is the only place of those figures. Nothing of it
+// is linked into the initiator.
+package slope
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+)
+
+// File is where the table stands, from the top of the repository.
+const File = "internal/scale/slope/slopes.json"
+
+//go:embed slopes.json
+var embedded []byte
+
+// Slope is what something costs for each of what it grows by: at a size it costs Base + Value x size^Power.
+type Slope struct {
+	Name     string  `json:"name"`
+	Unit     string  `json:"unit"`     // of the cost: us, B, allocs, ...
+	Of       string  `json:"of"`       // what costs it
+	Per      string  `json:"per"`      // what it grows by
+	Value    float64 `json:"value"`    // units for each of Per
+	Error    float64 `json:"error"`    // standard error of Value
+	Base     float64 `json:"base"`     // units at a size of 0
+	Power    float64 `json:"power"`    // 1, or 2 where it grows with the square
+	Least    float64 `json:"least"`    // range of sizes measured
+	Most     float64 `json:"most"`     //
+	Off      float64 `json:"off"`      // the largest size, foretold from the rest, less what was measured there, as a part of that
+	Noise    float64 `json:"noise"`    // residual of the sizes fitted, as a part of each
+	Command  string  `json:"command"`  // what measured it
+	Date     string  `json:"date"`     // of that run, as in 2026-12-02
+	Cores    int     `json:"cores"`    // of the machine that it ran on
+	Lasts    float64 `json:"lasts_s"`  // of the probe, seconds
+	Measured []Point `json:"measured"` // what was fitted, and the largest
+	Exact    bool    `json:"exact"`    // counts or bytes: the same in every run
+	About    string  `json:"about"`    // what was run, in a line
+}
+
+// At is the cost at a size, beyond the range measured as well.
+func (s Slope) At(size float64) float64 { return s.Base + s.Value*math.Pow(size, s.Power) }
+
+// Known tells whether it was measured.
+func (s Slope) Known() bool { return s.Name != "" }
+
+// Within tells whether a size lies in the range that was measured.
+func (s Slope) Within(size float64) bool { return s.Known() && size >= s.Least && size <= s.Most }
+
+// Table is all that was measured, and the size that it is held against.
+type Table struct {
+	Size   Size    `json:"size"`
+	Limits Limits  `json:"limits"`
+	Slopes []Slope `json:"slopes"` // in order of their names
+}
+
+// At returns the slope of that name; one that was not measured is not Known.
+func (t *Table) At(name string) Slope {
+	if i, there := slices.BinarySearchFunc(t.Slopes, name, compareName); there {
+		return t.Slopes[i]
+	}
+	return Slope{}
+}
+
+func compareName(s Slope, name string) int { return strings.Compare(s.Name, name) }
+
+// Put takes a slope's latest figures over.
+func (t *Table) Put(s Slope) {
+	i, there := slices.BinarySearchFunc(t.Slopes, s.Name, compareName)
+	if there {
+		t.Slopes[i] = s
+	} else {
+		t.Slopes = slices.Insert(t.Slopes, i, s)
+	}
+}
+
+// Load returns the table that the program was built with.
+func Load() (*Table, error) { return Read(File, embedded) }
+
+var format = jsoniter.Config{EscapeHTML: false, SortMapKeys: true, DisallowUnknownFields: true}.Froze()
+
+// Read reads a table and checks it; errors name the file and the field.
+func Read(file string, text []byte) (*Table, error) {
+	var t Table
+	d := format.NewDecoder(bytes.NewReader(text))
+	if err := d.Decode(&t); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	if d.More() {
+		return nil, fmt.Errorf("%s: there is more behind the table", file)
+	}
+	if err := t.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return &t, nil
+}
+
+// Text is the table as its file has it.
+func (t *Table) Text() ([]byte, error) {
+	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.MarshalIndent(t, "", "  ")
+	return append(b, '\n'), err
+}
+
+// Check names the first field that can't be used.
+func (t *Table) Check() error {
+	if err := t.Size.Check(); err != nil {
+		return fmt.Errorf("size.%w", err)
+	}
+	if err := t.Limits.Check(); err != nil {
+		return fmt.Errorf("limits.%w", err)
+	}
+	for i, s := range t.Slopes {
+		if err := s.check(); err != nil {
+			return fmt.Errorf("slopes[%d].%w", i, err)
+		}
+		if i > 0 && t.Slopes[i-1].Name >= s.Name {
+			return fmt.Errorf("slopes[%d].name: %q is there twice or out of order", i, s.Name)
+		}
+	}
+	return nil
+}
+
+func (s *Slope) check() error {
+	for _, f := range []struct{ field, value string }{{"name", s.Name}, {"unit", s.Unit}, {"of", s.Of}, {"per", s.Per}, {"command", s.Command}} {
+		if f.value == "" {
+			return fmt.Errorf("%s: is missing", f.field)
+		}
+	}
+	for _, f := range []struct {
+		field string
+		value float64
+		least float64
+	}{{"value", s.Value, math.Inf(-1)}, {"base", s.Base, math.Inf(-1)}, {"off", s.Off, math.Inf(-1)}, {"error", s.Error, 0}, {"least", s.Least, 0}, {"most", s.Most, s.Least},
+		{"noise", s.Noise, 0}} {
+		if math.IsNaN(f.value) || math.IsInf(f.value, 0) || f.value < f.least {
+			return fmt.Errorf("%s: %v is no number from %v on", f.field, f.value, f.least)
+		}
+	}
+	if s.Power != 1 && s.Power != 2 {
+		return fmt.Errorf("power: %v is neither 1 nor 2", s.Power)
+	}
+	if len(s.Measured) < fewest {
+		return fmt.Errorf("measured: %d sizes, wanted %d or more", len(s.Measured), fewest)
+	}
+	if _, err := time.Parse(time.DateOnly, s.Date); err != nil {
+		return fmt.Errorf("date: %q is no date like 2026-12-02", s.Date)
+	}
+	return nil
+}
