--- /dev/null
+++ b/cmd/spindlehitch-scale/run.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/scale/run"
+	"spindlehitch/internal/scale/slope"
+)
+
+// errNotHeld ends a run of which a limit is not held.
+var errNotHeld = errors.New("a limit is not held")
+
+// runCommand is the scale run: the table of what was found, and as its last line how many limits are held.
+func runCommand() *cobra.Command {
+	var asJSON bool
+	var plots, program, dir string
+	cmd := &cobra.Command{Use: "run [short|full|before|FILE.toml]", Short: "Run hollow and real initiators under changes and faults", Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			spec, err := run.Read(append(args, "short")[0])
+			if err != nil {
+				return err
+			}
+			table, err := slope.Load()
+			if err != nil {
+				return err
+			}
+			if err := run.Fits(spec, table); err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			if program == "" {
+				program = filepath.Join(filepath.Dir(self), "spindlehitch")
+			}
+			if _, err := os.Stat(program); err != nil {
+				return fmt.Errorf("--program: %w; make build makes it", err)
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			r, err := run.Run(ctx, spec, run.Options{Self: self, Program: program, Dir: dir, Log: cmd.ErrOrStderr()})
+			if err != nil {
+				return err
+			}
+			r.Cores = runtime.NumCPU()
+			if plots != "" {
+				if err := r.Plots(plots, "scale-"+spec.Name); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				e := json.NewEncoder(cmd.OutOrStdout())
+				e.SetIndent("", "  ")
+				if err := e.Encode(r); err != nil {
+					return err
+				}
+			} else if err := r.Table(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			for _, c := range r.Checks {
+				if !c.Held() {
+					return errNotHeld
+				}
+			}
+			return nil
+		}}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON in place of tables")
+	cmd.Flags().StringVar(&plots, "plots", "", "draw into this folder")
+	cmd.Flags().StringVar(&program, "program", "", "spindlehitch; the one beside this program where it is not told")
+	cmd.Flags().StringVar(&dir, "dir", "", "keep logs and state in this folder")
+	return cmd
+}
+
+// hostCommand is a process of hollow initiators, which a run starts.
+func hostCommand() *cobra.Command {
+	return &cobra.Command{Use: "host", Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		// An interrupt from the keyboard reaches all processes of the run: the one that gives the orders ends this one.
+		signal.Ignore(os.Interrupt)
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		go func() {
+			<-ctx.Done()
+			os.Stdin.Close()
+		}()
+		return run.Host(ctx, os.Stdin, os.Stdout)
+	}}
+}
--- /dev/null
+++ b/internal/scale/hollow/hollow.go
@@ -0,0 +1,140 @@
+// Package hollow is an initiator without clients and without sockets to targets: the real code for lists, configuration, members and the
+// module, some hundreds of them in a process. Nothing of it is linked into the initiator.
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"spindlehitch"
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/discovery"
+	"spindlehitch/internal/listing"
+	"spindlehitch/internal/monotone"
+	"spindlehitch/internal/peers"
+)
+
+// serving is the state of a target that takes requests, as lists have it.
+const serving = "SERVING"
+
+// Options say which parts an initiator has.
+type Options struct {
+	Name, Region, Zone string
+	Seed               uint64
+	Discovery          string        // where the list is asked for; empty: it is not
+	Crowd              int           // how many ask there
+	Known              *listing.List // the list as last had
+	Agents             []string      // whose configuration is followed; empty: none
+	Members            *peers.Options
+	Module             *spindlehitch.Settings // nil: it has no module
+	Log                *slog.Logger
+}
+
+// Initiator is one hollow initiator.
+type Initiator struct {
+	Journal *Journal
+	opt     Options
+	mu      sync.Mutex // of what follows
+	stop    context.CancelFunc
+	all     sync.WaitGroup
+	peers   *peers.Peers
+	module  *module
+}
+
+// New returns an initiator that does nothing yet.
+func New(opt Options) *Initiator { return &Initiator{Journal: NewJournal(opt.Name), opt: opt} }
+
+// Name is the initiator's.
+func (in *Initiator) Name() string { return in.opt.Name }
+
+// Running tells whether it was started and not stopped since.
+func (in *Initiator) Running() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.stop != nil
+}
+
+// Start starts its parts.
+func (in *Initiator) Start() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	if in.opt.Module != nil {
+		m, err := newModule(*in.opt.Module, in.opt.Seed, in.Journal)
+		if err != nil {
+			stop()
+			return err
+		}
+		in.module = m
+		in.all.Go(func() { m.run(ctx) })
+	}
+	if in.opt.Members != nil {
+		p, err := peers.New(*in.opt.Members)
+		if err == nil {
+			err = p.Start(ctx)
+		}
+		if err != nil {
+			stop()
+			in.all.Wait()
+			return err
+		}
+		in.peers = p
+	}
+	in.stop = stop
+	if in.opt.Discovery != "" {
+		w := discovery.New(discovery.Options{Addr: in.opt.Discovery, Known: in.opt.Known, Crowd: in.opt.Crowd, Seed: in.opt.Seed, Log: in.opt.Log}, in.lists(in.module))
+		in.all.Go(func() { w.Run(ctx) })
+	}
+	if len(in.opt.Agents) > 0 {
+		c := &agent.Client{Addrs: in.opt.Agents}
+		in.all.Go(func() {
+			c.Follow(ctx, in.opt.Name, in.opt.Log, func(e agent.Entry) { in.Journal.Heard(Config, e.Version, monotone.Now()) })
+		})
+	}
+	return nil
+}
+
+// lists takes lists over: the module, where there is one, steps each before it counts as in force.
+func (in *Initiator) lists(m *module) func(*listing.List) {
+	return func(l *listing.List) {
+		done := func() { in.Journal.Heard(Targets, uint64(*l.Version), monotone.Now()) }
+		if m != nil {
+			m.list(l, done)
+			return
+		}
+		in.Journal.Told(l.Servers)
+		done()
+	}
+}
+
+// Stop ends its parts, without a word to others where abrupt.
+func (in *Initiator) Stop(abrupt bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.stop == nil {
+		return
+	}
+	if in.peers != nil {
+		ctx, done := context.WithCancel(context.Background())
+		if abrupt {
+			done()
+		}
+		in.peers.Stop(ctx)
+		done()
+		in.peers = nil
+	}
+	in.stop()
+	in.all.Wait()
+	in.stop, in.module = nil, nil
+}
+
+// Wire is how many bytes its own transports have read and written; what goes through the process's transport is not in it.
+func (in *Initiator) Wire() (read, written int64) { return 0, 0 }
+
+// Asks is a call as it makes them, for one that is never read from.
+func (in *Initiator) Asks() (addr string, request []byte) {
+	addr = in.opt.Agents[0]
+	return addr, fmt.Appendf(nil, "GET /v1/instances/%s?stale&wait_ms=60000&after=0 HTTP/1.1\r\nHost: %s\r\n\r\n", in.opt.Name, addr)
+}
--- /dev/null
+++ b/internal/scale/hollow/module.go
@@ -0,0 +1,109 @@
+package hollow
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/listing"
+	"spindlehitch/internal/mailbox"
+)
+
+// trial is how many requests at changed targets a module decides after each list.
+const trial = 4
+
+// module is the real module on a goroutine of its own. After each list it decides a few requests for what has changed: each first byte that it would have
+// go out is the judge's to see.
+type module struct {
+	m       *spindlehitch.Scheduler
+	set     spindlehitch.Settings
+	clock   core.Clock
+	journal *Journal
+	box     *mailbox.Box[lists]
+	made    int
+	open    map[string]bool
+	due     time.Time // of the timer; zero: none
+}
+
+type lists struct {
+	list *listing.List
+	done func()
+}
+
+func newModule(set spindlehitch.Settings, seed uint64, j *Journal) (*module, error) {
+	m, err := spindlehitch.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &module{m: m, set: set, clock: core.NewClock(), journal: j, box: mailbox.New[lists](), open: map[string]bool{}}, nil
+}
+
+func (x *module) list(l *listing.List, done func()) { x.box.Put(lists{l, done}) }
+
+func (x *module) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			x.due = time.Time{}
+			x.step(spindlehitch.Timer{})
+		case <-x.box.Wake():
+			for _, l := range x.box.Take(nil) {
+				x.listed(l)
+			}
+		}
+		if !x.due.IsZero() {
+			timer.Reset(time.Until(x.due))
+		}
+	}
+}
+
+func (x *module) listed(l lists) {
+	nodes := spindlehitch.NodeList{Whole: l.list.Full, Nodes: make([]spindlehitch.Node, len(l.list.Servers))}
+	for i, e := range l.list.Servers {
+		nodes.Nodes[i] = e.Node()
+	}
+	x.journal.Told(l.list.Servers) // here, as a send decided before it is none past it
+	x.step(nodes)
+	l.done()
+	if l.list.Full {
+		return
+	}
+	for _, n := range nodes.Nodes[:min(trial, len(nodes.Nodes))] {
+		x.made++
+		id := strconv.Itoa(x.made)
+		x.open[id] = true
+		x.step(spindlehitch.Request{ID: id, Class: x.set.Classes[0].Name, Plan: x.set.Plans[0].Name, Volume: "v" + strconv.Itoa(n.Shard), Shard: n.Shard, Units: 1, Initiators: 1})
+	}
+	for id := range x.open { // what found no target is not waited for
+		delete(x.open, id)
+		x.step(spindlehitch.Departed{ID: id})
+	}
+}
+
+// step has the module decide, and ends each attempt that it makes at once: as served.
+func (x *module) step(e spindlehitch.Event) {
+	now := time.Now()
+	actions := x.m.Step(x.clock.At(now), []spindlehitch.Event{e})
+	var ends []spindlehitch.Event
+	for _, a := range actions {
+		switch a.Kind {
+		case spindlehitch.Send:
+			x.journal.Sends(a.Node)
+			delete(x.open, a.Request)
+			ends = append(ends, spindlehitch.Outcome{ID: a.Request, Attempt: 1, Node: a.Node, Code: spindlehitch.Delivered, Took: time.Millisecond, Closed: true})
+		case spindlehitch.Refuse, spindlehitch.Fail:
+			delete(x.open, a.Request)
+		case spindlehitch.SetTimer:
+			x.due = now.Add(a.Wait)
+		}
+	}
+	for _, e := range ends {
+		x.step(e)
+	}
+}
--- /dev/null
+++ b/internal/scale/run/load.go
@@ -0,0 +1,76 @@
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const contSignal = syscall.SIGCONT
+
+func rawText(s string) json.RawMessage { return json.RawMessage(s) }
+
+// load is a light one on the real initiators.
+type load struct {
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+	asked  atomic.Int64
+	served atomic.Int64
+	other  atomic.Int64
+}
+
+// loadEvery is the time between two requests at an initiator.
+const loadEvery = 100 * time.Millisecond
+
+// start has each initiator asked for each of so many shards in turn.
+func (l *load) start(ends []string, shards int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	for k, at := range ends {
+		l.all.Go(func() {
+			c := http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
+			for i := k; ; i++ {
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(loadEvery):
+				}
+				req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/position-read/7f3a9c21e0b4d655", nil)
+				if err != nil {
+					return
+				}
+				req.Header.Set("Request-Id", fmt.Sprintf("%d-%d", k, i))
+				req.Header.Set("Tier", "base")
+				req.Header.Set("Request-Timeout-Ms", "8000")
+				req.Header.Set("IO-Info", fmt.Sprintf("volume=%016x,units=1,shard=%d,hosts=1", i%shards, i%shards))
+				l.asked.Add(1)
+				resp, err := c.Do(req)
+				if err != nil {
+					if ctx.Err() == nil {
+						l.other.Add(1)
+					}
+					continue
+				}
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					l.served.Add(1)
+				} else {
+					l.other.Add(1)
+				}
+			}
+		})
+	}
+}
+
+func (l *load) stop() {
+	if l.cancel != nil {
+		l.cancel()
+		l.all.Wait()
+		l.cancel = nil
+	}
+}
--- /dev/null
+++ b/internal/scale/run/measure.go
@@ -0,0 +1,230 @@
+package run
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Row is what was measured at one size, or under one fault.
+type Row struct {
+	Of         string  `json:"of"` // initiators, targets, changes, agreement, or the fault
+	Initiators int     `json:"initiators"`
+	Targets    int     `json:"targets"`
+	Rate       float64 `json:"changes_s"` // asked for
+	Seconds    float64 `json:"seconds"`
+	Changes    int     `json:"changes"` // confirmed
+	Failed     int     `json:"changes_failed"`
+	// In force, from the moment in which the change was asked for.
+	Half    float64 `json:"half_ms"`
+	Most    float64 `json:"ninety_nine_ms"`
+	Last    float64 `json:"last_ms"`
+	Who     string  `json:"last_who"`
+	Primary float64 `json:"primary_last_ms"`
+	Missing int     `json:"missing"`   // initiators times changes that were not in force when the wait was over
+	Settled float64 `json:"settled_s"` // after the last change, or the fault's end, until all had the newest; -1: they had not
+	Lags    string  `json:"lags,omitempty"`
+	// For each hollow initiator.
+	Core     float64 `json:"core"`     // part of one, beyond what it takes switched off
+	CoreIdle float64 `json:"core_off"` // switched off
+	Memory   float64 `json:"memory_b"`
+	In       float64 `json:"in_b_s"`
+	Out      float64 `json:"out_b_s"`
+	// Of control.
+	Leader   Role    `json:"leader"`
+	Follower Role    `json:"follower"`     // the dearest
+	Relay    Role    `json:"relay"`        // the dearest
+	LogBytes float64 `json:"log_b_change"` // growth of an agent's folder for each change
+}
+
+// Role is what a process of control has taken.
+type Role struct {
+	Core   float64 `json:"core"`
+	Memory int64   `json:"memory_b"`
+	In     float64 `json:"in_b_s"`
+	Out    float64 `json:"out_b_s"`
+	FDs    int     `json:"descriptors"`
+}
+
+// snapshot is what all processes have used so far.
+type snapshot struct {
+	at      time.Time
+	hosts   []use
+	agents  []use
+	relays  []use
+	in, out int64 // of hollow initiators
+	folder  int64
+}
+
+func (f *fleet) snapshot() (s snapshot, err error) {
+	st, err := f.each(order{Do: "state"})
+	s.at, s.in, s.out = time.Now(), st.In, st.Out
+	s.in, s.out = s.in+f.service.bytes.out.Load(), s.out+f.service.bytes.in.Load()
+	for _, g := range []struct {
+		p    []*proc
+		into *[]use
+	}{{f.hosts, &s.hosts}, {f.agents, &s.agents}, {f.relays, &s.relays}} {
+		for _, p := range g.p {
+			*g.into = append(*g.into, p.used())
+		}
+	}
+	for _, dir := range f.dirs {
+		s.folder = max(s.folder, folderSize(dir))
+	}
+	return s, err
+}
+
+// role is what a process took between two snapshots.
+func role(a, b use, seconds float64) Role {
+	if b.CPU < a.CPU || b.In < a.In { // started again meanwhile
+		a = use{}
+	}
+	return Role{Core: (b.CPU - a.CPU).Seconds() / seconds, Memory: b.RSS, In: float64(b.In-a.In) / seconds, Out: float64(b.Out-a.Out) / seconds, FDs: b.FDs}
+}
+
+func (r *Role) most(o Role) {
+	r.Core, r.Memory, r.In, r.Out, r.FDs = max(r.Core, o.Core), max(r.Memory, o.Memory), max(r.In, o.In), max(r.Out, o.Out), max(r.FDs, o.FDs)
+}
+
+// between fills in what all took between two snapshots.
+func (f *fleet) between(a, b snapshot, r *Row) {
+	r.Seconds = b.at.Sub(a.at).Seconds()
+	var cpu time.Duration
+	var rss int64
+	for i := range b.hosts {
+		cpu += b.hosts[i].CPU
+		if i < len(a.hosts) {
+			cpu -= a.hosts[i].CPU
+		}
+		rss += b.hosts[i].RSS
+	}
+	n := float64(max(1, f.hollow))
+	r.Core, r.Memory = cpu.Seconds()/r.Seconds/n-r.CoreIdle, float64(rss)/n
+	r.In, r.Out = float64(b.in-a.in)/r.Seconds/n, float64(b.out-a.out)/r.Seconds/n
+	leader := -1
+	for i, s := range f.client.Status(f.ctx) {
+		if s.State == "Leader" {
+			leader = i
+		}
+	}
+	for i := range b.agents {
+		x := role(a.agents[i], b.agents[i], r.Seconds)
+		if i == leader {
+			r.Leader = x
+		} else {
+			r.Follower.most(x)
+		}
+	}
+	for i := range b.relays {
+		r.Relay.most(role(a.relays[i], b.relays[i], r.Seconds))
+	}
+	r.LogBytes = float64(b.folder-a.folder) / max(1, float64(r.Changes))
+}
+
+// settle is how long is waited for all to have what was changed.
+const settle = 60 * time.Second
+
+// idle is how long the initiators are measured switched off.
+const idle = 2 * time.Second
+
+// measure makes changes at a rate for a while, and tells what came of it. CoreIdle is of the same initiators, switched off.
+func (f *fleet) measure(of string, rate, coreIdle float64) (Row, error) {
+	r := Row{Of: of, Initiators: f.hollow, Targets: len(f.entries), Rate: rate, CoreIdle: coreIdle}
+	w := f.newWriter(uint64(len(of)) + uint64(f.hollow))
+	a, err := f.snapshot()
+	if err != nil {
+		return r, err
+	}
+	w.run(f.ctx, rate, time.Duration(f.spec.ForS*float64(time.Second)))
+	b, err := f.snapshot()
+	if err != nil {
+		return r, err
+	}
+	r.Changes, r.Failed = len(w.marks), w.failed
+	f.between(a, b, &r)
+	return r, f.finish(&r, w.marks)
+}
+
+// finish waits until all have the marks and tells when they had them.
+func (f *fleet) finish(r *Row, marks []mark) error {
+	took, s, err := f.reached(marks, settle)
+	if err != nil {
+		return err
+	}
+	if r.Settled = took.Seconds(); s.Reached < s.Running || s.Running < f.hollow {
+		r.Settled, r.Lags = -1, strings.Join(s.Lags[:min(3, len(s.Lags))], " ")
+	}
+	if s, err = f.each(order{Do: "collect", Marks: marks}); err != nil {
+		return err
+	}
+	r.Missing = s.Missing
+	r.quantiles(s)
+	f.say("%s: %s", r.Of, r.line())
+	return nil
+}
+
+// quantiles are those of all pairs of a change and an initiator.
+func (r *Row) quantiles(s state) {
+	at := map[int]int{}
+	var all int
+	for k, n := range s.Done {
+		_, ms, _ := strings.Cut(k, " ")
+		i, _ := strconv.Atoi(ms)
+		at[i] += n
+		all += n
+	}
+	all += s.Missing
+	var keys []int
+	for ms := range at {
+		keys = append(keys, ms)
+	}
+	slices.Sort(keys)
+	r.Half, r.Most = -1, -1
+	n := 0
+	for _, ms := range keys {
+		n += at[ms]
+		if r.Half < 0 && n*2 >= all {
+			r.Half = float64(ms)
+		}
+		if r.Most < 0 && n*100 >= all*99 {
+			r.Most = float64(ms)
+		}
+	}
+	for _, l := range s.Last {
+		if l.Ms > r.Last {
+			r.Last, r.Who = l.Ms, l.Who
+		}
+		if l.Primary {
+			r.Primary = max(r.Primary, l.Ms)
+		}
+	}
+}
+
+func (r *Row) line() string {
+	return fmt.Sprintf("%d initiators, %d targets, %.3g changes/s: %d in force at half %.0f, 99%% %.0f, last %.0f ms (%s), %d missing; each %.3f%% core, %.1f MB, %.2f+%.2f KB/s; leader %.2f, relay %.2f core",
+		r.Initiators, r.Targets, r.Rate, r.Changes, r.Half, r.Most, r.Last, r.Who, r.Missing, 100*r.Core, r.Memory/1e6, r.In/1e3, r.Out/1e3, r.Leader.Core, r.Relay.Core)
+}
+
+// off measures the hollow initiators switched off: what their processes take anyway, as a part of a core for each.
+func (f *fleet) off() (float64, error) {
+	if f.hollow == 0 {
+		return 0, errNobody
+	}
+	if _, err := f.each(order{Do: "gc"}); err != nil {
+		return 0, err
+	}
+	a, err := f.snapshot()
+	if err != nil {
+		return 0, err
+	}
+	f.pause(idle)
+	b, err := f.snapshot()
+	if err != nil {
+		return 0, err
+	}
+	var r Row
+	f.between(a, b, &r)
+	return r.Core, nil
+}
--- /dev/null
+++ b/internal/scale/run/print.go
@@ -0,0 +1,127 @@
+package run
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette/brewer"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Verdict is the run's last line.
+func (r *Result) Verdict() string {
+	held := 0
+	for _, c := range r.Checks {
+		if c.Held() {
+			held++
+		}
+	}
+	return fmt.Sprintf("scale: %d of %d limits held", held, len(r.Checks))
+}
+
+// Table writes what was found, and last of all how many limits are held.
+func (r *Result) Table(out io.Writer) error {
+	fmt.Fprintf(out, "%s, by %s, %s, seed %d: %d processes of hollow initiators, %d of these run the module and %d are members; %.0f s on %d cores\n\n", r.Name, r.Mechanism, r.Date, r.Seed,
+		r.Hosts, r.Modules, r.Members, r.Seconds, r.Cores)
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "of\tinitiators\ttargets\tchanges/s\tchanges\tfailed\thalf ms\t99% ms\tlast ms\tlast one\tprimary ms\tmissing\tsettled s\tcore %\toff %\tMB\tin B/s\tout B/s\t")
+	for _, x := range r.Rows {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3g\t%d\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f\t%d\t%.1f\t%.4f\t%.4f\t%.1f\t%.0f\t%.0f\t\n", x.Of, x.Initiators, x.Targets, x.Rate, x.Changes, x.Failed, x.Half, x.Most, x.Last, x.Who,
+			x.Primary, x.Missing, x.Settled, 100*x.Core, 100*x.CoreIdle, x.Memory/1e6, x.In, x.Out)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "of\tinitiators\tleader core\tMB\tin B/s\tout B/s\tfds\tfollower core\tMB\tfds\trelay core\tMB\tin B/s\tout B/s\tfds\tlog B a change\t")
+	for _, x := range r.Rows {
+		l, a, y := x.Leader, x.Follower, x.Relay
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%.0f\t%.0f\t%.0f\t%d\t%.3f\t%.0f\t%d\t%.3f\t%.0f\t%.0f\t%.0f\t%d\t%.0f\t\n", x.Of, x.Initiators, l.Core, float64(l.Memory)/1e6, l.In, l.Out, l.FDs, a.Core,
+			float64(a.Memory)/1e6, a.FDs, y.Core, float64(y.Memory)/1e6, y.In, y.Out, y.FDs, x.LogBytes)
+	}
+	if len(r.Fits) > 0 {
+		fmt.Fprintln(t)
+		fmt.Fprintln(t, "slope of\tper\trise\terror\tbase\tpower\tlargest foretold off by\t")
+		for _, x := range r.Fits {
+			fmt.Fprintf(t, "%s\t%s\t%.3g\t%.2g\t%.3g\t%.0f\t%+.0f %%\t\n", x.Of, x.Per, x.Rise, x.Error, x.Base, x.Power, 100*x.Off)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(out)
+	for _, u := range r.Ups {
+		fmt.Fprintf(out, "%d initiators are up and have the newest after %.1f s\n", u.Initiators, u.Seconds)
+	}
+	for _, n := range append(r.Notes, r.What...) {
+		fmt.Fprintln(out, n)
+	}
+	fmt.Fprintf(out, "real initiators: %d requests, %d served, %d not, %d past a drain; targets had %d\n\n", r.Load.Asked, r.Load.Served, r.Load.Other, r.Load.Late, r.Load.Targets)
+	for _, c := range r.Checks {
+		fmt.Fprintln(out, c)
+	}
+	_, err := fmt.Fprintln(out, r.Verdict())
+	return err
+}
+
+// Plots draws what was found into a folder, as SVG: files that begin with the prefix.
+func (r *Result) Plots(dir, prefix string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	type line struct {
+		name string
+		y    func(Row) float64
+	}
+	inForce := []line{{"half", func(r Row) float64 { return r.Half / 1000 }}, {"99 in 100", func(r Row) float64 { return r.Most / 1000 }}, {"last", func(r Row) float64 { return r.Last / 1000 }}}
+	for _, p := range []struct {
+		file, title, of, x, y string
+		at                    func(Row) float64
+		lines                 []line
+	}{
+		{"in-force", "Time until a change is in force", "initiators", "hollow initiators", "s", func(r Row) float64 { return float64(r.Initiators) }, inForce},
+		{"changes", "Time until a change is in force", "changes", "changes a second", "s", func(r Row) float64 { return r.Rate }, inForce},
+		{"wire", "Bytes of control at each initiator", "changes", "changes a second", "B/s", func(r Row) float64 { return r.Rate },
+			[]line{{"read", func(r Row) float64 { return r.In }}, {"written", func(r Row) float64 { return r.Out }}}},
+		{"control", "Processor time of control", "initiators", "hollow initiators", "core", func(r Row) float64 { return float64(r.Initiators) },
+			[]line{{"leader", func(r Row) float64 { return r.Leader.Core }}, {"dearest follower", func(r Row) float64 { return r.Follower.Core }}, {"dearest relay", func(r Row) float64 { return r.Relay.Core }}}},
+	} {
+		var rows []Row
+		for _, row := range r.Rows {
+			if row.Of == p.of {
+				rows = append(rows, row)
+			}
+		}
+		if len(rows) < 2 {
+			continue
+		}
+		pic := plot.New()
+		pic.Title.Text, pic.X.Label.Text, pic.Y.Label.Text, pic.Y.Min, pic.Legend.Top, pic.Legend.Left = p.title, p.x, p.y, 0, true, true
+		pic.Add(plotter.NewGrid())
+		colors, err := brewer.GetPalette(brewer.TypeQualitative, "Dark2", 3)
+		if err != nil {
+			return err
+		}
+		for i, l := range p.lines {
+			var xy plotter.XYs
+			for _, row := range rows {
+				xy = append(xy, plotter.XY{X: p.at(row), Y: l.y(row)})
+			}
+			drawn, points, err := plotter.NewLinePoints(xy)
+			if err != nil {
+				return err
+			}
+			drawn.Color, drawn.Width = color.RGBAModel.Convert(colors.Colors()[i]), vg.Points(1.5)
+			points.Color = drawn.Color
+			pic.Add(drawn, points)
+			pic.Legend.Add(l.name, drawn)
+		}
+		if err := pic.Save(18*vg.Centimeter, 9*vg.Centimeter, filepath.Join(dir, prefix+"-"+p.file+".svg")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/run/proc.go
@@ -0,0 +1,237 @@
+package run
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// proc is one process of a run. It ends with the run, also where the run is killed.
+type proc struct {
+	name  string
+	path  string
+	args  []string
+	env   []string
+	dir   string
+	cmd   *exec.Cmd
+	in    io.WriteCloser // of a host
+	out   *bufio.Reader
+	talk  sync.Mutex
+	ended chan struct{}
+}
+
+// spawn starts commands from a thread that lives as long as this process: children are told to die with the thread that started them.
+var spawn = sync.OnceValue(func() chan<- func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range work {
+			f()
+		}
+	}()
+	return work
+})
+
+// start starts it, or starts it again after it has ended. What it writes is appended to NAME.log; with pipes it is spoken to.
+func (p *proc) start(pipes bool) error {
+	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = p.dir, log, log
+	p.cmd.Env = append([]string{"TMPDIR=" + p.dir, "PATH=" + os.Getenv("PATH")}, p.env...)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if pipes {
+		p.cmd.Stdout = nil
+		if p.in, err = p.cmd.StdinPipe(); err != nil {
+			return err
+		}
+		out, err := p.cmd.StdoutPipe()
+		if err != nil {
+			return err
+		}
+		p.out = bufio.NewReaderSize(out, 1<<20)
+	}
+	started := make(chan error)
+	spawn() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	ended, cmd := make(chan struct{}), p.cmd
+	p.ended = ended
+	go func() {
+		if pipes { // Wait would close what is still to be read
+			cmd.Process.Wait()
+		} else {
+			cmd.Wait()
+		}
+		close(ended)
+	}()
+	return nil
+}
+
+func (p *proc) log() string { return filepath.Join(p.dir, p.name+".log") }
+
+func (p *proc) alive() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return p.cmd != nil
+	}
+}
+
+func (p *proc) signal(s syscall.Signal) {
+	if p.alive() {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends it by SIGKILL and waits until it is gone.
+func (p *proc) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// stop ends it in order, or kills it after within.
+func (p *proc) stop(within time.Duration) {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(within):
+		p.kill()
+	}
+}
+
+// tell has a host do something and reads its answer.
+func (p *proc) tell(order, answer any) error {
+	p.talk.Lock()
+	defer p.talk.Unlock()
+	text, err := format.Marshal(order)
+	if err == nil {
+		_, err = p.in.Write(append(text, '\n'))
+	}
+	var line []byte
+	if err == nil {
+		line, err = p.out.ReadBytes('\n')
+	}
+	var said struct{ Error string }
+	if err == nil {
+		err = format.Unmarshal(line, &said)
+	}
+	if err == nil && said.Error != "" {
+		err = errors.New(said.Error)
+	}
+	if err == nil && answer != nil {
+		err = format.Unmarshal(line, answer)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w (see %s)", p.name, err, p.log())
+	}
+	return nil
+}
+
+// use is what a process has used so far, by the kernel's count.
+type use struct {
+	CPU     time.Duration // user and system
+	RSS     int64         // bytes, now
+	Peak    int64         // bytes, at most
+	In, Out int64         // bytes read and written, files included
+	FDs     int
+	Writes  int64 // bytes for the disk
+}
+
+const tick = 10 * time.Millisecond // USER_HZ
+
+// used reads it; a process that has ended has used nothing.
+func (p *proc) used() (u use) {
+	if !p.alive() {
+		return u
+	}
+	return usedBy(p.cmd.Process.Pid)
+}
+
+func usedBy(pid int) (u use) {
+	at := fmt.Sprintf("/proc/%d/", pid)
+	b, _ := os.ReadFile(at + "stat")
+	if _, after, found := strings.Cut(string(b), ") "); found {
+		if f := strings.Fields(after); len(f) > 12 {
+			user, _ := strconv.Atoi(f[11])
+			system, _ := strconv.Atoi(f[12])
+			u.CPU = time.Duration(user+system) * tick
+		}
+	}
+	for name, into := range map[string]map[string]*int64{"status": {"VmRSS:": &u.RSS, "VmHWM:": &u.Peak}, "io": {"rchar:": &u.In, "wchar:": &u.Out, "write_bytes:": &u.Writes}} {
+		b, _ := os.ReadFile(at + name)
+		for line := range strings.Lines(string(b)) {
+			f := strings.Fields(line)
+			if len(f) < 2 || into[f[0]] == nil {
+				continue
+			}
+			n, _ := strconv.ParseInt(f[1], 10, 64)
+			if len(f) > 2 && f[2] == "kB" {
+				n <<= 10
+			}
+			*into[f[0]] = n
+		}
+	}
+	if files, err := os.ReadDir(at + "fd"); err == nil {
+		u.FDs = len(files)
+	}
+	return u
+}
+
+// halfOfMemory is half of the machine's, in bytes.
+func halfOfMemory() (int64, error) {
+	b, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0, err
+	}
+	var kB int64
+	if _, err := fmt.Sscanf(string(b), "MemTotal: %d kB", &kB); err != nil {
+		return 0, fmt.Errorf("/proc/meminfo: %w", err)
+	}
+	return kB << 10 / 2, nil
+}
+
+// freeAddrs finds ports of the loopback that nobody listens on, below those that the kernel gives to connections.
+func freeAddrs(n int) (addrs []string, err error) {
+	const first, many = 10_000, 20_000
+	for i := os.Getpid() * 131; len(addrs) < n; i++ {
+		if i > os.Getpid()*131+many {
+			return nil, errors.New("no free ports")
+		}
+		addr := fmt.Sprint("127.0.0.1:", first+i%many)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs, nil
+}
+
+// folderSize is how many bytes the files below a folder have.
+func folderSize(dir string) (n int64) {
+	filepath.WalkDir(dir, func(_ string, e os.DirEntry, err error) error {
+		if err == nil && !e.IsDir() {
+			if i, err := e.Info(); err == nil {
+				n += i.Size()
+			}
+		}
+		return nil
+	})
+	return n
+}
--- /dev/null
+++ b/internal/scale/run/run.go
@@ -0,0 +1,378 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"spindlehitch/internal/scale/slope"
+)
+
+// Result is what a run has found.
+type Result struct {
+	Name      string   `json:"name"`
+	Mechanism string   `json:"mechanism"`
+	Date      string   `json:"date"`
+	Seed      uint64   `json:"seed"`
+	Cores     int      `json:"cores"`
+	Seconds   float64  `json:"seconds"`
+	Hosts     int      `json:"hosts"`
+	Modules   int      `json:"modules"` // hollow initiators that ran the module
+	Members   int      `json:"members"`
+	Rows      []Row    `json:"rows"`
+	Ups       []Up     `json:"ups"`
+	Fits      []Fit    `json:"fits"`
+	Checks    []Check  `json:"limits"`
+	Broken    int      `json:"broken"` // promises, by the judge
+	What      []string `json:"what,omitempty"`
+	Load      Load     `json:"load"`
+	Notes     []string `json:"notes,omitempty"`
+}
+
+// Up is how long a number of initiators took to come up.
+type Up struct {
+	Initiators int     `json:"initiators"`
+	Seconds    float64 `json:"seconds"` // until the last had the newest versions; -1: not within the wait
+}
+
+// Load is what became of the load on real initiators.
+type Load struct {
+	Asked   int64 `json:"asked"`
+	Served  int64 `json:"served"`
+	Other   int64 `json:"other"`
+	Late    int64 `json:"late"`    // first bytes at targets whose drain all were told of
+	Targets int64 `json:"targets"` // requests that came to targets
+}
+
+// Fit is a slope over the rows of one dimension.
+type Fit struct {
+	Of    string  `json:"of"`
+	Per   string  `json:"per"`
+	Rise  float64 `json:"rise"`
+	Error float64 `json:"error"`
+	Base  float64 `json:"base"`
+	Power float64 `json:"power"`
+	Off   float64 `json:"off"` // the largest size, foretold from the rest, less what was measured, as a part of that
+}
+
+// Run makes a run. It ends whatever it began, also when ctx ends.
+func Run(ctx context.Context, spec *Spec, opt Options) (*Result, error) {
+	f, err := newFleet(ctx, spec, opt)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	r := &Result{Name: spec.Name, Mechanism: spec.Mechanism, Date: time.Now().Format(time.DateOnly), Seed: spec.Seed, Modules: spec.Modules, Members: spec.Members}
+	for _, step := range []func(*Result) error{f.agreement, f.targetSizes, f.initiatorSizes, f.changeSizes, f.suffer} {
+		if err := step(r); err != nil {
+			return nil, errors.Join(ctx.Err(), err)
+		}
+	}
+	s, err := f.each(order{Do: "state"})
+	if err != nil {
+		return nil, err
+	}
+	f.load.stop()
+	r.Broken, r.What, r.Hosts, r.Seconds = s.Broken, s.What, len(f.hosts), time.Since(f.began).Seconds()
+	r.Load = Load{Asked: f.load.asked.Load(), Served: f.load.served.Load(), Other: f.load.other.Load(), Late: f.targets.late.Load(), Targets: f.targets.total()}
+	r.fit()
+	r.check(spec)
+	return r, nil
+}
+
+// size brings the fleet to so many hollow initiators, measures them switched off and has them come up.
+func (f *fleet) size(n int, r *Result) (coreIdle float64, err error) {
+	if err := f.scale(n); err != nil {
+		return 0, err
+	}
+	if coreIdle, err = f.off(); err != nil {
+		return 0, err
+	}
+	w := f.newWriter(uint64(n))
+	m, err := w.config(f.ctx)
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	if _, err := f.each(order{Do: "on", Seed: f.spec.Seed}); err != nil {
+		return 0, err
+	}
+	_, s, err := f.reached([]mark{m}, long)
+	if err != nil {
+		return 0, err
+	}
+	up := Up{n, time.Since(began).Seconds()}
+	if s.Reached < n {
+		up.Seconds = -1
+	}
+	f.say("%d initiators up after %.1f s", n, up.Seconds)
+	r.Ups = append(r.Ups, up)
+	return coreIdle, nil
+}
+
+// agreement holds as many hollow initiators against real ones: the same changes, what each kind takes by the kernel's count.
+func (f *fleet) agreement(r *Result) error {
+	if f.spec.Real == 0 {
+		return nil
+	}
+	if err := f.startReals(); err != nil {
+		return err
+	}
+	per := f.spec.PerProcess
+	f.spec.PerProcess = f.spec.Real // one process with just them
+	idle, err := f.size(f.spec.Real, r)
+	if f.spec.PerProcess = per; err != nil {
+		return err
+	}
+	f.pause(time.Second)
+	a, real := f.snapshot, func() (u use) {
+		for _, p := range f.reals {
+			x := p.used()
+			u.CPU, u.In, u.Out, u.RSS = u.CPU+x.CPU, u.In+x.In, u.Out+x.Out, u.RSS+x.RSS
+		}
+		return u
+	}
+	before, err := a()
+	if err != nil {
+		return err
+	}
+	had := real()
+	row, err := f.measure("hollow", f.spec.Changes[0], idle)
+	if err != nil {
+		return err
+	}
+	after, err := a()
+	if err != nil {
+		return err
+	}
+	has, n, took := real(), float64(f.spec.Real), after.at.Sub(before.at).Seconds()
+	row.In, row.Out = float64(after.hosts[0].In-before.hosts[0].In)/took/n, float64(after.hosts[0].Out-before.hosts[0].Out)/took/n
+	other := Row{Of: "real", Initiators: f.spec.Real, Targets: row.Targets, Rate: row.Rate, Seconds: took, Changes: row.Changes, Half: -1, Most: -1, Last: -1,
+		Core: (has.CPU - had.CPU).Seconds() / took / n, Memory: float64(has.RSS) / n, In: float64(has.In-had.In) / took / n, Out: float64(has.Out-had.Out) / took / n}
+	r.Rows = append(r.Rows, row, other)
+	f.say("hollow and real, %d each: read %.0f and %.0f, written %.0f and %.0f B/s each, %.4f and %.4f core each", f.spec.Real, row.In, other.In, row.Out, other.Out, row.Core, other.Core)
+	f.load.start(f.ends, f.spec.Answering)
+	return nil
+}
+
+func (f *fleet) targetSizes(r *Result) error {
+	idle, err := f.size(max(f.spec.Initiators[0], f.hollow), r)
+	if err != nil {
+		return err
+	}
+	for _, n := range f.spec.Targets {
+		if err := f.more(n); err != nil {
+			return err
+		}
+		row, err := f.measure("targets", f.spec.Changes[0], idle)
+		if err != nil {
+			return err
+		}
+		r.Rows = append(r.Rows, row)
+	}
+	return nil
+}
+
+// more has so many targets in all, and waits until all initiators know them.
+func (f *fleet) more(n int) error {
+	if n <= len(f.entries) {
+		return nil
+	}
+	f.mu.Lock()
+	added := f.grow(n)
+	f.mu.Unlock()
+	v, err := f.put(f.ctx, added)
+	if err != nil {
+		return err
+	}
+	took, s, err := f.reached([]mark{{Lane: "targets", Version: v}}, long)
+	f.say("%d targets more: %d of %d had them after %.1f s", len(added), s.Reached, s.Running, took.Seconds())
+	return err
+}
+
+func (f *fleet) initiatorSizes(r *Result) error {
+	for _, n := range f.spec.Initiators {
+		idle := 0.0
+		if n > f.hollow {
+			var err error
+			if idle, err = f.size(n, r); err != nil {
+				return err
+			}
+		}
+		row, err := f.measure("initiators", f.spec.Changes[0], idle)
+		if err != nil {
+			return err
+		}
+		r.Rows = append(r.Rows, row)
+	}
+	return nil
+}
+
+func (f *fleet) changeSizes(r *Result) error {
+	for _, rate := range f.spec.Changes {
+		row, err := f.measure("changes", rate, 0)
+		if err != nil {
+			return err
+		}
+		r.Rows = append(r.Rows, row)
+	}
+	return nil
+}
+
+// fit fits slopes where a dimension has sizes enough.
+func (r *Result) fit() {
+	for _, d := range []struct {
+		of   string
+		size func(Row) float64
+	}{{"initiators", func(r Row) float64 { return float64(r.Initiators) }}, {"targets", func(r Row) float64 { return float64(r.Targets) }},
+		{"changes", func(r Row) float64 { return r.Rate }}} {
+		for _, c := range []struct {
+			name string
+			cost func(Row) float64
+		}{{"last in force, ms", func(r Row) float64 { return r.Last }}, {"initiator, core", func(r Row) float64 { return r.Core }}, {"initiator, B", func(r Row) float64 { return r.Memory }},
+			{"initiator, B/s", func(r Row) float64 { return r.In + r.Out }}, {"leader, core", func(r Row) float64 { return r.Leader.Core }}, {"leader, B/s", func(r Row) float64 { return r.Leader.In + r.Leader.Out }},
+			{"leader, descriptors", func(r Row) float64 { return float64(r.Leader.FDs) }}, {"relay, core", func(r Row) float64 { return r.Relay.Core }}, {"relay, B/s", func(r Row) float64 { return r.Relay.In + r.Relay.Out }},
+			{"relay, descriptors", func(r Row) float64 { return float64(r.Relay.FDs) }}, {"log, B a change", func(r Row) float64 { return r.LogBytes }}} {
+			var points []slope.Point
+			for _, row := range r.Rows {
+				if row.Of == d.of {
+					points = append(points, slope.Point{Size: d.size(row), Cost: c.cost(row)})
+				}
+			}
+			l, err := slope.Fit(points)
+			if err != nil || l.Base == 0 && l.Rise == 0 {
+				continue
+			}
+			r.Fits = append(r.Fits, Fit{c.name, d.of, l.Rise, l.Error, l.Base, l.Power, l.Off})
+		}
+	}
+}
+
+// check holds what was measured against the limits.
+func (r *Result) check(s *Spec) {
+	for _, rate := range []float64{s.Changes[0], s.Changes[len(s.Changes)-1]} {
+		c := Check{Name: fmt.Sprintf("in force at %g changes/s", rate), Unit: "s", Limit: s.Limits.InForce}
+		for _, row := range r.Rows {
+			if row.Of == "changes" && row.Rate == rate {
+				c.take(row.lastOrMissing())
+			}
+		}
+		r.Checks = append(r.Checks, c)
+	}
+	primary := Check{Name: "change of primary", Unit: "s", Limit: s.Limits.Primary}
+	core := Check{Name: "initiator's processor", Unit: "core", Limit: s.Limits.Core}
+	memory := Check{Name: "initiator's memory", Unit: "MB", Limit: s.Limits.Memory}
+	wire := Check{Name: "initiator's bytes", Unit: "KB/s", Limit: s.Limits.Wire}
+	leader := Check{Name: "leader's processor", Unit: "core", Limit: s.Limits.AgentCore}
+	relay := Check{Name: "relay's processor", Unit: "core", Limit: s.Limits.RelayCore}
+	relayMB := Check{Name: "relay's memory", Unit: "MB", Limit: s.Limits.RelayMB}
+	for _, row := range r.Rows {
+		if row.Of != "changes" {
+			continue
+		}
+		if row.Primary > 0 {
+			primary.take(row.Primary / 1000)
+		}
+		core.take(row.Core)
+		memory.take(row.Memory / 1e6)
+		wire.take((row.In + row.Out) / 1e3)
+		leader.take(row.Leader.Core)
+		if s.Relays > 0 && s.Mechanism == "feed" {
+			relay.take(row.Relay.Core)
+			relayMB.take(float64(row.Relay.Memory) / 1e6)
+		}
+	}
+	r.Checks = append(r.Checks, primary, core, memory, wire, leader, relay, relayMB)
+	for i, x := range s.Faults {
+		c := Check{Name: x.name() + ": all at one version after it", Unit: "s", Limit: x.HealedIn}
+		if c.Limit == 0 {
+			c.Limit = s.Limits.InForce
+		}
+		during := Check{Name: x.name() + ": in force meanwhile", Unit: "s", Limit: s.Limits.InForce}
+		for _, row := range r.Rows {
+			if row.Of == faultRow(i, x) {
+				c.take(orNever(row.Settled))
+				during.take(row.lastOrMissing())
+			}
+		}
+		r.Checks = append(r.Checks, c)
+		switch x.What {
+		case "kill-relays", "pause-relays", "burst", "deaf":
+			r.Checks = append(r.Checks, during)
+		}
+	}
+	missing := Check{Name: "changes that did not reach all", Limit: 0}
+	for _, row := range r.Rows {
+		missing.take(float64(row.Missing))
+	}
+	broken := Check{Name: "promises broken at hollow initiators", Limit: 0, Measured: true, Value: float64(r.Broken)}
+	late := Check{Name: "first bytes past a drain at real initiators", Limit: 0, Measured: s.Real > 0, Value: float64(r.Load.Late)}
+	unserved := Check{Name: "requests not served by real initiators", Unit: "of all", Limit: 0.01, Measured: r.Load.Asked > 0}
+	if unserved.Measured {
+		unserved.Value = float64(r.Load.Other) / float64(r.Load.Asked)
+	}
+	agree := Check{Name: "agreement of hollow and real in bytes", Unit: "of the real ones'", Limit: s.Limits.Agreement}
+	for i := 1; i < len(r.Rows); i++ {
+		if a, b := r.Rows[i-1], r.Rows[i]; a.Of == "hollow" && b.Of == "real" {
+			agree.take(abs(a.In+a.Out-b.In-b.Out) / (b.In + b.Out))
+		}
+	}
+	r.Checks = append(r.Checks, missing, broken, late, unserved, agree)
+}
+
+func abs(x float64) float64 { return max(x, -x) }
+
+// never stands for what had not come when the wait for it was over.
+const never = 1e9
+
+func orNever(s float64) float64 {
+	if s < 0 {
+		return never
+	}
+	return s
+}
+
+// lastOrMissing is when the last one had a change, in seconds.
+func (r *Row) lastOrMissing() float64 {
+	if r.Missing > 0 {
+		return never
+	}
+	return r.Last / 1000
+}
+
+// Check is a limit, and whether it is held.
+type Check struct {
+	Name     string  `json:"name"`
+	Value    float64 `json:"value"`
+	Limit    float64 `json:"limit"`
+	Unit     string  `json:"unit"`
+	Measured bool    `json:"measured"`
+}
+
+// take takes a value over, the worst of all.
+func (c *Check) take(v float64) {
+	if !c.Measured || v > c.Value {
+		c.Value, c.Measured = v, true
+	}
+}
+
+// Held tells whether it is.
+func (c Check) Held() bool { return c.Measured && c.Value <= c.Limit }
+
+func (c Check) String() string {
+	verdict := "not measured"
+	switch {
+	case c.Held():
+		verdict = "held"
+	case c.Measured:
+		verdict = "not held"
+	}
+	value := fmt.Sprintf("%.3g", c.Value)
+	if c.Value >= never {
+		value = "never"
+	} else if !c.Measured {
+		value = "-"
+	}
+	return fmt.Sprintf("limit %s: %s  %s of %.3g %s", c.Name, verdict, value, c.Limit, c.Unit)
+}
--- /dev/null
+++ b/internal/scale/run/suffer.go
@@ -0,0 +1,178 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"spindlehitch/internal/faults"
+)
+
+func (x Fault) name() string {
+	name := x.What
+	if x.Number > 0 {
+		name = fmt.Sprint(x.What, " ", x.Number)
+	}
+	for _, s := range []string{x.Region, x.Zone} {
+		if s != "" {
+			name += " " + s
+		}
+	}
+	if x.Changes > 0 {
+		name += fmt.Sprintf(" at %g changes/s", x.Changes)
+	}
+	return name
+}
+
+// faultRow names the row of a fault.
+func faultRow(i int, x Fault) string { return fmt.Sprint("fault ", i, " ", x.name()) }
+
+// suffer plays the faults, one after the other, while changes go on.
+func (f *fleet) suffer(r *Result) error {
+	for i, x := range f.spec.Faults {
+		row, err := f.fault(i, x)
+		if err != nil {
+			return err
+		}
+		r.Rows = append(r.Rows, row)
+	}
+	return nil
+}
+
+// after is how long changes go on once a fault has ended.
+const after = 2 * time.Second
+
+func (f *fleet) fault(i int, x Fault) (Row, error) {
+	rate := x.Changes
+	if rate == 0 {
+		rate = f.spec.Changes[0]
+	}
+	r := Row{Of: faultRow(i, x), Initiators: f.hollow, Targets: len(f.entries), Rate: rate}
+	seed := f.spec.Seed + uint64(i)
+	rng := rand.New(rand.NewPCG(seed, 3))
+	w := f.newWriter(100 + uint64(i))
+	ctx, stop := context.WithCancel(f.ctx)
+	defer stop()
+	a, err := f.snapshot()
+	if err != nil {
+		return r, err
+	}
+	var writing sync.WaitGroup
+	writing.Go(func() { w.run(ctx, rate, time.Hour) })
+	for w.count() == 0 && f.pause(10*time.Millisecond) {
+	}
+	end, err := f.strike(x, seed, rng)
+	if err != nil {
+		stop()
+		writing.Wait()
+		return r, err
+	}
+	length := time.Duration(x.ForS * float64(time.Second))
+	f.pause(length)
+	if err := end(); err != nil {
+		return r, err
+	}
+	ended := time.Now()
+	f.pause(min(after, time.Duration(2/rate*float64(time.Second))))
+	stop()
+	writing.Wait()
+	b, err := f.snapshot()
+	if err != nil {
+		return r, err
+	}
+	r.Changes, r.Failed = len(w.marks), w.failed
+	f.between(a, b, &r)
+	if err := f.finish(&r, w.marks); err != nil {
+		return r, err
+	}
+	if r.Settled >= 0 {
+		r.Settled = time.Since(ended).Seconds()
+	}
+	if x.Region != "" {
+		f.pause(drainBy) // what was not heard there is heard by now
+		f.targets.judged.Store(true)
+	}
+	return r, nil
+}
+
+func (w *writer) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.marks) + w.failed
+}
+
+// strike begins a fault and returns what ends it.
+func (f *fleet) strike(x Fault, seed uint64, rng *rand.Rand) (end func() error, err error) {
+	nothing := func() error { return nil }
+	some := func(of []*proc, n int) (hit []*proc) {
+		for _, i := range rng.Perm(len(of))[:n] {
+			hit = append(hit, of[i])
+		}
+		return hit
+	}
+	back := func(hit []*proc, do func(*proc) error) func() error {
+		return func() error {
+			for _, p := range hit {
+				if err := do(p); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+	started := func(p *proc) error { return p.start(false) }
+	resumed := func(p *proc) error { p.signal(syscall.SIGCONT); return nil }
+	switch x.What {
+	case "kill-relays", "kill-agent":
+		hit, err := f.hit(x, some)
+		for _, p := range hit {
+			f.say("%s is killed", p.name)
+			p.kill()
+		}
+		return back(hit, started), err
+	case "pause-relays", "pause-agent":
+		hit, err := f.hit(x, some)
+		for _, p := range hit {
+			f.say("%s is paused", p.name)
+			p.signal(syscall.SIGSTOP)
+		}
+		return back(hit, resumed), err
+	case "cut-region":
+		f.targets.judged.Store(false)
+		for _, l := range f.links[x.Region] {
+			l.Set(faults.Way{Hold: true}, faults.Way{Hold: true})
+		}
+		return func() error {
+			for _, l := range f.links[x.Region] {
+				l.Heal()
+			}
+			return nil
+		}, nil
+	case "restart", "restart-all", "restart-zone":
+		o := order{Do: "restart", Number: x.Number, Zone: x.Zone, Seed: seed}
+		if x.What == "restart-all" { // over the whole time
+			o.SpreadS = x.ForS
+		}
+		_, err := f.each(o)
+		return nothing, err
+	case "deaf":
+		_, err := f.each(order{Do: "deaf", Number: max(1, x.Number/max(1, len(f.hosts)))})
+		return func() error { _, err := f.each(order{Do: "hear"}); return err }, err
+	}
+	return nothing, nil // a burst is its changes alone
+}
+
+// hit is the processes that a fault is about: of the agents the leader.
+func (f *fleet) hit(x Fault, some func([]*proc, int) []*proc) ([]*proc, error) {
+	if x.What == "kill-relays" || x.What == "pause-relays" {
+		return some(f.relays, x.Number), nil
+	}
+	i, err := f.leader()
+	if err != nil {
+		return nil, err
+	}
+	return []*proc{f.agents[i]}, nil
+}
