--- a/internal/scale/run/host.go
+++ b/internal/scale/run/host.go
@@ -100,6 +100,7 @@
 type last struct {
 	Who     string
 	Ms      float64
+	Lane    hollow.Lane
 	Primary bool
 }
 
@@ -344,7 +345,7 @@
 func (h *host) collect(o *order, s *state) {
 	s.Done = map[string]int{}
 	for _, m := range o.Marks {
-		l := last{Primary: m.Primary}
+		l := last{Lane: m.Lane, Primary: m.Primary}
 		for _, in := range h.all {
 			v, there := m.of(in.Name())
 			if !there || !in.Running() {
--- a/internal/scale/run/measure.go
+++ b/internal/scale/run/measure.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"spindlehitch/internal/scale/hollow"
 )
 
 // Row is what was measured at one size, or under one fault.
@@ -18,14 +20,16 @@
 	Changes    int     `json:"changes"` // confirmed
 	Failed     int     `json:"changes_failed"`
 	// In force, from the moment in which the change was asked for.
-	Half    float64 `json:"half_ms"`
-	Most    float64 `json:"ninety_nine_ms"`
-	Last    float64 `json:"last_ms"`
-	Who     string  `json:"last_who"`
-	Primary float64 `json:"primary_last_ms"`
-	Missing int     `json:"missing"`   // initiators times changes that were not in force when the wait was over
-	Settled float64 `json:"settled_s"` // after the last change, or the fault's end, until all had the newest; -1: they had not
-	Lags    string  `json:"lags,omitempty"`
+	Half        float64 `json:"half_ms"`
+	Most        float64 `json:"ninety_nine_ms"`
+	Last        float64 `json:"last_ms"`
+	Who         string  `json:"last_who"`
+	Primary     float64 `json:"primary_last_ms"`
+	LastTargets float64 `json:"targets_last_ms"`
+	LastConfig  float64 `json:"config_last_ms"`
+	Missing     int     `json:"missing"`   // initiators times changes that were not in force when the wait was over
+	Settled     float64 `json:"settled_s"` // after the last change, or the fault's end, until all had the newest; -1: they had not
+	Lags        string  `json:"lags,omitempty"`
 	// For each hollow initiator.
 	Core     float64 `json:"core"`     // part of one, beyond what it takes switched off
 	CoreIdle float64 `json:"core_off"` // switched off
@@ -196,6 +200,11 @@
 		if l.Ms > r.Last {
 			r.Last, r.Who = l.Ms, l.Who
 		}
+		if l.Lane == hollow.Targets {
+			r.LastTargets = max(r.LastTargets, l.Ms)
+		} else {
+			r.LastConfig = max(r.LastConfig, l.Ms)
+		}
 		if l.Primary {
 			r.Primary = max(r.Primary, l.Ms)
 		}
@@ -203,8 +212,8 @@
 }
 
 func (r *Row) line() string {
-	return fmt.Sprintf("%d initiators, %d targets, %.3g changes/s: %d in force at half %.0f, 99%% %.0f, last %.0f ms (%s), %d missing; each %.3f%% core, %.1f MB, %.2f+%.2f KB/s; leader %.2f, relay %.2f core",
-		r.Initiators, r.Targets, r.Rate, r.Changes, r.Half, r.Most, r.Last, r.Who, r.Missing, 100*r.Core, r.Memory/1e6, r.In/1e3, r.Out/1e3, r.Leader.Core, r.Relay.Core)
+	return fmt.Sprintf("%d initiators, %d targets, %.3g changes/s: %d in force at half %.0f, 99%% %.0f, last %.0f ms (%s; targets %.0f, configuration %.0f), %d missing; each %.3f%% core, %.1f MB, %.2f+%.2f KB/s; leader %.2f, relay %.2f core",
+		r.Initiators, r.Targets, r.Rate, r.Changes, r.Half, r.Most, r.Last, r.Who, r.LastTargets, r.LastConfig, r.Missing, 100*r.Core, r.Memory/1e6, r.In/1e3, r.Out/1e3, r.Leader.Core, r.Relay.Core)
 }
 
 // off measures the hollow initiators switched off: what their processes take anyway, as a part of a core for each.
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"spindlehitch/internal/scale/slope"
@@ -251,7 +252,7 @@
 
 // check holds what was measured against the limits.
 func (r *Result) check(s *Spec) {
-	for _, rate := range []float64{s.Changes[0], s.Changes[len(s.Changes)-1]} {
+	for _, rate := range slices.Compact([]float64{s.Changes[0], s.Changes[len(s.Changes)-1]}) {
 		c := Check{Name: fmt.Sprintf("in force at %g changes/s", rate), Unit: "s", Limit: s.Limits.InForce}
 		for _, row := range r.Rows {
 			if row.Of == "changes" && row.Rate == rate {
