--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,8 @@
 	Agent    *Agent    `toml:"agent"`
 	Accounts *Accounts `toml:"accounts"`
 	Fleet    *Fleet    `toml:"fleet"`
+	Relay    *Relay    `toml:"relay"`
+	Feed     *Feed     `toml:"feed"`
 }
 
 // Fleet has an instance keep to its part of fleet-wide budgets.
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -45,6 +45,7 @@
 			s.ReportError(a.ID, "id", "ID", "peer", "")
 		}
 	}, Agent{})
+	v.RegisterStructValidation(checkFeed, Feed{})
 	return v
 })
 
@@ -72,6 +73,9 @@
 	"unique":        "{bound} there twice",
 	"ltfield":       "{value} is not under probe_ms",
 	"gtfield":       "{value} is not over probe_ms",
+	"no_region":     "{value} is none of the regions",
+	"no_zone":       "{value} is none of the zones of {bound}",
+	"two_regions":   "{value} is a zone of {bound} as well",
 	"required_with": "required where {bound} is set",
 	"gt":            "{value} is not over {bound}",
 	"gte":           "{value} is under {bound}",
@@ -105,7 +109,11 @@
 			if b.Kind() == reflect.String {
 				value = strconv.Quote(value)
 			}
-			found[i] = fmt.Errorf("%s: %s", path, strings.NewReplacer("{value}", value, "{bound}", strings.ToLower(b.Param())).Replace(says[b.Tag()]))
+			bound := b.Param()
+			if b.Tag() == "unique" || b.Tag() == "required_with" {
+				bound = strings.ToLower(bound) // a field of ours, not a word of the file's
+			}
+			found[i] = fmt.Errorf("%s: %s", path, strings.NewReplacer("{value}", value, "{bound}", bound).Replace(says[b.Tag()]))
 		}
 	}
 	return errors.Join(found...)
