--- a/internal/config/feed.go
+++ b/internal/config/feed.go
@@ -54,6 +54,9 @@
 	home := map[string]string{} // of a zone
 	known := map[string]bool{}
 	for i, r := range f.Regions {
+		if known[r.Name] {
+			return // the rule of the field says so, and the others would only say what comes of it
+		}
 		known[r.Name] = true
 		for j, z := range r.Zones {
 			at := fmt.Sprintf("regions[%d].zones[%d]", i, j)
@@ -65,8 +68,7 @@
 	}
 	if !known[f.Region] {
 		s.ReportError(f.Region, "region", "Region", "no_region", "")
-	}
-	if f.Zone != "" && home[f.Zone] != f.Region {
+	} else if f.Zone != "" && home[f.Zone] != f.Region {
 		s.ReportError(f.Zone, "zone", "Zone", "no_zone", f.Region)
 	}
 	for i, r := range f.Relays {
