--- /dev/null
+++ b/internal/fleet/feed/layers.go
@@ -0,0 +1,46 @@
+package feed
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+)
+
+// rank is a scope's place among the layers; the later is merged over the earlier.
+func rank(key string) int {
+	return slices.IndexFunc(scopes, func(s string) bool { return strings.HasPrefix(key, s) })
+}
+
+// LayerError names a layer that can't be merged.
+type LayerError struct {
+	Key     string
+	Version uint64
+	Err     error
+}
+
+func (e *LayerError) Error() string {
+	return fmt.Sprintf("configuration %q of version %d can't be merged: %v; put another one", e.Key, e.Version, e.Err)
+}
+
+func (e *LayerError) Unwrap() error { return e.Err }
+
+// Layers merges the layers of one initiator's configuration, shared under region under zone under instance, by RFC 7396. Without any it is {}.
+func Layers(records []Record) (json.RawMessage, error) {
+	list := slices.DeleteFunc(slices.Clone(records), func(r Record) bool { return r.Kind != Config || r.Gone })
+	slices.SortStableFunc(list, func(a, b Record) int { return cmp.Compare(rank(a.Key), rank(b.Key)) })
+	merged := []byte("{}")
+	for i, r := range list {
+		if i > 0 && rank(r.Key) == rank(list[i-1].Key) {
+			return nil, &LayerError{r.Key, r.Version, fmt.Errorf("there is %q beside it", list[i-1].Key)}
+		}
+		var err error
+		if merged, err = jsonpatch.MergePatch(merged, r.Value); err != nil {
+			return nil, &LayerError{r.Key, r.Version, err}
+		}
+	}
+	return merged, nil
+}
--- /dev/null
+++ b/internal/fleet/feed/message.go
@@ -0,0 +1,128 @@
+package feed
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+)
+
+// Sums are the digests of all buckets. In JSON they are base64 of eight bytes each, the least first.
+type Sums []uint64
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Sums) MarshalText() ([]byte, error) {
+	b := make([]byte, 0, 8*len(s))
+	for _, x := range s {
+		b = binary.LittleEndian.AppendUint64(b, x)
+	}
+	return base64.StdEncoding.AppendEncode(nil, b), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Sums) UnmarshalText(text []byte) error {
+	b, err := base64.StdEncoding.AppendDecode(nil, text)
+	if err != nil || len(b)%8 != 0 {
+		return fmt.Errorf("sums: not base64 of whole sums")
+	}
+	*s = make(Sums, len(b)/8)
+	for i := range *s {
+		(*s)[i] = binary.LittleEndian.Uint64(b[8*i:])
+	}
+	return nil
+}
+
+// Progress is how far a reader is in a run by digests: buckets before At are as the source had them at or after version Start.
+type Progress struct {
+	Start uint64 `json:"start"`
+	At    int    `json:"at"`
+}
+
+// TurnedDown is a configuration that could not be served: the last good one stays in force.
+type TurnedDown struct {
+	Version uint64 `json:"version"`
+	Reason  string `json:"reason"`
+}
+
+// Hello is a reader's word to a source: who it is, what it has, and what of it is in force.
+type Hello struct {
+	Fleet   string      `json:"fleet"`
+	Epoch   string      `json:"epoch,omitempty"` // of Have and Seen
+	Scope               // who it is
+	Have    Position    `json:"have"`
+	Seen    Position    `json:"seen"`     // the furthest that it has heard of: a source that is behind brings it nothing (step 4)
+	InForce Mark        `json:"in_force"` // what is applied: this counts as acknowledged (step 8)
+	Turn    uint64      `json:"turn"`     // grows with each move to another source, over restarts too
+	Seq     uint64      `json:"seq"`      // grows with each hello of a turn
+	Refused *TurnedDown `json:"refused,omitempty"`
+	Digest  *Progress   `json:"digest,omitempty"`
+	Sums    Sums        `json:"sums,omitempty"` // only when asked for
+	WaitMs  int64       `json:"wait_ms,omitempty"`
+}
+
+// Check names the first field that cannot be used.
+func (h *Hello) Check() error {
+	if err := h.Scope.Check(); err != nil {
+		return err
+	}
+	switch {
+	case h.Fleet == "":
+		return field("fleet", "it is missing")
+	case len(h.Epoch) > MostName || len(h.InForce.Epoch) > MostName:
+		return field("epoch", "over %d bytes", MostName)
+	case h.Refused != nil && len(h.Refused.Reason) > MostReason:
+		return field("refused.reason", "over %d bytes", MostReason)
+	case h.Digest != nil && h.Digest.At < 0:
+		return field("digest.at", "%d is below 0", h.Digest.At)
+	case !h.Have.within(h.Seen):
+		return field("seen", "it is before have")
+	}
+	return nil
+}
+
+// MostReason bounds the reason of one who turned something down, in bytes.
+const MostReason = 512
+
+// Bucket is the live targets of one bucket, all of them: a target of it that is not named is gone.
+type Bucket struct {
+	N       int      `json:"n"`
+	Records []Record `json:"records,omitempty"`
+}
+
+// Span is which buckets a delta by digests covers, From to before To: those that it doesn't bring are alike. Start is where plain deltas
+// go on from once all are covered.
+type Span struct {
+	Start uint64 `json:"start"`
+	From  int    `json:"from"`
+	To    int    `json:"to"`
+}
+
+// Delta brings one reader from a position to another.
+type Delta struct {
+	Fleet    string   `json:"fleet"`
+	Epoch    string   `json:"epoch"`
+	Replaces []string `json:"replaces,omitempty"`
+	For      Scope    `json:"for"`
+	From     Position `json:"from"`
+	To       Position `json:"to"`
+	Head     Position `json:"head"` // of the source: where To is as far, all is there
+	Records  []Record `json:"records,omitempty"`
+	Span     *Span    `json:"span,omitempty"`
+	Buckets  []Bucket `json:"buckets,omitempty"`
+	Ask      bool     `json:"ask,omitempty"` // the reader's sums are wanted; nothing else is in it
+	AgeMs    int64    `json:"age_ms"`        // since the source knew the log's head for certain
+}
+
+// Size is the bytes that a delta takes, at most.
+func (d *Delta) Size() int {
+	n := 512
+	for i := range d.Records {
+		n += d.Records[i].Size()
+	}
+	for _, b := range d.Buckets {
+		n += 32
+		for i := range b.Records {
+			n += b.Records[i].Size()
+		}
+	}
+	return n
+}
