--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,7 @@
 	trans *raft.NetworkTransport
 	http  http.Server
 	desk  *fleetDesk
+	feed  *feedDesk
 }
 
 // Start opens the durable store and joins the others. An agent that has no state yet begins with the peers it
@@ -125,6 +126,8 @@
 	a.desk = newFleetDesk(a)
 	mux := http.NewServeMux()
 	a.desk.routes(mux)
+	a.feed = newFeedDesk(a)
+	a.feed.routes(mux)
 	mux.HandleFunc("GET /v1/status", a.status)
 	mux.HandleFunc("GET /v1/instances", a.list)
 	mux.HandleFunc("GET /v1/instances/{name}", a.get)
@@ -194,11 +197,13 @@
 
 // Stop leaves the others in an orderly way and closes the durable store.
 func (a *Agent) Stop() error {
+	a.feed.server.Stop()
 	ctx, done := context.WithTimeout(context.Background(), time.Second)
 	defer done()
 	if a.http.Shutdown(ctx) != nil {
 		a.http.Close() // watches that still wait
 	}
+	a.feed.stop()
 	a.desk.stop()
 	err := a.raft.Shutdown().Error()
 	a.release()
--- /dev/null
+++ b/internal/agent/feed.go
@@ -0,0 +1,394 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	edge "spindlehitch/internal/feed"
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/monotone"
+)
+
+const (
+	reportEvery = time.Second
+	mostPage    = 1000
+	mostReport  = 4 << 20 // bytes: the most readers with long names
+	latest      = "latest"
+)
+
+// feedDesk is the edge of the feed at an agent: changes go through the log, readers are served from what the log says, and where this
+// agent leads, it sums up what is in force.
+type feedDesk struct {
+	a      *Agent
+	server *edge.Server
+	ctx    context.Context
+	end    context.CancelFunc
+	work   sync.WaitGroup
+
+	mu    sync.Mutex
+	term  uint64 // of the tally
+	tally *feed.Tally
+	epoch string // what the tally knows to be committed
+	known uint64
+}
+
+func newFeedDesk(a *Agent) *feedDesk {
+	d := &feedDesk{a: a}
+	d.server = edge.NewServer(d, 0)
+	d.ctx, d.end = context.WithCancel(context.Background())
+	d.work.Go(d.report)
+	return d
+}
+
+func (d *feedDesk) stop() {
+	d.end()
+	d.work.Wait()
+}
+
+func (d *feedDesk) routes(mux *http.ServeMux) {
+	d.server.Routes(mux)
+	mux.HandleFunc("POST /v1/feed/changes", d.put)
+	mux.HandleFunc("POST /v1/feed/report", d.hear)
+	mux.HandleFunc("GET /v1/feed/versions/{version}", d.versions)
+	mux.HandleFunc("GET /v1/feed/records", d.records)
+	mux.HandleFunc("GET /v1/feed", d.show)
+}
+
+// Do implements the origin of a server: what the log says, as far as this agent has it.
+func (d *feedDesk) Do(do func(now time.Duration, s *feed.Source)) (<-chan struct{}, bool) {
+	age, now := d.a.heardAgo()
+	s := d.a.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.feed.source == nil {
+		return s.changed, false
+	}
+	if age >= 0 {
+		s.feed.source.Fresh(now - age)
+	}
+	do(now, s.feed.source)
+	return s.changed, true
+}
+
+// heardAgo is how long ago this agent led or heard of the one that does; below 0: never.
+func (a *Agent) heardAgo() (age, now time.Duration) {
+	now = monotone.Now()
+	if a.raft.State() == raft.Leader {
+		return 0, now
+	}
+	if heard := a.raft.LastContact(); !heard.IsZero() {
+		return max(0, time.Since(heard)), now
+	}
+	return -1, now
+}
+
+// put has a change made through the log.
+func (d *feedDesk) put(w http.ResponseWriter, r *http.Request) {
+	if d.a.elsewhere(w, r) {
+		return
+	}
+	c, ok := read[feed.Change](w, r)
+	if !ok {
+		return
+	}
+	if c.Epoch == "" {
+		c.Epoch = rand.Text() // taken by the first change of all, and by no other
+	}
+	if err := c.Check(); err != nil {
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
+		return
+	}
+	v, err := d.a.apply(change{Feed: &c, ID: r.Header.Get("Change-Id")})
+	if no, is := v.(error); is && err == nil {
+		err = no
+	}
+	var clash *feed.Conflict
+	var foreign *feed.Refusal
+	var field *feed.FieldError
+	switch e, _ := v.(Entry); {
+	case err == nil:
+		reply(w, http.StatusOK, Put{Version: e.Version})
+	case errors.As(err, &clash), errors.As(err, &foreign):
+		refuse(w, &Refusal{http.StatusConflict, err.Error()})
+	case errors.As(err, &field):
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
+	default:
+		refuse(w, err)
+	}
+}
+
+// Put answers a change.
+type Put struct {
+	Version uint64 `json:"version"`
+}
+
+// lead returns the tally, with mu held and the newest commits in it; nil where this agent doesn't lead, and then mu isn't held.
+func (d *feedDesk) lead() *feed.Tally {
+	if d.a.raft.State() != raft.Leader {
+		return nil
+	}
+	term := d.a.raft.CurrentTerm()
+	d.mu.Lock()
+	s := d.a.store
+	s.mu.Lock()
+	fleet := ""
+	if s.feed.store != nil {
+		fleet = s.feed.store.Fleet()
+	}
+	if fleet != "" && (d.tally == nil || d.term != term) {
+		d.term, d.tally, d.epoch, d.known = term, feed.NewTally(fleet, feed.TallyOptions{}), "", 0
+		d.a.opt.Log.Info("counting begins", slog.String("reason", "FEED_TALLY"), slog.Uint64("term", term))
+	}
+	commits := s.feed.since(d.epoch, d.known)
+	s.mu.Unlock()
+	if fleet == "" {
+		d.mu.Unlock()
+		return nil
+	}
+	for _, c := range commits {
+		d.tally.Committed(c.at, c.epoch, c.version)
+		d.epoch, d.known = c.epoch, c.version
+	}
+	return d.tally
+}
+
+// hear takes a relay's report.
+func (d *feedDesk) hear(w http.ResponseWriter, r *http.Request) {
+	if d.a.elsewhere(w, r) {
+		return
+	}
+	rep, ok := readUpTo[feed.Report](w, r, mostReport)
+	if !ok {
+		return
+	}
+	answer, err := d.count(rep)
+	var no *feed.Refusal
+	var field *feed.FieldError
+	switch {
+	case err == nil:
+		reply(w, http.StatusOK, answer)
+	case errors.As(err, &no):
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
+	case errors.As(err, &field):
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
+	default:
+		refuse(w, err)
+	}
+}
+
+var errNoTally = errors.New("nothing is counted at the moment")
+
+func (d *feedDesk) count(rep feed.Report) (feed.ReportAnswer, error) {
+	t := d.lead()
+	if t == nil {
+		return feed.ReportAnswer{}, errNoTally
+	}
+	defer d.mu.Unlock()
+	return t.Take(monotone.Now(), rep)
+}
+
+// report tells the leader of initiators that follow this agent itself, as groups without relays have it.
+func (d *feedDesk) report() {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	c := &Client{}
+	for _, p := range d.a.opt.Peers {
+		c.Addrs = append(c.Addrs, p.API)
+	}
+	ever := false
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		var rep feed.Report
+		d.Do(func(now time.Duration, s *feed.Source) { rep = s.Report(now, "agent/"+d.a.opt.ID, "") })
+		if ever = ever || len(rep.Readers) > 0; !ever {
+			continue
+		}
+		answer, err := d.count(rep)
+		if errors.Is(err, errNoTally) {
+			ctx, done := context.WithTimeout(d.ctx, 2*reportEvery)
+			answer, err = c.Report(ctx, rep)
+			done()
+		}
+		if err == nil {
+			d.Do(func(_ time.Duration, s *feed.Source) { s.Reported(answer) })
+		}
+	}
+}
+
+// InForce is who has a version, as an agent sees it.
+type InForce struct {
+	feed.Status
+	Agent  string `json:"agent"`
+	Leads  bool   `json:"leads"`         // and a majority has just agreed; else nothing is known of readers
+	OldMs  int64  `json:"old_ms"`        // since it heard of the leader; -1: never
+	Head   uint64 `json:"head"`          // the newest version there
+	Fleet  string `json:"fleet"`         // whose stream it is
+	Floor  uint64 `json:"floor"`         // readers behind it go by digests
+	Count  int    `json:"targets"`       // live ones
+	Layer  int    `json:"configuration"` // layers of it
+	Graves int    `json:"tombstones"`
+	Bytes  int    `json:"bytes"` // of keys and values
+}
+
+// head is what an agent's log says, without what is known of readers.
+func (d *feedDesk) head() (v InForce, ok bool) {
+	age, _ := d.a.heardAgo()
+	v = InForce{Agent: d.a.opt.ID, OldMs: -1}
+	if age >= 0 {
+		v.OldMs = age.Milliseconds()
+	}
+	s := d.a.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.feed.store
+	if st == nil {
+		return v, false
+	}
+	v.Status = feed.Status{Epoch: st.Epoch(), Version: st.Head(), SinceMs: -1, HalfMs: -1, MostMs: -1, AllMs: -1}
+	v.Fleet, v.Head, v.Floor = st.Fleet(), st.Head(), st.Floor()
+	v.Count, v.Layer, v.Graves = st.Count(feed.Targets), st.Count(feed.Config), st.Tombstones(feed.Targets)
+	v.Bytes = st.Bytes(feed.Targets) + st.Bytes(feed.Config)
+	return v, true
+}
+
+var errNothing = &Refusal{http.StatusNotFound, "no change has come yet"}
+
+// versions tells who has a version: from the leader; or with stale only how far this agent's log goes.
+func (d *feedDesk) versions(w http.ResponseWriter, r *http.Request) {
+	old := stale(r)
+	if !old && d.a.elsewhere(w, r) {
+		return
+	}
+	v, ok := d.head()
+	if !ok {
+		refuse(w, errNothing)
+		return
+	}
+	if text := r.PathValue("version"); text != latest {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || n == 0 {
+			refuse(w, &Refusal{http.StatusUnprocessableEntity, fmt.Sprintf("version: %q is not a number from 1 on", text)})
+			return
+		}
+		v.Version = n
+	}
+	if !old {
+		t := d.lead()
+		if t == nil {
+			refuse(w, errNoTally)
+			return
+		}
+		v.Status, v.Leads = t.Status(monotone.Now(), v.Version), true
+		d.mu.Unlock()
+	}
+	if v.Version > v.Head {
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, fmt.Sprintf("version: %d is not there yet, the newest is %d", v.Version, v.Head)})
+		return
+	}
+	reply(w, http.StatusOK, v)
+}
+
+func (d *feedDesk) show(w http.ResponseWriter, r *http.Request) {
+	if !stale(r) && d.a.elsewhere(w, r) {
+		return
+	}
+	v, ok := d.head()
+	if !ok {
+		refuse(w, errNothing)
+		return
+	}
+	v.Leads = !stale(r)
+	reply(w, http.StatusOK, v)
+}
+
+// records answers with a page of the live records of a kind, in order of version.
+func (d *feedDesk) records(w http.ResponseWriter, r *http.Request) {
+	if !stale(r) && d.a.elsewhere(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	var k feed.Kind
+	if err := k.UnmarshalText([]byte(q.Get("kind"))); err != nil {
+		refuse(w, &Refusal{http.StatusUnprocessableEntity, "kind: " + err.Error()})
+		return
+	}
+	from, _ := strconv.Atoi(q.Get("from"))
+	page := []feed.Record{}
+	s := d.a.store
+	s.mu.Lock()
+	if st := s.feed.store; st != nil {
+		if key := q.Get("key"); key != "" {
+			if one, found := st.Get(k, key); found && !one.Gone {
+				page = append(page, one)
+			}
+		} else {
+			all := st.Records(k)
+			page = append(page, all[min(max(0, from), len(all)):min(max(0, from)+mostPage, len(all))]...)
+		}
+	}
+	s.mu.Unlock()
+	reply(w, http.StatusOK, page)
+}
+
+// PutChange has a change of the feed made, once, and returns its version. A *Refusal says that it was not made.
+func (c *Client) PutChange(ctx context.Context, ch feed.Change) (uint64, error) {
+	text, err := json.Marshal(ch)
+	if err != nil {
+		return 0, err
+	}
+	p, err := bring[Put](ctx, c, call{method: http.MethodPost, path: "/v1/feed/changes", id: rand.Text(), body: text})
+	return p.Version, err
+}
+
+// Report brings the leader a relay's report.
+func (c *Client) Report(ctx context.Context, rep feed.Report) (feed.ReportAnswer, error) {
+	return send[feed.ReportAnswer](ctx, c, http.MethodPost, "/v1/feed/report", rep)
+}
+
+// InForce tells who has a version; 0: the newest. Where there is no leader it is how far some agent's log goes: Leads is false then.
+func (c *Client) InForce(ctx context.Context, version uint64) (InForce, error) {
+	at := "/v1/feed/versions/" + latest
+	if version > 0 {
+		at = "/v1/feed/versions/" + strconv.FormatUint(version, 10)
+	}
+	fresh, done := context.WithTimeout(ctx, callWithin/2)
+	v, err := decode[InForce](c.do(fresh, call{method: http.MethodGet, path: at}))
+	done()
+	if answered(err) {
+		return v, err
+	}
+	ctx, done = context.WithTimeout(ctx, callWithin/2)
+	defer done()
+	return decode[InForce](c.do(ctx, call{method: http.MethodGet, path: at + "?stale"}))
+}
+
+// Records are the live ones of a kind, or the one with that key, as the leader has them.
+func (c *Client) Records(ctx context.Context, k feed.Kind, key string) (all []feed.Record, err error) {
+	ctx, done := bounded(ctx)
+	defer done()
+	for {
+		at := "/v1/feed/records?kind=" + k.String() + "&key=" + url.QueryEscape(key) + "&from=" + strconv.Itoa(len(all))
+		page, err := decode[[]feed.Record](c.do(ctx, call{method: http.MethodGet, path: at}))
+		if err != nil {
+			return nil, err
+		}
+		if all = append(all, page...); len(page) < mostPage {
+			return all, nil
+		}
+	}
+}
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/raft"
 
 	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/feed"
 	"spindlehitch/internal/fleet/lease"
 	"spindlehitch/internal/fleet/register"
 )
@@ -39,6 +40,7 @@
 	Tasks  *lease.Doc      `json:"tasks,omitempty"`  // the fleet's tasks
 	Orders []lease.Order   `json:"orders,omitempty"` // leases are granted, planned to move, or freed
 	Seen   uint64          `json:"seen,omitempty"`   // with orders, or alone: a token that a place was shown
+	Feed   *feed.Change    `json:"feed,omitempty"`   // targets and configuration of the whole fleet
 }
 
 // mostRecent is how many changes are known by their ids.
@@ -59,6 +61,7 @@
 	entries map[string]Entry
 	recent  []Entry // what the last changes made, each known by its change's id
 	fleet   register.Register
+	feed    stream
 	changed chan struct{} // closed and renewed at each change
 }
 
@@ -110,6 +113,15 @@
 	case len(c.Orders) > 0 || c.Seen > 0:
 		defer s.announce()
 		return s.fleet.Order(l.Index, c.Seen, c.Orders)
+	case c.Feed != nil:
+		v, err := s.feed.apply(l, *c.Feed)
+		if err != nil {
+			return err
+		}
+		defer s.announce()
+		e := Entry{Version: v, Change: c.ID}
+		s.remember(e)
+		return e
 	}
 	if had := s.entries[c.Name]; c.If != nil && had.Version != *c.If {
 		return fmt.Errorf("%s: %w: %d", c.Name, errConflict, had.Version)
@@ -120,16 +132,21 @@
 	} else {
 		s.entries[c.Name] = e
 	}
-	if c.ID != "" {
-		made := e
-		made.Config = nil
-		s.recent = append(s.recent, made)
-		s.recent = s.recent[max(0, len(s.recent)-mostRecent):]
-	}
+	s.remember(e)
 	s.announce()
 	return e
 }
 
+// remember keeps what a change made, if it has an id to know it by. Its caller holds mu.
+func (s *store) remember(made Entry) {
+	if made.Change == "" {
+		return
+	}
+	made.Config = nil
+	s.recent = append(s.recent, made)
+	s.recent = s.recent[max(0, len(s.recent)-mostRecent):]
+}
+
 // announce wakes whoever waits for a change. Its caller holds mu.
 func (s *store) announce() {
 	close(s.changed)
@@ -175,15 +192,16 @@
 	Entries map[string]Entry  `json:"entries"`
 	Recent  []Entry           `json:"recent,omitempty"`
 	Fleet   register.Register `json:"fleet"`
+	Feed    *feed.Copy        `json:"feed,omitempty"` // nil: no change of it has come yet
 }
 
-const format = 3 // 2 had no leases: a program that knows no more would lose their tokens
+const format = 4 // 2 had no leases, 3 no feed: a program that knows no more would lose them
 
 // Snapshot implements raft.FSM.
 func (s *store) Snapshot() (raft.FSMSnapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return snapshot{format, maps.Clone(s.entries), slices.Clone(s.recent), s.fleet.Clone()}, nil
+	return snapshot{format, maps.Clone(s.entries), slices.Clone(s.recent), s.fleet.Clone(), s.feed.copy()}, nil
 }
 
 // Persist implements raft.FSMSnapshot.
@@ -221,6 +239,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.feed.restore(m.Feed); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
 	s.entries, s.recent, s.fleet = m.Entries, m.Recent, m.Fleet
 	s.announce()
 	return nil
--- a/internal/feed/disk.go
+++ b/internal/feed/disk.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/renameio/v2"
 )
 
 // The copy is one file: a mark, the length and the checksum (xxhash) of what follows, and that. It is replaced as a whole, so that what
@@ -25,40 +26,10 @@
 var errTorn = errors.New("the copy is torn")
 
 // saveCopy replaces the copy under dir.
-func saveCopy(dir string, text []byte) (err error) {
-	f, err := os.CreateTemp(dir, copyName+".*")
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if err != nil {
-			f.Close()
-			os.Remove(f.Name())
-		}
-	}()
+func saveCopy(dir string, text []byte) error {
 	head := binary.BigEndian.AppendUint64(bytes.Clone(copyMark[:]), uint64(len(text)))
 	head = binary.BigEndian.AppendUint64(head, xxhash.Sum64(text))
-	if _, err = f.Write(head); err != nil {
-		return err
-	}
-	if _, err = f.Write(text); err != nil {
-		return err
-	}
-	if err = f.Sync(); err != nil {
-		return err
-	}
-	if err = f.Close(); err != nil {
-		return err
-	}
-	if err = os.Rename(f.Name(), filepath.Join(dir, copyName)); err != nil {
-		return err
-	}
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	return renameio.WriteFile(filepath.Join(dir, copyName), append(head, text...), 0o600)
 }
 
 // readCopy returns the copy under dir; nil where there is none. A copy that is not whole is errTorn.
--- /dev/null
+++ b/internal/feed/relay.go
@@ -0,0 +1,196 @@
+package feed
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/monotone"
+)
+
+const (
+	reportEvery = time.Second
+	headIn      = 5 * time.Second // for a reader to send its question
+	leaveIn     = time.Second
+	moreConns   = 64 // beside one for each reader: those that move, and operators
+)
+
+// RelayOptions set up a relay.
+type RelayOptions struct {
+	ID, Fleet, Region string
+	Agents            []string // where the agents answer; any of them is followed
+	Dir               string   // where the copy is kept; empty: nowhere
+	Source            feed.SourceOptions
+	// Report brings the agents' leader what the readers have; nil: nobody wants to know.
+	Report func(context.Context, feed.Report) (feed.ReportAnswer, error)
+	Log    *slog.Logger
+	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Relay follows the agents and serves readers.
+type Relay struct {
+	opt      RelayOptions
+	log      *slog.Logger
+	follower *Follower
+	source   *feed.Source // under the follower's lock
+	server   *Server
+	http     http.Server
+	conns    atomic.Int64
+	reports  struct{ sent, failed atomic.Uint64 }
+}
+
+// NewRelay checks the options, and reads the copy on disk.
+func NewRelay(opt RelayOptions) (*Relay, error) {
+	r := &Relay{opt: opt, log: opt.Log}
+	if r.log == nil {
+		r.log = slog.New(slog.DiscardHandler)
+	}
+	agents := make([]feed.Relay, len(opt.Agents))
+	for i, addr := range opt.Agents {
+		agents[i] = feed.Relay{ID: addr, Region: opt.Region, Addr: addr}
+	}
+	var err error
+	r.follower, err = NewFollower(Options{Fleet: opt.Fleet, Name: opt.ID, Region: opt.Region, All: true, Relays: agents, Dir: opt.Dir, Log: opt.Log, Dial: opt.Dial})
+	if err != nil {
+		return nil, err
+	}
+	r.opt.Source.MaxReaders = cmp.Or(opt.Source.MaxReaders, feed.Fair.MaxReaders)
+	r.source = feed.NewSource(r.follower.replica.Store(), r.opt.Source, r.follower.replica.Turn())
+	r.server = NewServer(r, r.opt.Source.MaxReaders)
+	mux := http.NewServeMux()
+	r.server.Routes(mux)
+	mux.HandleFunc("GET /v1/feed", r.tell)
+	r.http = http.Server{Handler: mux, ReadHeaderTimeout: headIn, ReadTimeout: headIn + mostWait, IdleTimeout: idleFor, MaxHeaderBytes: 8 << 10}
+	return r, nil
+}
+
+// Do implements Origin.
+func (r *Relay) Do(do func(now time.Duration, s *feed.Source)) (<-chan struct{}, bool) {
+	f := r.follower
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.source.Fresh(f.fresh)
+	do(monotone.Now(), r.source)
+	return f.changed, true
+}
+
+// Serve answers readers until Run ends.
+func (r *Relay) Serve(l net.Listener) error {
+	if err := r.http.Serve(&bounded{l, &r.conns, int64(r.opt.Source.MaxReaders + moreConns)}); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Run follows the agents and reports to their leader until ctx ends; then no more readers are served.
+func (r *Relay) Run(ctx context.Context) {
+	var work sync.WaitGroup
+	work.Go(func() { r.follower.Run(ctx) })
+	if r.opt.Report != nil {
+		work.Go(func() { r.report(ctx) })
+	}
+	<-ctx.Done()
+	r.server.Stop()
+	within, done := context.WithTimeout(context.Background(), leaveIn)
+	defer done()
+	if r.http.Shutdown(within) != nil {
+		r.http.Close() // readers that don't take their answers
+	}
+	work.Wait()
+}
+
+// report tells the agents' leader each second what has changed at the readers. With no leader the next report has it all.
+func (r *Relay) report(ctx context.Context) {
+	failing := false
+	for sleep(ctx, reportEvery) {
+		var rep feed.Report
+		r.Do(func(now time.Duration, s *feed.Source) { rep = s.Report(now, r.opt.ID, r.opt.Region) })
+		answer, err := r.opt.Report(ctx, rep)
+		if err != nil {
+			if r.reports.failed.Add(1); !failing && ctx.Err() == nil {
+				r.log.Warn("feed report failed", slog.String("reason", "FEED_UNREPORTED"), slog.Any("error", err))
+			}
+			failing = true
+			continue
+		}
+		r.reports.sent.Add(1)
+		failing = false
+		r.Do(func(_ time.Duration, s *feed.Source) { s.Reported(answer) })
+	}
+}
+
+// RelayState is what a relay tells of itself.
+type RelayState struct {
+	ID       string                 `json:"id"`
+	Readers  int                    `json:"readers"`
+	Refused  map[feed.Reason]uint64 `json:"refused,omitempty"` // hellos
+	Busy     uint64                 `json:"busy"`              // readers that were told to come again
+	Served   Served                 `json:"served"`
+	Follower State                  `json:"follower"`
+	Reports  uint64                 `json:"reports"`
+	Lost     uint64                 `json:"reports_failed"`
+	Targets  int                    `json:"targets"`
+	Layers   int                    `json:"layers"`
+}
+
+// State tells of the relay; any goroutine may ask.
+func (r *Relay) State() RelayState {
+	s := RelayState{ID: r.opt.ID, Served: r.server.Served(), Follower: r.follower.State(), Reports: r.reports.sent.Load(), Lost: r.reports.failed.Load()}
+	r.Do(func(_ time.Duration, src *feed.Source) {
+		s.Readers = src.Readers()
+		s.Refused, s.Busy = src.Counts()
+		store := r.follower.replica.Store()
+		s.Targets, s.Layers = store.Count(feed.Targets), store.Count(feed.Config)
+	})
+	return s
+}
+
+func (r *Relay) tell(w http.ResponseWriter, _ *http.Request) {
+	text, err := format.Marshal(r.State())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text) // whoever is gone doesn't want it
+}
+
+// bounded is a listener that has so many connections at a time: others are closed at once, and their readers look elsewhere.
+type bounded struct {
+	net.Listener
+	open *atomic.Int64
+	most int64
+}
+
+// Accept implements net.Listener.
+func (l *bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.most {
+			return &once{Conn: c, open: l.open}, nil
+		}
+		l.open.Add(-1)
+		c.Close()
+	}
+}
+
+type once struct {
+	net.Conn
+	open *atomic.Int64
+	gone sync.Once
+}
+
+func (c *once) Close() error {
+	c.gone.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- a/internal/feed/wire.go
+++ b/internal/feed/wire.go
@@ -17,8 +17,7 @@
 	mostHello  = 64 << 10 // bytes of a reader's question: the sums of all buckets fit
 	mostDelta  = 4 << 20  // bytes of a source's answer, unpacked
 	worthZip   = 1 << 10  // bytes from which on packing saves
-	waitPath   = "/v1/feed/watch"
-	notAtAll   = "not a feed's"
+	watchPath  = "/v1/feed/watch"
 	zipWord    = "gzip"
 	packedHead = "Content-Encoding"
 )
