slopes: probes of the module, lists, discovery, the fleet's machines, members and agents

Each probe drives the public interfaces at four sizes or more. Agents run as processes of their own, so that their processor time and memory are told from their instances'.

--- a/cmd/spindlehitch-scale/main.go
+++ b/cmd/spindlehitch-scale/main.go
@@ -6,10 +6,16 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/scale/slope"
 )
 
 func main() {
-	if err := command().Execute(); err != nil {
+	asked, err := slope.Agent()
+	if !asked {
+		err = command().Execute()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "spindlehitch-scale:", err)
 		os.Exit(1)
 	}
--- a/cmd/spindlehitch-scale/slopes.go
+++ b/cmd/spindlehitch-scale/slopes.go
@@ -1,8 +1,92 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"spindlehitch/internal/scale/slope"
+)
 
 // slopesCommand measures the slopes of docs/CAPACITY.md.
 func slopesCommand() *cobra.Command {
-	return &cobra.Command{Use: "slopes", Short: "Measure what each role costs by size", Args: cobra.NoArgs}
+	var asJSON, write, short bool
+	var root string
+	cmd := &cobra.Command{Use: "slopes [NAME...]", Short: "Measure what each role costs by size", RunE: func(cmd *cobra.Command, names []string) error {
+		if short && write {
+			return errors.New("--write: a short run is for a check, the table takes full ones")
+		}
+		probes, err := slope.Find(names)
+		if err != nil {
+			return err
+		}
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		table, err := slope.Load()
+		if err != nil {
+			return err
+		}
+		measured := &slope.Table{Size: table.Size, Limits: table.Limits}
+		for _, p := range probes {
+			sizes := p.Sizes
+			if short {
+				sizes = p.Short
+			}
+			list, err := slope.Measure(ctx, p, sizes, strings.Join(append([]string{"spindlehitch-scale slopes"}, names...), " "), time.Now())
+			if err != nil {
+				return err
+			}
+			for _, s := range list {
+				measured.Put(s)
+				table.Put(s)
+			}
+			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %.0f s\n", p.Gives[0].Name, list[0].Lasts)
+		}
+		if write {
+			text, err := table.Text()
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(filepath.Join(root, slope.File), text, 0o644); err != nil {
+				return err
+			}
+		}
+		if asJSON {
+			text, err := measured.Text()
+			if err != nil {
+				return err
+			}
+			_, err = cmd.OutOrStdout().Write(text)
+			return err
+		}
+		return print(cmd.OutOrStdout(), measured.Slopes)
+	}}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON in place of a table")
+	cmd.Flags().BoolVar(&write, "write", false, "put what was measured into the repository's table")
+	cmd.Flags().BoolVar(&short, "short", false, "small sizes, for a check")
+	cmd.Flags().StringVar(&root, "root", ".", "the repository")
+	return cmd
+}
+
+func print(to io.Writer, all []slope.Slope) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SLOPE\tVALUE\tERROR\tUNIT\tPER\tBASE\tRANGE\tLARGEST FORETOLD, OFF BY\tOF")
+	for _, s := range all {
+		per := s.Per
+		if s.Power == 2 {
+			per += " squared"
+		}
+		fmt.Fprintf(w, "%s\t%.4g\t%.2g\t%s\t%s\t%.4g\t%g to %g\t%+.0f%%\t%s\n", s.Name, s.Value, s.Error, s.Unit, per, s.Base, s.Least, s.Most, 100*s.Off, s.Of)
+	}
+	return w.Flush()
 }
--- a/internal/scale/slope/fit.go
+++ b/internal/scale/slope/fit.go
@@ -11,6 +11,9 @@
 // fewest is how many sizes a slope takes: three that are fitted and one that is foretold.
 const fewest = 4
 
+// bent is how far a line is from what was measured, as a part of it, for it to be clearly off.
+const bent = 0.1
+
 // Point is what was measured at one size.
 type Point struct {
 	Size float64 `json:"size"`
@@ -51,8 +54,8 @@
 	}
 	rest, last := points[:len(points)-1], points[len(points)-1]
 	best := fit(rest, 1)
-	// A square has to be clearly nearer: a line is what is expected, and noise takes turns.
-	if square := fit(rest, 2); square.Noise < best.Noise/2 && square.Rise > 0 {
+	// A line is what is expected: a square has to be clearly nearer, where the line is clearly off.
+	if square := fit(rest, 2); best.Noise > bent && square.Noise < best.Noise/2 && square.Rise > 0 {
 		best = square
 	}
 	best.Least, best.Most = rest[0].Size, last.Size
--- /dev/null
+++ b/internal/scale/slope/group.go
@@ -0,0 +1,281 @@
+package slope
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+)
+
+// AgentEnv names, for a process that is one agent of a probe, its options: so that an agent's processor time and memory are told from its instances'.
+const AgentEnv = "SPINDLEHITCH_SCALE_AGENT"
+
+// options is what such a process is told.
+type options struct {
+	ID    string       `json:"id"`
+	Dir   string       `json:"dir"`
+	Peers []peerOption `json:"peers"`
+}
+
+type peerOption struct{ ID, Raft, API string }
+
+// seen is what such a process tells of itself.
+type seen struct {
+	CPU   float64 `json:"cpu_us"`
+	Heap  float64 `json:"heap"`
+	In    float64 `json:"in"`
+	Out   float64 `json:"out"`
+	Conns float64 `json:"conns"`
+}
+
+// Agent is the process that AgentEnv asks for: one agent until its input ends. Each line that it reads is answered by what it has used. It returns
+// false where nothing was asked for.
+func Agent() (bool, error) {
+	asked := os.Getenv(AgentEnv)
+	if asked == "" {
+		return false, nil
+	}
+	var opt options
+	if err := json.Unmarshal([]byte(asked), &opt); err != nil {
+		return true, fmt.Errorf("%s: %w", AgentEnv, err)
+	}
+	var peers agent.Peers
+	at := ""
+	for _, p := range opt.Peers {
+		peers = append(peers, config.Peer{ID: p.ID, Raft: p.Raft, API: p.API})
+		if p.ID == opt.ID {
+			at = p.API
+		}
+	}
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return true, err
+	}
+	a, err := agent.Start(agent.Options{ID: opt.ID, Dir: opt.Dir, Peers: peers, Check: func(string, []byte) error { return nil }, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		return true, err
+	}
+	c := count(l)
+	go a.Serve(c)
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		s := seen{CPU: float64(cpu().Microseconds()), In: float64(c.in.Load()), Out: float64(c.out.Load()), Conns: float64(c.conns.Load())}
+		s.Heap = heap() // a collection: after the processor's time was read
+		if err := json.NewEncoder(os.Stdout).Encode(s); err != nil {
+			return true, err
+		}
+	}
+	return true, a.Stop()
+}
+
+// group is three agents, each a process, on the loopback.
+type group struct {
+	agent.Client
+	dir  string
+	proc []*process
+}
+
+type process struct {
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out *bufio.Scanner
+}
+
+func newGroup(ctx context.Context) (_ *group, err error) {
+	// One connection for each instance, as with processes of their own; they share a pool here.
+	if t, ok := http.DefaultTransport.(*http.Transport); ok {
+		t.MaxIdleConns, t.MaxIdleConnsPerHost = 0, 4096
+	}
+	g := &group{}
+	if g.dir, err = os.MkdirTemp("", "slopes"); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			g.stop()
+		}
+	}()
+	addrs, err := free(6)
+	if err != nil {
+		return nil, err
+	}
+	opt := options{}
+	for i := range 3 {
+		opt.Peers = append(opt.Peers, peerOption{fmt.Sprint("agent-", i), addrs[2*i], addrs[2*i+1]})
+		g.Addrs = append(g.Addrs, addrs[2*i+1])
+	}
+	for _, p := range opt.Peers {
+		if err := g.start(opt, p.ID); err != nil {
+			return nil, err
+		}
+	}
+	return g, until(ctx, "a leader known to all", func() bool {
+		leaders := map[string]int{}
+		for _, s := range g.Status(ctx) {
+			leaders[s.Leader]++
+		}
+		return len(leaders) == 1 && leaders[""] == 0
+	})
+}
+
+// free finds ports of the loopback that nobody listens at.
+func free(n int) (addrs []string, err error) {
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+// start begins one agent's process.
+func (g *group) start(opt options, id string) error {
+	opt.ID, opt.Dir = id, filepath.Join(g.dir, id)
+	asked, err := json.Marshal(opt)
+	if err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), AgentEnv+"="+string(asked))
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	g.proc = append(g.proc, &process{cmd, in, bufio.NewScanner(out)})
+	return nil
+}
+
+// end has the agents leave in order and waits for them. What they have on disk stays.
+func (g *group) end() (err error) {
+	for _, p := range g.proc {
+		p.in.Close()
+	}
+	for _, p := range g.proc {
+		late := time.AfterFunc(20*time.Second, func() { p.cmd.Process.Kill() })
+		err = errors.Join(err, p.cmd.Wait())
+		late.Stop()
+	}
+	g.proc = nil
+	return err
+}
+
+func (g *group) stop() {
+	g.end()
+	os.RemoveAll(g.dir)
+	if t, ok := http.DefaultTransport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
+
+// look is what each agent has used so far.
+func (g *group) look() ([]seen, error) {
+	all := make([]seen, len(g.proc))
+	for i, p := range g.proc {
+		if _, err := io.WriteString(p.in, "\n"); err != nil {
+			return nil, err
+		}
+		if !p.out.Scan() {
+			return nil, fmt.Errorf("agent %d has ended", i)
+		}
+		if err := json.Unmarshal(p.out.Bytes(), &all[i]); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// roles is who leads, and one that follows.
+func (g *group) roles(ctx context.Context) (leader, follower int, err error) {
+	leader = -1
+	for i, s := range g.Status(ctx) {
+		if s.State == raft.Leader.String() {
+			leader = i
+		}
+	}
+	if leader < 0 {
+		return 0, 0, errors.New("no agent leads")
+	}
+	return leader, (leader + 1) % len(g.proc), nil
+}
+
+// put writes so many instances' configurations of so many bytes.
+func (g *group) put(ctx context.Context, n, bytes, most int) error {
+	return atOnce(n, most, func(i int) error {
+		_, err := g.Put(ctx, instance(i), configuration(instance(i), bytes), "")
+		return err
+	})
+}
+
+// disk is what an agent's folder takes.
+func (g *group) disk(i int) (all int64) {
+	filepath.WalkDir(filepath.Join(g.dir, fmt.Sprint("agent-", i)), func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			if about, err := d.Info(); err == nil {
+				all += about.Size()
+			}
+		}
+		return nil
+	})
+	return all
+}
+
+// entries ends the group and sums up the last n commands of its log, in bytes.
+func (g *group) entries(n int) (float64, error) {
+	if err := g.end(); err != nil {
+		return 0, err
+	}
+	s, err := raftboltdb.NewBoltStore(filepath.Join(g.dir, "agent-0", "raft.db"))
+	if err != nil {
+		return 0, err
+	}
+	defer s.Close()
+	last, err := s.LastIndex()
+	if err != nil {
+		return 0, err
+	}
+	sum, left := 0, n
+	for i := last; i > 0 && left > 0; i-- {
+		var l raft.Log
+		if err := s.GetLog(i, &l); err != nil {
+			return 0, err
+		}
+		if l.Type == raft.LogCommand {
+			sum += len(l.Data)
+			left--
+		}
+	}
+	if left > 0 {
+		return 0, fmt.Errorf("the log is %d commands short", left)
+	}
+	return float64(sum), nil
+}
--- /dev/null
+++ b/internal/scale/slope/list.go
@@ -0,0 +1,91 @@
+package slope
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"spindlehitch"
+	"spindlehitch/internal/core"
+	"spindlehitch/internal/listing"
+	"spindlehitch/internal/upstream"
+)
+
+// line is an entry as discovery writes it, with names of the length that operators use.
+func line(i int, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":"10.%d.%d.%d:7000","zone":"zone-%d","kind":"data","cell":%d,"state":%q,"weight":1.0,"started_ms":%d}`,
+		target(i), i>>16, i>>8&255, i&255, i%30, i, state, 1_000_000+i)
+}
+
+// text is a list with so many entries.
+func text(version, entries int, full bool) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"full":%v,"servers":[`, version, full)
+	for i := range entries {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(line(i, "SERVING"))
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+func listProbes() []Probe {
+	return []Probe{{
+		About: "internal/listing: a whole list read and checked",
+		Gives: []Gives{{Name: "list.line", Unit: "B", Of: "a whole list on the wire", Per: "entry", Exact: true},
+			{Name: "list.decode", Unit: "us", Of: "reading a whole list", Per: "entry"},
+			{Name: "list.allocs", Unit: "allocs", Of: "reading a whole list", Per: "entry", Exact: true},
+			{Name: "list.memory", Unit: "B", Of: "a list as read", Per: "entry", Exact: true}},
+		Sizes: []float64{200, 500, 1250, 3200, 8000, 20_000}, Short: []float64{200, 400, 800, 1600},
+		Run: func(_ context.Context, size int) ([]float64, error) {
+			t := text(1, size, true)
+			held, l := holds(func() *listing.List {
+				l, err := listing.Decode(t)
+				if err != nil {
+					return nil
+				}
+				return l
+			})
+			if l == nil {
+				_, err := listing.Decode(t)
+				if errors.Is(err, listing.ErrHuge) {
+					err = ErrBeyond
+				}
+				return nil, err
+			}
+			read := func() { listing.Decode(t) }
+			objects, _ := allocated(read)
+			return []float64{float64(len(t)), quickest(3, 200*time.Millisecond, read), objects, held}, nil
+		},
+	}, {
+		About: "internal/upstream: a registry with an actor for each target and no connection; a change of one entry",
+		Gives: []Gives{{Name: "upstream.memory", Unit: "B", Of: "heap and stacks of the targets' actors", Per: "target"},
+			{Name: "upstream.change", Unit: "us", Of: "a change of one entry", Per: "target"}},
+		Sizes: targetSizes, Short: []float64{100, 200, 400, 800},
+		Run: func(_ context.Context, size int) ([]float64, error) {
+			all := make([]upstream.Target, size)
+			for i := range all {
+				all[i] = upstream.Target{ID: target(i), Addr: "127.0.0.1:1", State: spindlehitch.Up}
+			}
+			held, g := holds(func() *upstream.Registry {
+				g := upstream.NewRegistry(upstream.Options{MostConn: 1, MostAll: 1, Idle: time.Minute, Log: slog.New(slog.DiscardHandler)}, func(core.Result) {})
+				g.Apply(all, true)
+				time.Sleep(50 * time.Millisecond) // each actor has its stack
+				return g
+			})
+			defer g.Retire()
+			i := 0
+			change := quickest(5, 100*time.Millisecond, func() {
+				i++
+				x := all[i%size]
+				x.State = spindlehitch.NodeState(i / size % 2)
+				g.Apply([]upstream.Target{x}, false)
+			})
+			return []float64{held, change}, nil
+		}}}
+}
--- /dev/null
+++ b/internal/scale/slope/members.go
@@ -0,0 +1,52 @@
+package slope
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"spindlehitch/internal/fleet/members"
+	"spindlehitch/internal/model/mesh"
+)
+
+// encoded is a message's size on the wire.
+func encoded(m *members.Message) int {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
+
+func memberProbes() []Probe {
+	lasts := func(size int) time.Duration { return 20 * time.Second }
+	return []Probe{{
+		About: "internal/model/mesh: members that all know all, 8 zones, 2 ms a message, without trouble, for 20 s of virtual time",
+		Gives: []Gives{{Name: "members.wire", Unit: "B/s", Of: "what a member sends", Per: "member", Exact: true}, {Name: "members.messages", Unit: "messages/s", Of: "what a member sends", Per: "member", Exact: true},
+			{Name: "members.cpu", Unit: "us/s", Of: "a member's machine, its network's model included", Per: "member"}, {Name: "members.memory", Unit: "B", Of: "a member's machine", Per: "member"}},
+		Sizes: []float64{100, 200, 400, 800, 1600}, Short: []float64{25, 50, 100, 200},
+		Run: func(_ context.Context, size int) ([]float64, error) {
+			before := heap()
+			m := mesh.New(mesh.Spec{Size: size, Zones: 8, Seed: 1, Settings: members.Usual, Delay: 2 * time.Millisecond, Joined: true})
+			began := cpu()
+			m.Run(lasts(size))
+			used := cpu() - began
+			held := max(0, heap()-before)
+			each := float64(size) * lasts(size).Seconds()
+			bytes, sent := 0, 0
+			m.Bytes = encoded // counted apart, so that its cost is not the member's
+			for _, n := range m.Nodes {
+				n.Sent = 0
+			}
+			m.Run(5 * time.Second)
+			for _, n := range m.Nodes {
+				bytes += int(n.SentB)
+				sent += n.Sent
+			}
+			runtime.KeepAlive(m)
+			after := float64(size) * 5
+			return []float64{float64(bytes) / after, float64(sent) / after, float64(used.Microseconds()) / each, held / float64(size)}, nil
+		}}}
+}
--- /dev/null
+++ b/internal/scale/slope/module.go
@@ -0,0 +1,114 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"spindlehitch"
+)
+
+var targetSizes = []float64{200, 632, 2000, 6324, 20_000}
+
+// settings are some of the shape that operators set: three classes, three plans, all rules on.
+func settings() spindlehitch.Settings {
+	const ms = time.Millisecond
+	return spindlehitch.Settings{
+		Initiators: 2900, Tick: ms, MaxAttempts: 3, MeanUnits: 1.5, LargestUnits: 16, ColdUnits: 40, FairWorth: 0.7, IdleWorth: 0.4, Handshake: 0.2, Meter: time.Second,
+		Classes: []spindlehitch.Class{{Name: "read", Aim: 150 * ms, Deadline: 2 * time.Second, Worth: 1},
+			{Name: "write", Aim: 300 * ms, Deadline: 3 * time.Second, Effect: spindlehitch.Keyed, Group: spindlehitch.GroupCell, Window: 5 * time.Second, Worth: 2},
+			{Name: "append", Aim: 400 * ms, Deadline: 3 * time.Second, Effect: spindlehitch.Unsafe, Worth: 2, InOrder: true}},
+		Plans: []spindlehitch.Plan{{Name: "base", Rate: 100, Reserve: 20, Weight: 1, Price: 1}, {Name: "plus", Rate: 400, Reserve: 100, Weight: 2, Price: 2},
+			{Name: "bulk", Rate: 1000, Weight: 1, Price: 0.5, Limit: 2000, LimitBurst: 2000}},
+		Rules: spindlehitch.Rules{ColdShare: 0.1, WarmWithin: 20 * time.Second, FallWithin: 3 * time.Second, FallMultiple: 2, Settle: 100 * ms, Budget: true, BudgetFree: 10,
+			BudgetShare: 0.1, BudgetSpan: 10 * time.Second},
+	}
+}
+
+func target(i int) string { return fmt.Sprintf("harbour-%05d-%04x", i, i*40503%65536) }
+
+// module is a scheduler that knows so many targets, each a shard of its own.
+type module struct {
+	*spindlehitch.Scheduler
+	now   time.Duration
+	nodes []spindlehitch.Node
+	asked int
+	rng   *rand.Rand
+}
+
+func newModule(targets int) (*module, error) {
+	s, err := spindlehitch.New(settings(), 1)
+	if err != nil {
+		return nil, err
+	}
+	m := &module{Scheduler: s, now: time.Minute, rng: rand.New(rand.NewPCG(1, uint64(targets)))}
+	for i := range targets {
+		m.nodes = append(m.nodes, spindlehitch.Node{ID: target(i), Zone: fmt.Sprint("zone-", i%30), Shard: i})
+	}
+	s.Step(0, nil) // it has run for a minute: nothing that it sent before is unknown
+	s.Step(m.now, []spindlehitch.Event{spindlehitch.NodeList{Whole: true, Nodes: m.nodes}})
+	return m, nil
+}
+
+// change has one target drain, or be up again.
+func (m *module) change() {
+	n := &m.nodes[m.rng.IntN(len(m.nodes))]
+	n.State = spindlehitch.Draining - n.State
+	m.now += time.Millisecond
+	m.Step(m.now, []spindlehitch.Event{spindlehitch.NodeList{Nodes: []spindlehitch.Node{*n}}})
+}
+
+// request has one asked, sent and answered.
+func (m *module) request() {
+	m.asked++
+	id := fmt.Sprint("r", m.asked)
+	m.now += 60 * time.Microsecond
+	for _, a := range m.Step(m.now, []spindlehitch.Event{spindlehitch.Request{ID: id, Class: "read", Plan: "base", Volume: fmt.Sprint("v", m.asked%4096),
+		Shard: m.rng.IntN(len(m.nodes)), Units: 1, Initiators: 1, Budget: 2 * time.Second}}) {
+		if a.Kind == spindlehitch.Send {
+			m.now += 60 * time.Microsecond
+			m.Step(m.now, []spindlehitch.Event{spindlehitch.Outcome{ID: a.Request, Node: a.Node, Code: spindlehitch.Delivered, Took: 2 * time.Millisecond, Closed: true}})
+		}
+	}
+}
+
+func moduleProbes() []Probe {
+	return []Probe{{
+		About: "root package, each target a shard of its own: a list of one entry that drains or is up again; a request with its answer; a timer; a whole list as after a start; its heap",
+		Gives: []Gives{{Name: "module.change", Unit: "us", Of: "a change of one entry", Per: "target"},
+			{Name: "module.request", Unit: "us", Of: "a request and its answer", Per: "target"},
+			{Name: "module.timer", Unit: "us", Of: "a timer with nothing open", Per: "target"},
+			{Name: "module.whole", Unit: "us", Of: "a whole list, with nothing known", Per: "target"},
+			{Name: "module.memory", Unit: "B", Of: "heap of a module", Per: "target", Exact: true}},
+		Sizes: targetSizes, Short: []float64{50, 100, 200, 400},
+		Run: func(_ context.Context, size int) ([]float64, error) {
+			var err error
+			var m *module
+			began := time.Now()
+			held, _ := holds(func() *module {
+				m, err = newModule(size)
+				return m
+			})
+			if err != nil {
+				return nil, err
+			}
+			took := time.Since(began)
+			whole := quickest(1, max(0, 300*time.Millisecond-took), func() { newModule(size) })
+			change := quickest(2, 200*time.Millisecond, m.change)
+			request := quickest(5, 200*time.Millisecond, func() {
+				for range 100 {
+					m.request()
+				}
+			}) / 100
+			timer := quickest(5, 50*time.Millisecond, func() {
+				for range 20 {
+					m.now += 20 * time.Millisecond
+					m.Step(m.now, []spindlehitch.Event{spindlehitch.Timer{}})
+				}
+			}) / 20
+			runtime.KeepAlive(m)
+			return []float64{change, request, timer, whole, held}, nil
+		}}}
+}
--- /dev/null
+++ b/internal/scale/slope/probe.go
@@ -0,0 +1,142 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Gives is one cost that a probe measures.
+type Gives struct {
+	Name, Unit, Of, Per string
+	Exact               bool // a count or bytes: the same in every run
+}
+
+// Probe measures what something costs at several sizes.
+type Probe struct {
+	About string
+	Gives []Gives
+	Sizes []float64 // the largest is foretold from the rest
+	Short []float64 // of them, or smaller ones: for a short run
+	// Run measures at one size, a cost for each of Gives. Where the program can't be given that size it returns ErrBeyond: the size is left out.
+	Run func(ctx context.Context, size int) ([]float64, error)
+}
+
+// ErrBeyond says that the program refuses a size.
+var ErrBeyond = fmt.Errorf("a size that the program refuses")
+
+// Probes is all of them.
+func Probes() []Probe {
+	return slices.Concat(moduleProbes(), listProbes(), fleetProbes(), memberProbes(), edgeProbes(), agentProbes())
+}
+
+// Measure runs a probe at so many sizes and fits what came.
+func Measure(ctx context.Context, p Probe, sizes []float64, command string, now time.Time) ([]Slope, error) {
+	began := time.Now()
+	all := make([][]Point, len(p.Gives))
+	for _, size := range sizes {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		costs, err := p.Run(ctx, int(size))
+		if err == ErrBeyond {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s at %v: %w", p.Gives[0].Name, size, err)
+		}
+		for i, c := range costs {
+			all[i] = append(all[i], Point{size, round(c)})
+		}
+	}
+	lasted := time.Since(began).Seconds()
+	var slopes []Slope
+	for i, g := range p.Gives {
+		l, err := Fit(all[i])
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", g.Name, err)
+		}
+		slopes = append(slopes, Slope{Name: g.Name, Unit: g.Unit, Of: g.Of, Per: g.Per, Value: round(l.Rise), Error: round(l.Error), Base: round(l.Base), Power: l.Power,
+			Least: l.Least, Most: l.Most, Off: round(l.Off), Noise: round(l.Noise), Command: command, Date: now.Format(time.DateOnly), Cores: runtime.NumCPU(),
+			Lasts: math.Ceil(lasted), Measured: all[i], Exact: g.Exact, About: p.About})
+	}
+	return slopes, nil
+}
+
+// round keeps four digits: more are noise.
+func round(x float64) float64 {
+	if x == 0 || math.IsNaN(x) || math.IsInf(x, 0) {
+		return x
+	}
+	by := math.Pow(10, 3-math.Floor(math.Log10(math.Abs(x))))
+	return math.Round(x*by) / by
+}
+
+// quickest is the least time that f takes, in us: of so many turns at least, and of as many as fit in a time. What else the machine does only adds.
+func quickest(least int, within time.Duration, f func()) float64 {
+	best := time.Duration(math.MaxInt64)
+	for end, i := time.Now().Add(within), 0; i < least || i < 1000 && time.Now().Before(end); i++ {
+		began := time.Now()
+		f()
+		best = min(best, time.Since(began))
+	}
+	return float64(best.Nanoseconds()) / 1e3
+}
+
+// heap is what lives there, after two collections: what the first finalizes the second frees.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) + float64(m.StackInuse)
+}
+
+// holds is the memory that what f returns holds.
+func holds[T any](f func() T) (float64, T) {
+	before := heap()
+	v := f()
+	after := heap()
+	return max(0, after-before), v
+}
+
+// allocated is what f allocates: objects and bytes.
+func allocated(f func()) (objects, bytes float64) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs - before.Mallocs), float64(after.TotalAlloc - before.TotalAlloc)
+}
+
+// cpu is what this process has used so far.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic("getrusage: " + err.Error()) // there is no process that it could fail for
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Find returns the probes that give one of the names; all where there is none.
+func Find(names []string) ([]Probe, error) {
+	all := Probes()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var found []Probe
+	for _, n := range names {
+		i := slices.IndexFunc(all, func(p Probe) bool { return slices.ContainsFunc(p.Gives, func(g Gives) bool { return g.Name == n }) })
+		if i < 0 {
+			return nil, fmt.Errorf("no probe gives %q", n)
+		}
+		if !slices.ContainsFunc(found, func(p Probe) bool { return p.Gives[0].Name == all[i].Gives[0].Name }) {
+			found = append(found, all[i])
+		}
+	}
+	return found, nil
+}
