--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"sync"
 
 	"spindlehitch"
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/discovery"
+	edge "spindlehitch/internal/feed"
 	"spindlehitch/internal/listing"
 	"spindlehitch/internal/monotone"
 	"spindlehitch/internal/peers"
@@ -27,6 +27,7 @@
 	Crowd              int           // how many ask there
 	Known              *listing.List // the list as last had
 	Agents             []string      // whose configuration is followed; empty: none
+	Feed               *edge.Options // nil: it does not follow the feed
 	Members            *peers.Options
 	Module             *spindlehitch.Settings // nil: it has no module
 	Log                *slog.Logger
@@ -36,11 +37,12 @@
 type Initiator struct {
 	Journal *Journal
 	opt     Options
-	mu      sync.Mutex // of what follows
+	life    sync.Mutex // held while it starts or stops
+	mu      sync.Mutex // of stop and feed
 	stop    context.CancelFunc
 	all     sync.WaitGroup
 	peers   *peers.Peers
-	module  *module
+	feed    follower
 }
 
 // New returns an initiator that does nothing yet.
@@ -58,16 +60,16 @@
 
 // Start starts its parts.
 func (in *Initiator) Start() error {
-	in.mu.Lock()
-	defer in.mu.Unlock()
+	in.life.Lock()
+	defer in.life.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
+	var m *module
 	if in.opt.Module != nil {
-		m, err := newModule(*in.opt.Module, in.opt.Seed, in.Journal)
-		if err != nil {
+		var err error
+		if m, err = newModule(*in.opt.Module, in.opt.Seed, in.Journal); err != nil {
 			stop()
 			return err
 		}
-		in.module = m
 		in.all.Go(func() { m.run(ctx) })
 	}
 	if in.opt.Members != nil {
@@ -82,9 +84,20 @@
 		}
 		in.peers = p
 	}
+	if in.opt.Feed != nil {
+		run, err := in.follow(m)
+		if err != nil {
+			stop()
+			in.all.Wait()
+			return err
+		}
+		in.all.Go(func() { run(ctx) })
+	}
+	in.mu.Lock()
 	in.stop = stop
+	in.mu.Unlock()
 	if in.opt.Discovery != "" {
-		w := discovery.New(discovery.Options{Addr: in.opt.Discovery, Known: in.opt.Known, Crowd: in.opt.Crowd, Seed: in.opt.Seed, Log: in.opt.Log}, in.lists(in.module))
+		w := discovery.New(discovery.Options{Addr: in.opt.Discovery, Known: in.opt.Known, Crowd: in.opt.Crowd, Seed: in.opt.Seed, Log: in.opt.Log}, in.lists(m))
 		in.all.Go(func() { w.Run(ctx) })
 	}
 	if len(in.opt.Agents) > 0 {
@@ -111,9 +124,9 @@
 
 // Stop ends its parts, without a word to others where abrupt.
 func (in *Initiator) Stop(abrupt bool) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.stop == nil {
+	in.life.Lock()
+	defer in.life.Unlock()
+	if !in.Running() {
 		return
 	}
 	if in.peers != nil {
@@ -127,14 +140,8 @@
 	}
 	in.stop()
 	in.all.Wait()
-	in.stop, in.module = nil, nil
-}
-
-// Wire is how many bytes its own transports have read and written; what goes through the process's transport is not in it.
-func (in *Initiator) Wire() (read, written int64) { return 0, 0 }
-
-// Asks is a call as it makes them, for one that is never read from.
-func (in *Initiator) Asks() (addr string, request []byte) {
-	addr = in.opt.Agents[0]
-	return addr, fmt.Appendf(nil, "GET /v1/instances/%s?stale&wait_ms=60000&after=0 HTTP/1.1\r\nHost: %s\r\n\r\n", in.opt.Name, addr)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.feed.end()
+	in.stop = nil
 }
--- a/internal/scale/hollow/journal.go
+++ b/internal/scale/hollow/journal.go
@@ -32,6 +32,9 @@
 	mu     sync.Mutex
 	lanes  map[Lane][]Reached
 	told   map[string]told // of targets that were told by a change
+	seen   map[Lane]uint64 // as asked, over all lives
+	said   map[Lane]uint64 // by this life
+	life   any
 	broken []string
 	faults int
 }
@@ -47,7 +50,7 @@
 
 // NewJournal returns the journal of an initiator.
 func NewJournal(name string) *Journal {
-	return &Journal{name: name, lanes: map[Lane][]Reached{}, told: map[string]told{}}
+	return &Journal{name: name, lanes: map[Lane][]Reached{}, told: map[string]told{}, seen: map[Lane]uint64{}}
 }
 
 // Lives begins a new life of the initiator. One without anything of its own on disk begins where it was first configured.
@@ -55,7 +58,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if !kept {
-		j.lanes, j.told = map[Lane][]Reached{}, map[string]told{}
+		j.lanes, j.told, j.seen = map[Lane][]Reached{}, map[string]told{}, map[Lane]uint64{}
 	}
 }
 
@@ -92,6 +95,29 @@
 	}
 }
 
+// Seen notes what one of its lives says is in force of each lane, when it was asked. One that has just begun says nothing until it has read its
+// copy on disk; what it says then is no older than what was in force before.
+func (j *Journal) Seen(life any, targets, config uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.life != life {
+		j.life, j.said = life, map[Lane]uint64{}
+	}
+	for lane, v := range map[Lane]uint64{Targets: targets, Config: config} {
+		if v < j.said[lane] || v > 0 && v < j.seen[lane] {
+			j.breaks("%s: says that version %d is in force after %d", lane, v, j.seen[lane])
+		}
+		j.said[lane], j.seen[lane] = max(v, j.said[lane]), max(v, j.seen[lane])
+	}
+}
+
+// Breaks notes that something which must not be was met.
+func (j *Journal) Breaks(form string, about ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breaks(form, about...)
+}
+
 // Sends notes that the module has a first byte go to a target.
 func (j *Journal) Sends(target string) {
 	j.mu.Lock()
@@ -119,10 +145,11 @@
 func (j *Journal) At(lane Lane) uint64 {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	v := j.seen[lane]
 	if all := j.lanes[lane]; len(all) > 0 {
-		return all[len(all)-1].Version
+		v = max(v, all[len(all)-1].Version)
 	}
-	return 0
+	return v
 }
 
 // When tells when a version, or one after it, came into force; false: it has not.
--- a/internal/scale/hollow/module.go
+++ b/internal/scale/hollow/module.go
@@ -25,6 +25,7 @@
 	made    int
 	open    map[string]bool
 	due     time.Time // of the timer; zero: none
+	ended   chan struct{}
 }
 
 type lists struct {
@@ -37,12 +38,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &module{m: m, set: set, clock: core.NewClock(), journal: j, box: mailbox.New[lists](), open: map[string]bool{}}, nil
+	return &module{m: m, set: set, clock: core.NewClock(), journal: j, box: mailbox.New[lists](), open: map[string]bool{}, ended: make(chan struct{})}, nil
 }
 
 func (x *module) list(l *listing.List, done func()) { x.box.Put(lists{l, done}) }
 
+// wait hands a list over and returns once it was stepped; false: the module has ended.
+func (x *module) wait(l *listing.List) bool {
+	done := make(chan struct{})
+	x.list(l, func() { close(done) })
+	select {
+	case <-done:
+		return true
+	case <-x.ended:
+		return false
+	}
+}
+
 func (x *module) run(ctx context.Context) {
+	defer close(x.ended)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
--- a/internal/scale/run/change.go
+++ b/internal/scale/run/change.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +56,7 @@
 	if w.made++; w.made%2 == 1 {
 		m, err = w.target(ctx)
 	} else {
-		m, err = w.config(ctx)
+		m, err = w.config(ctx, false)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -109,18 +111,15 @@
 	}
 }
 
-// put has a change of targets made, and tells its version.
-func (f *fleet) put(_ context.Context, e []listing.Entry) (uint64, error) {
-	v, _ := f.service.change(e...)
-	return v, nil
-}
-
 // putsAtOnce is how many configurations are written at a time.
 const putsAtOnce = 16
 
 // config changes the configuration of all. Where each has one of its own, that is a change for each.
-func (w *writer) config(ctx context.Context) (mark, error) {
+func (w *writer) config(ctx context.Context, shared bool) (mark, error) {
 	f := w.f
+	if f.byFeed() {
+		return w.layer(ctx, shared)
+	}
 	m := mark{Lane: hollow.Config, At: monotone.Now(), By: map[string]uint64{}}
 	var mu sync.Mutex
 	var failed error
@@ -130,7 +129,7 @@
 		room <- struct{}{}
 		all.Go(func() {
 			defer func() { <-room }()
-			name := fmt.Sprintf("h%04d", i)
+			name := nameOf(i)
 			e, err := f.client.Put(ctx, name, f.configOf(name, w.made), "")
 			mu.Lock()
 			defer mu.Unlock()
@@ -157,27 +156,25 @@
 	if len(marks) == 0 {
 		return 0, s, nil
 	}
-	// The last of each lane says it of those before.
+	// The last of each lane says it of those before. By the feed all come to the same version, also those that a change says nothing to.
 	newest := map[hollow.Lane]mark{}
 	for _, m := range marks {
+		m.Region, m.Zone, m.Name = "", "", ""
 		newest[m.Lane] = m
 	}
-	var asked []mark
-	for _, m := range newest {
-		asked = append(asked, m)
-	}
+	asked := slices.Collect(maps.Values(newest))
 	began := time.Now()
 	for {
 		if s, err = f.each(order{Do: "state", Marks: asked}); err != nil {
 			return 0, s, err
 		}
-		if s.Pending == 0 && s.Reached == s.Running && s.Running == f.hollow {
+		if !s.lacks(f.hollow) {
 			return time.Since(began), s, nil
 		}
 		if took = time.Since(began); took > within {
 			return took, s, nil
 		}
-		if !f.pause(50 * time.Millisecond) {
+		if !f.pause(100 * time.Millisecond) {
 			return 0, s, f.ctx.Err()
 		}
 	}
--- /dev/null
+++ b/internal/scale/run/control.go
@@ -0,0 +1,124 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/listing"
+	"spindlehitch/internal/monotone"
+	"spindlehitch/internal/scale/hollow"
+)
+
+// fleetName is the run's.
+const fleetName = "scale"
+
+// byFeed tells whether the feed carries changes.
+func (f *fleet) byFeed() bool { return f.spec.Mechanism == "feed" }
+
+// startRelays starts them, spread over the regions; each meets the agents by its region's links.
+func (f *fleet) startRelays() error {
+	addrs, err := freeAddrs(f.spec.Relays)
+	if err != nil {
+		return err
+	}
+	for i, listen := range addrs {
+		at := relayAt{ID: fmt.Sprint("relay-", i), Region: f.region(i).Name, Addr: listen}
+		var agents []string
+		for k, a := range f.apis {
+			way, err := f.way(at.Region, fmt.Sprint("agent-", k), a)
+			if err != nil {
+				return err
+			}
+			agents = append(agents, fmt.Sprintf("%q", way))
+		}
+		text := fmt.Sprintf("[relay]\nid = %q\nfleet = %q\nregion = %q\nlisten = %q\nagents = [%s]\ndir = %q\n", at.ID, fleetName, at.Region, listen,
+			strings.Join(agents, ", "), filepath.Join(f.dir, at.ID+".data"))
+		path := filepath.Join(f.dir, at.ID+".toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return err
+		}
+		p := &proc{name: at.ID, path: f.opt.Program, args: []string{"relay", "--operator", path}, dir: f.dir}
+		f.relays, f.relayAt = append(f.relays, p), append(f.relayAt, at)
+		if err := p.start(false); err != nil {
+			return err
+		}
+	}
+	for i, at := range f.relayAt {
+		if err := f.until(f.relays[i].name+" answers", long, func() bool { return answers("http://" + at.Addr + "/v1/feed") }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// relaysFrom is the relays as a region meets them: its own at their addresses, the others by links of that region.
+func (f *fleet) relaysFrom(region string) (all []relayAt, err error) {
+	for _, at := range f.relayAt {
+		if at.Region != region {
+			if at.Addr, err = f.way(region, at.ID, at.Addr); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, at)
+	}
+	return all, nil
+}
+
+// putsOf is how many targets go in one change: well under its size.
+const putsOf = 1000
+
+// put has targets changed, and tells the version with which all of it is.
+func (f *fleet) put(ctx context.Context, e []listing.Entry) (version uint64, err error) {
+	if !f.byFeed() {
+		version, _ = f.service.change(e...)
+		return version, nil
+	}
+	for len(e) > 0 {
+		some := e[:min(putsOf, len(e))]
+		e = e[len(some):]
+		c := feed.Change{Fleet: fleetName}
+		for _, x := range some {
+			text, err := format.Marshal(x)
+			if err != nil {
+				return 0, err
+			}
+			c.Puts = append(c.Puts, feed.Put{Kind: feed.Targets, Key: x.ID, Value: text})
+		}
+		if version, err = f.client.PutChange(ctx, c); err != nil {
+			return 0, err
+		}
+	}
+	return version, nil
+}
+
+// layer changes a layer of the configuration: one change, whatever it reaches.
+func (w *writer) layer(ctx context.Context, shared bool) (mark, error) {
+	f := w.f
+	m := mark{Lane: hollow.Config, At: monotone.Now()}
+	key := "shared"
+	if !shared {
+		i := w.rng.IntN(max(1, f.hollow))
+		switch w.rng.IntN(4) {
+		case 0:
+			m.Region = f.region(i).Name
+			key = "region/" + m.Region
+		case 1:
+			m.Zone = f.zone(i)
+			key = "zone/" + m.Zone
+		case 2:
+			m.Name = nameOf(i)
+			key = "instance/" + m.Name
+		}
+	}
+	value := fmt.Appendf(nil, `{"limits":{"sockets":%d}}`, 1024+w.made%1024)
+	var err error
+	m.Version, err = f.client.PutChange(ctx, feed.Change{Fleet: fleetName, Puts: []feed.Put{{Kind: feed.Config, Key: key, Value: value}}})
+	return m, err
+}
+
+// nameOf is the name of the hollow initiator of a number.
+func nameOf(i int) string { return fmt.Sprintf("h%04d", i) }
--- a/internal/scale/run/host.go
+++ b/internal/scale/run/host.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -20,6 +21,8 @@
 
 	"spindlehitch"
 	"spindlehitch/internal/config"
+	edge "spindlehitch/internal/feed"
+	"spindlehitch/internal/fleet/feed"
 	"spindlehitch/internal/fleet/members"
 	"spindlehitch/internal/listing"
 	"spindlehitch/internal/peers"
@@ -33,6 +36,7 @@
 	Name, Region, Zone string
 	Seed               uint64
 	Module             bool
+	Disk               bool   // it keeps a copy there
 	Bind               string // as a member; empty: it is none
 	Seeds              []string
 }
@@ -67,15 +71,22 @@
 	Lane    hollow.Lane
 	Version uint64
 	By      map[string]uint64 `json:",omitempty"` // where each initiator has a version of its own
+	Region  string            `json:",omitempty"` // whom it is for: of a region, a zone, of that name; empty: all
+	Zone    string            `json:",omitempty"`
+	Name    string            `json:",omitempty"`
 	At      time.Duration     // when it was made
 	Primary bool
 }
 
-func (m mark) of(name string) (uint64, bool) {
+// of is the version of an initiator that a mark is for.
+func (m mark) of(x hollowSpec) (uint64, bool) {
+	if m.Region != "" && m.Region != x.Region || m.Zone != "" && m.Zone != x.Zone || m.Name != "" && m.Name != x.Name {
+		return 0, false
+	}
 	if m.By == nil {
 		return m.Version, true
 	}
-	v, there := m.By[name]
+	v, there := m.By[x.Name]
 	return v, there
 }
 
@@ -83,14 +94,14 @@
 type state struct {
 	Error   string
 	Running int
-	Pending int      // restarts to come
-	Reached int      // of those that run, how many have all marks asked about
-	Lags    []string // some that have not
-	Broken  int      // promises
-	What    []string // the first of them
-	Names   []string // whom the order was about
-	In, Out int64    // bytes through the clients of all its initiators
-	Deltas  uint64
+	Pending int            // restarts to come
+	Reached int            // of those that run, how many have all marks asked about
+	Lags    []string       // some that have not
+	Broken  int            // promises
+	What    []string       // the first of them
+	Names   []string       // whom the order was about
+	In, Out int64          // bytes through the clients of all its initiators
+	Moves   uint64         // to other relays
 	Done    map[string]int // by lane and whole milliseconds: how many had a change by then
 	Last    []last         // by mark
 	Missing int            // pairs of initiator and mark that were not reached
@@ -170,7 +181,7 @@
 		err = h.start(h.stopped(), o.SpreadS, o.Seed)
 	case "off":
 		h.stop(h.all, false)
-	case "restart":
+	case "restart": // those that have something on disk first, as initiators do that are restarted
 		some := h.some(o)
 		for _, in := range some {
 			s.Names = append(s.Names, in.Name())
@@ -196,9 +207,6 @@
 	return err
 }
 
-// keeps tells whether an initiator has something of its own on disk.
-func (h *host) keeps() bool { return h.dir != "" }
-
 func (h *host) add(o *order) error {
 	if o.Ways != nil {
 		h.ways, h.crowd, h.known, h.dir, h.fleet = o.Ways, o.Crowd, o.Known, o.Dir, o.Fleet
@@ -218,6 +226,15 @@
 		}
 		opt := hollow.Options{Name: x.Name, Region: x.Region, Zone: x.Zone, Seed: x.Seed, Discovery: w.Discovery, Crowd: h.crowd, Known: h.known, Agents: w.Agents,
 			Log: slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelError}))}
+		if len(w.Relays) > 0 {
+			opt.Feed = &edge.Options{Fleet: h.fleet, Name: x.Name, Region: x.Region, Zone: x.Zone, Seed: x.Seed, Log: opt.Log}
+			for _, r := range w.Relays {
+				opt.Feed.Relays = append(opt.Feed.Relays, feed.Relay{ID: r.ID, Region: r.Region, Addr: r.Addr})
+			}
+			if x.Disk {
+				opt.Feed.Dir = filepath.Join(h.dir, x.Name+".data")
+			}
+		}
 		if x.Module {
 			opt.Module = &h.module
 		}
@@ -247,6 +264,9 @@
 		}
 	}
 	rand.New(rand.NewPCG(o.Seed, 1)).Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	slices.SortStableFunc(some, func(a, b *hollow.Initiator) int {
+		return btoi(h.spec[b.Name()].Disk) - btoi(h.spec[a.Name()].Disk)
+	})
 	if o.Number > 0 {
 		some = some[:min(o.Number, len(some))]
 	}
@@ -296,7 +316,7 @@
 				return
 			}
 			some[i].Stop(true)
-			some[i].Journal.Lives(h.keeps())
+			some[i].Journal.Lives(h.spec[some[i].Name()].Disk)
 			if err := some[i].Start(); err != nil {
 				fmt.Fprintln(os.Stderr, some[i].Name(), err)
 			}
@@ -321,10 +341,11 @@
 		if !in.Running() {
 			continue
 		}
+		in.Poll()
 		s.Running++
 		has := true
 		for _, m := range o.Marks {
-			if v, there := m.of(in.Name()); there && in.Journal.At(m.Lane) < v {
+			if v, there := m.of(h.spec[in.Name()]); there && in.Journal.At(m.Lane) < v {
 				has = false
 			}
 		}
@@ -333,8 +354,8 @@
 		} else if len(s.Lags) < 4 {
 			s.Lags = append(s.Lags, in.Name())
 		}
-		in, out := in.Wire()
-		s.In, s.Out = s.In+in, s.Out+out
+		in, out, moves := in.Wire()
+		s.In, s.Out, s.Moves = s.In+int64(in), s.Out+int64(out), s.Moves+moves
 	}
 	s.Pending = int(h.pending.Load())
 	s.What = s.What[:min(len(s.What), 8)]
@@ -347,7 +368,7 @@
 	for _, m := range o.Marks {
 		l := last{Lane: m.Lane, Primary: m.Primary}
 		for _, in := range h.all {
-			v, there := m.of(in.Name())
+			v, there := m.of(h.spec[in.Name()])
 			if !there || !in.Running() {
 				continue
 			}
@@ -373,15 +394,16 @@
 func (h *host) deafen(o *order) error {
 	for i := range o.Number {
 		in := h.all[i%len(h.all)]
-		addr, request := in.Asks()
-		c, err := (&net.Dialer{Timeout: 5 * time.Second}).DialContext(h.ctx, "tcp", addr)
+		addr, request, err := in.Asks(fmt.Sprint("deaf-", os.Getpid(), "-", i))
 		if err != nil {
 			return err
 		}
-		h.deaf = append(h.deaf, c)
-		if _, err := c.Write(request); err != nil {
+		c, err := (&net.Dialer{Timeout: 5 * time.Second}).DialContext(h.ctx, "tcp", addr)
+		if err != nil {
 			return err
 		}
+		h.deaf = append(h.deaf, c)
+		go c.Write(request) // the other end may stop reading, as this one does
 	}
 	return nil
 }
--- a/internal/scale/run/measure.go
+++ b/internal/scale/run/measure.go
@@ -36,6 +36,7 @@
 	Memory   float64 `json:"memory_b"`
 	In       float64 `json:"in_b_s"`
 	Out      float64 `json:"out_b_s"`
+	Moves    uint64  `json:"moves"` // to other relays, of all
 	// Of control.
 	Leader   Role    `json:"leader"`
 	Follower Role    `json:"follower"`     // the dearest
@@ -58,13 +59,14 @@
 	hosts   []use
 	agents  []use
 	relays  []use
+	moves   uint64
 	in, out int64 // of hollow initiators
 	folder  int64
 }
 
 func (f *fleet) snapshot() (s snapshot, err error) {
 	st, err := f.each(order{Do: "state"})
-	s.at, s.in, s.out = time.Now(), st.In, st.Out
+	s.at, s.in, s.out, s.moves = time.Now(), st.In, st.Out, st.Moves
 	s.in, s.out = s.in+f.service.bytes.out.Load(), s.out+f.service.bytes.in.Load()
 	for _, g := range []struct {
 		p    []*proc
@@ -107,6 +109,7 @@
 	n := float64(max(1, f.hollow))
 	r.Core, r.Memory = cpu.Seconds()/r.Seconds/n-r.CoreIdle, float64(rss)/n
 	r.In, r.Out = float64(b.in-a.in)/r.Seconds/n, float64(b.out-a.out)/r.Seconds/n
+	r.Moves = b.moves - a.moves
 	leader := -1
 	for i, s := range f.client.Status(f.ctx) {
 		if s.State == "Leader" {
@@ -157,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	if r.Settled = took.Seconds(); s.Reached < s.Running || s.Running < f.hollow {
+	if r.Settled = took.Seconds(); s.lacks(f.hollow) {
 		r.Settled, r.Lags = -1, strings.Join(s.Lags[:min(3, len(s.Lags))], " ")
 	}
 	if s, err = f.each(order{Do: "collect", Marks: marks}); err != nil {
--- a/internal/scale/run/print.go
+++ b/internal/scale/run/print.go
@@ -30,10 +30,10 @@
 	fmt.Fprintf(out, "%s, by %s, %s, seed %d: %d processes of hollow initiators, %d of these run the module and %d are members; %.0f s on %d cores\n\n", r.Name, r.Mechanism, r.Date, r.Seed,
 		r.Hosts, r.Modules, r.Members, r.Seconds, r.Cores)
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "of\tinitiators\ttargets\tchanges/s\tchanges\tfailed\thalf ms\t99% ms\tlast ms\tlast one\ttargets ms\tconfig ms\tprimary ms\tmissing\tsettled s\tcore %\toff %\tMB\tin B/s\tout B/s\t")
+	fmt.Fprintln(t, "of\tinitiators\ttargets\tchanges/s\tchanges\tfailed\thalf ms\t99% ms\tlast ms\tlast one\ttargets ms\tconfig ms\tprimary ms\tmissing\tsettled s\tcore %\toff %\tMB\tin B/s\tout B/s\tmoves\t")
 	for _, x := range r.Rows {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%.3g\t%d\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f\t%.0f\t%.0f\t%d\t%.1f\t%.4f\t%.4f\t%.1f\t%.0f\t%.0f\t\n", x.Of, x.Initiators, x.Targets, x.Rate, x.Changes, x.Failed, x.Half, x.Most, x.Last, x.Who,
-			x.LastTargets, x.LastConfig, x.Primary, x.Missing, x.Settled, 100*x.Core, 100*x.CoreIdle, x.Memory/1e6, x.In, x.Out)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3g\t%d\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f\t%.0f\t%.0f\t%d\t%.1f\t%.4f\t%.4f\t%.1f\t%.0f\t%.0f\t%d\t\n", x.Of, x.Initiators, x.Targets, x.Rate, x.Changes, x.Failed, x.Half, x.Most, x.Last, x.Who,
+			x.LastTargets, x.LastConfig, x.Primary, x.Missing, x.Settled, 100*x.Core, 100*x.CoreIdle, x.Memory/1e6, x.In, x.Out, x.Moves)
 	}
 	fmt.Fprintln(t)
 	fmt.Fprintln(t, "of\tinitiators\tleader core\tMB\tin B/s\tout B/s\tfds\tfollower core\tMB\tfds\trelay core\tMB\tin B/s\tout B/s\tfds\tlog B a change\t")
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -91,7 +91,7 @@
 		return 0, err
 	}
 	w := f.newWriter(uint64(n))
-	m, err := w.config(f.ctx)
+	m, err := w.config(f.ctx, true)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/scale/run/spec.go
+++ b/internal/scale/run/spec.go
@@ -34,6 +34,7 @@
 	Relays     int       `toml:"relays"`
 	PerProcess int       `toml:"per_process"` // hollow initiators that share one
 	Modules    int       `toml:"modules"`     // hollow initiators that run the module
+	Disk       int       `toml:"disk"`        // hollow initiators that keep a copy on disk, where the feed carries changes
 	Members    int       `toml:"members"`     // hollow initiators that are members
 	Regions    []Region  `toml:"region"`
 	Faults     []Fault   `toml:"fault"`
@@ -137,7 +138,7 @@
 		n           int
 		least, most int
 	}{{"real", s.Real, 0, mostTogether}, {"answering", s.Answering, 1, 100}, {"agents", s.Agents, 1, 7}, {"relays", s.Relays, 0, 64}, {"per_process", s.PerProcess, 1, mostShared},
-		{"modules", s.Modules, 0, s.all()}, {"members", s.Members, 0, s.all()}, {"answering", s.Answering, 1, s.Targets[0]}} {
+		{"modules", s.Modules, 0, s.all()}, {"members", s.Members, 0, s.all()}, {"disk", s.Disk, 0, s.all()}, {"answering", s.Answering, 1, s.Targets[0]}} {
 		if f.n < f.least || f.n > f.most {
 			return fmt.Errorf("%s: %d is not within %d and %d", f.name, f.n, f.least, f.most)
 		}
--- a/internal/scale/run/suffer.go
+++ b/internal/scale/run/suffer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -75,29 +76,44 @@
 	if err := end(); err != nil {
 		return r, err
 	}
-	ended := time.Now()
-	f.pause(min(after, time.Duration(2/rate*float64(time.Second))))
+	// Changes go on until all have those that were made before the end.
+	took, up, err := f.reached(w.all(), settle)
+	if err != nil {
+		return r, err
+	}
+	r.Settled = took.Seconds()
+	if up.lacks(f.hollow) {
+		r.Settled = -1
+	}
+	f.pause(after)
 	stop()
 	writing.Wait()
+	if x.Region != "" {
+		f.targets.judgeFrom(time.Now()) // what was not heard there is heard soon
+	}
 	b, err := f.snapshot()
 	if err != nil {
 		return r, err
 	}
 	r.Changes, r.Failed = len(w.marks), w.failed
 	f.between(a, b, &r)
+	healed := r.Settled
 	if err := f.finish(&r, w.marks); err != nil {
 		return r, err
 	}
 	if r.Settled >= 0 {
-		r.Settled = time.Since(ended).Seconds()
-	}
-	if x.Region != "" {
-		f.pause(drainBy) // what was not heard there is heard by now
-		f.targets.judged.Store(true)
+		r.Settled = healed
 	}
 	return r, nil
 }
 
+// all are the marks so far.
+func (w *writer) all() []mark {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.marks)
+}
+
 func (w *writer) count() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -141,7 +157,7 @@
 		}
 		return back(hit, resumed), err
 	case "cut-region":
-		f.targets.judged.Store(false)
+		f.targets.judgeFrom(time.Now().Add(time.Hour))
 		for _, l := range f.links[x.Region] {
 			l.Set(faults.Way{Hold: true}, faults.Way{Hold: true})
 		}
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -42,6 +42,7 @@
 	dirs    []string // the agents'
 	relays  []*proc
 	relayAt []relayAt
+	ways    map[string]ways
 	hosts   []*proc
 	hollow  int // initiators in hosts
 	reals   []*proc
@@ -76,7 +77,13 @@
 	if f.service, err = newService(f.entries); err != nil {
 		return nil, err
 	}
-	return f, f.startAgents()
+	if err = f.startAgents(); err != nil || !f.byFeed() {
+		return f, err
+	}
+	if _, err = f.put(ctx, f.entries); err != nil {
+		return f, err
+	}
+	return f, f.startRelays()
 }
 
 // say tells what is under way.
@@ -184,11 +191,21 @@
 	return l.Addr, nil
 }
 
-// waysOf is how each region meets control. Where discovery carries the changes, that is the service and the agents.
-func (f *fleet) waysOf() (map[string]ways, error) {
+// waysOf is how each region meets control: by the relays, or where discovery carries the changes by the service and the agents.
+func (f *fleet) waysOf() (_ map[string]ways, err error) {
+	if f.ways != nil {
+		return f.ways, nil
+	}
 	all := map[string]ways{}
 	for _, r := range f.spec.Regions {
 		var w ways
+		if f.byFeed() {
+			if w.Relays, err = f.relaysFrom(r.Name); err != nil {
+				return nil, err
+			}
+			all[r.Name] = w
+			continue
+		}
 		at, err := f.way(r.Name, "discovery", f.service.addr)
 		if err != nil {
 			return nil, err
@@ -202,12 +219,16 @@
 		}
 		all[r.Name] = w
 	}
+	f.ways = all
 	return all, nil
 }
 
 // scale starts hosts until so many hollow initiators are there, off as yet.
 func (f *fleet) scale(to int) error {
-	var ways map[string]ways
+	ways, err := f.waysOf()
+	if err != nil {
+		return err
+	}
 	for f.hollow < to {
 		n := min(f.spec.PerProcess, to-f.hollow)
 		p := &proc{name: fmt.Sprint("host-", len(f.hosts)), path: f.opt.Self, args: []string{"host"}, dir: f.dir}
@@ -215,18 +236,15 @@
 			return err
 		}
 		f.hosts = append(f.hosts, p)
-		if ways == nil {
-			var err error
-			if ways, err = f.waysOf(); err != nil {
-				return err
-			}
+		o := order{Do: "add", Ways: ways, Crowd: f.spec.all(), Dir: f.dir, Fleet: fleetName}
+		if !f.byFeed() {
+			o.Known = f.service.list()
 		}
-		o := order{Do: "add", Ways: ways, Crowd: f.spec.all(), Known: f.service.list()}
 		for range n {
 			i := f.hollow
 			// Modules are spread over the initiators, so that each size has its share.
-			o.Add = append(o.Add, hollowSpec{Name: fmt.Sprintf("h%04d", i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i),
-				Module: f.spec.Modules > 0 && i%max(1, f.spec.all()/f.spec.Modules) == 0})
+			o.Add = append(o.Add, hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i),
+				Module: every(i, f.spec.Modules, f.spec.all()), Disk: every(i, f.spec.Disk, f.spec.all())})
 			f.hollow++
 		}
 		if err := p.tell(o, nil); err != nil {
@@ -236,6 +254,9 @@
 	return nil
 }
 
+// every tells whether the i-th of all is one of so many, spread evenly.
+func every(i, some, all int) bool { return i*some/all != (i+1)*some/all }
+
 // each has all hosts do something at a time and adds up their answers.
 func (f *fleet) each(o order) (sum state, err error) {
 	answers, errs := make([]state, len(f.hosts)), make([]error, len(f.hosts))
@@ -268,7 +289,7 @@
 // add adds what another host has answered.
 func (s *state) add(a state) {
 	s.Running, s.Pending, s.Reached, s.Broken, s.Missing = s.Running+a.Running, s.Pending+a.Pending, s.Reached+a.Reached, s.Broken+a.Broken, s.Missing+a.Missing
-	s.In, s.Out = s.In+a.In, s.Out+a.Out
+	s.In, s.Out, s.Moves = s.In+a.In, s.Out+a.Out, s.Moves+a.Moves
 	s.Lags, s.What, s.Names = append(s.Lags, a.Lags...), append(s.What, a.What...), append(s.Names, a.Names...)
 	for at, n := range a.Done {
 		if s.Done == nil {
@@ -285,6 +306,9 @@
 	}
 }
 
+// lacks tells whether, of so many, one does not run or has not what was asked about.
+func (s *state) lacks(of int) bool { return s.Pending > 0 || s.Running < of || s.Reached < s.Running }
+
 // startReals starts initiators as they are.
 func (f *fleet) startReals() error {
 	addrs, err := freeAddrs(2 * f.spec.Real)
@@ -375,7 +399,7 @@
 	asked   []atomic.Int64
 	drained []atomic.Int64 // since when it is, in Unix milliseconds; 0: it is not
 	late    atomic.Int64   // requests longer after a drain than any initiator may be without it
-	judged  atomic.Bool
+	from    atomic.Int64   // requests are judged since then, in Unix milliseconds
 }
 
 // drainBy is when all are told of a drain where nothing is cut off.
@@ -383,7 +407,6 @@
 
 func newAnswering(n int) (*answering, error) {
 	a := &answering{asked: make([]atomic.Int64, n), drained: make([]atomic.Int64, n)}
-	a.judged.Store(true)
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -392,7 +415,7 @@
 		}
 		s := &http.Server{ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			a.asked[i].Add(1)
-			if since := a.drained[i].Load(); since > 0 && a.judged.Load() && time.Now().UnixMilli()-since > drainBy.Milliseconds() {
+			if since := a.drained[i].Load(); since > 0 && time.Now().UnixMilli()-max(since, a.from.Load()) > drainBy.Milliseconds() {
 				a.late.Add(1)
 			}
 			fmt.Fprint(w, "from the target")
@@ -403,6 +426,9 @@
 	return a, nil
 }
 
+// judgeFrom has requests be judged from then on.
+func (a *answering) judgeFrom(at time.Time) { a.from.Store(at.UnixMilli()) }
+
 func (a *answering) total() (n int64) {
 	for i := range a.asked {
 		n += a.asked[i].Load()
