--- a/internal/agent/desk.go
+++ b/internal/agent/desk.go
@@ -268,7 +268,9 @@
 	return true
 }
 
-func read[T any](w http.ResponseWriter, r *http.Request) (v T, ok bool) { return readUpTo[T](w, r, maxRenewal) }
+func read[T any](w http.ResponseWriter, r *http.Request) (v T, ok bool) {
+	return readUpTo[T](w, r, maxRenewal)
+}
 
 func readUpTo[T any](w http.ResponseWriter, r *http.Request, most int64) (v T, ok bool) {
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -316,7 +317,8 @@
 	reply(w, http.StatusOK, v)
 }
 
-// records answers with a page of the live records of a kind, in order of version.
+// records answers with a page of the live records of a kind, in order of version and whole versions alone: a key that changes while
+// pages are asked for comes again, later.
 func (d *feedDesk) records(w http.ResponseWriter, r *http.Request) {
 	if !stale(r) && d.a.elsewhere(w, r) {
 		return
@@ -327,22 +329,35 @@
 		refuse(w, &Refusal{http.StatusUnprocessableEntity, "kind: " + err.Error()})
 		return
 	}
-	from, _ := strconv.Atoi(q.Get("from"))
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	reply(w, http.StatusOK, d.page(k, q.Get("key"), after))
+}
+
+func (d *feedDesk) page(k feed.Kind, key string, after uint64) []feed.Record {
 	page := []feed.Record{}
 	s := d.a.store
 	s.mu.Lock()
-	if st := s.feed.store; st != nil {
-		if key := q.Get("key"); key != "" {
-			if one, found := st.Get(k, key); found && !one.Gone {
-				page = append(page, one)
-			}
-		} else {
-			all := st.Records(k)
-			page = append(page, all[min(max(0, from), len(all)):min(max(0, from)+mostPage, len(all))]...)
+	defer s.mu.Unlock()
+	st := s.feed.store
+	if st == nil {
+		return page
+	}
+	if key != "" {
+		if one, found := st.Get(k, key); found && !one.Gone {
+			page = append(page, one)
+		}
+		return page
+	}
+	for _, x := range st.Records(k) {
+		switch {
+		case x.Version <= after:
+		case len(page) >= mostPage && x.Version != page[len(page)-1].Version:
+			return page
+		default:
+			page = append(page, x)
 		}
 	}
-	s.mu.Unlock()
-	reply(w, http.StatusOK, page)
+	return page
 }
 
 // PutChange has a change of the feed made, once, and returns its version. A *Refusal says that it was not made.
@@ -377,18 +392,25 @@
 	return decode[InForce](c.do(ctx, call{method: http.MethodGet, path: at + "?stale"}))
 }
 
-// Records are the live ones of a kind, or the one with that key, as the leader has them.
+// Records are the live ones of a kind, or the one with that key, as the leader has them, in order of version.
 func (c *Client) Records(ctx context.Context, k feed.Kind, key string) (all []feed.Record, err error) {
 	ctx, done := bounded(ctx)
 	defer done()
+	after := uint64(0)
 	for {
-		at := "/v1/feed/records?kind=" + k.String() + "&key=" + url.QueryEscape(key) + "&from=" + strconv.Itoa(len(all))
+		at := "/v1/feed/records?kind=" + k.String() + "&key=" + url.QueryEscape(key) + "&after=" + strconv.FormatUint(after, 10)
 		page, err := decode[[]feed.Record](c.do(ctx, call{method: http.MethodGet, path: at}))
 		if err != nil {
 			return nil, err
 		}
-		if all = append(all, page...); len(page) < mostPage {
+		again := make(map[string]bool, len(page))
+		for i := range page {
+			again[page[i].Key] = true
+		}
+		all = append(slices.DeleteFunc(all, func(r feed.Record) bool { return again[r.Key] }), page...)
+		if len(page) < mostPage {
 			return all, nil
 		}
+		after = page[len(page)-1].Version
 	}
 }
