Feed: small worlds that search the promises, and a judge of its own

The first search found that a reader's debt for targets grew without bound where configuration's share of its bytes was never in debt: a piece begins now only where targets' own debt is covered.

--- a/internal/fleet/feed/next.go
+++ b/internal/fleet/feed/next.go
@@ -55,7 +55,7 @@
 // is owed (step 7).
 func (s *Source) versions(r *reader, d *Delta) (wait time.Duration) {
 	st := s.store
-	list, to, wait := s.lane(r, Targets, d.From.Targets, max(0, r.own.tokens)+max(0, r.both.tokens))
+	list, to, wait := s.lane(r, Targets, d.From.Targets, r.targets())
 	if wait > 0 {
 		return wait
 	}
@@ -130,6 +130,9 @@
 	return list, d.Head.Config, 0
 }
 
+// targets is how many bytes of targets may go now: what configuration owes doesn't count, what targets owe does.
+func (r *reader) targets() float64 { return r.own.tokens + max(0, r.both.tokens) }
+
 // spend takes bytes of targets out of what either kind may have first, then out of what targets alone may.
 func (r *reader) spend(bytes int) {
 	n := float64(bytes)
@@ -159,7 +162,7 @@
 		r.run, d.Ask = nil, true
 		return 0
 	}
-	may := max(0, r.own.tokens) + max(0, r.both.tokens)
+	may := r.targets()
 	most, total, cut, to := min(may, mostPiece), 0, false, at
 	for ; to < len(st.sums); to++ {
 		theirs := uint64(0)
--- /dev/null
+++ b/internal/fleet/proof/feed/check.go
@@ -0,0 +1,357 @@
+package feed
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"spindlehitch/internal/fleet/feed"
+)
+
+// check holds everybody against the promises.
+func (w *World) check() error {
+	for _, f := range w.all {
+		if err := w.checkFollower(f); err != nil {
+			return err
+		}
+	}
+	return w.checkTally()
+}
+
+func (w *World) checkFollower(f *follower) error {
+	whole, have, epoch := f.r.Whole(), f.r.Position(), f.r.Whole().Epoch
+	h := holds(f.r.Records(feed.Targets), f.r.Records(feed.Config))
+	if epoch == "" {
+		if len(h) > 0 {
+			return fmt.Errorf("broken: %s has something of no history", f.scope.Name)
+		}
+		return nil
+	}
+	// It never goes back.
+	if was := f.whole[epoch]; whole.Targets < was.Targets || whole.Config < was.Config {
+		return fmt.Errorf("broken: %s went back from %v to %v", f.scope.Name, was, whole.Position)
+	}
+	if was := f.have[epoch]; have.Targets < was.Targets || have.Config < was.Config {
+		return fmt.Errorf("broken: %s went back from %v to %v in what it reads", f.scope.Name, was, have)
+	}
+	f.whole[epoch], f.have[epoch] = whole.Position, have
+	if f.tops[epoch] == nil {
+		f.tops[epoch] = map[key]top{}
+	}
+	tops := f.tops[epoch]
+	for k, x := range h {
+		if was := tops[k]; x.Version < was.version || was.went && x.Version == was.version {
+			return fmt.Errorf("broken: %s went back to version %d of %q", f.scope.Name, x.Version, x.Key)
+		}
+		tops[k] = top{x.Version, false}
+		if x.Version > w.past[epoch].head() || !bytes.Equal(w.past[epoch].states[x.Version][k].Value, x.Value) {
+			return fmt.Errorf("broken: %s has %q at version %d as the log never had it", f.scope.Name, x.Key, x.Version)
+		}
+	}
+	for k, t := range tops {
+		if _, alive := h[k]; !alive {
+			tops[k] = top{t.version, true}
+		}
+	}
+	// What it has is at least what the log had where it says to be.
+	if err := w.past[epoch].since(h, f.scope, whole.Position); err != nil {
+		return err
+	}
+	// And what it says to be in force is.
+	if m := f.r.InForce(); m.Epoch != "" && !f.scope.All {
+		if err := w.past[m.Epoch].since(f.force, f.scope, m.Position); err != nil {
+			return fmt.Errorf("%w, in force", err)
+		}
+	}
+	return nil
+}
+
+// checkTally has the tally count nobody for what it has not said, or that it said in an earlier turn than is known.
+func (w *World) checkTally() (err error) {
+	seen := map[string]bool{}
+	w.tally.Each(func(relay string, r feed.Reading) {
+		var f *follower
+		for _, x := range w.all {
+			if x.scope.Name == r.Name {
+				f = x
+			}
+		}
+		said, ok := f.said[r.Turn]
+		switch {
+		case err != nil:
+		case f.scope.All || seen[r.Name]:
+			err = fmt.Errorf("broken: %s is counted twice, or is no reader", r.Name)
+		case !ok || r.InForce.Epoch == said.Epoch && (r.InForce.Targets > said.Targets || r.InForce.Config > said.Config):
+			err = fmt.Errorf("broken: %s counts with %v, and said in turn %d that it has %v in force", r.Name, r.InForce, r.Turn, said)
+		case r.Turn < w.counted[r.Name]:
+			err = fmt.Errorf("broken: %s counts as it was in turn %d, and turn %d was known", r.Name, r.Turn, w.counted[r.Name])
+		case r.Turn == w.counted[r.Name] && r.InForce.Epoch == w.last[r.Name].Epoch && !reached(w.last[r.Name], r.InForce):
+			err = fmt.Errorf("broken: %s counts with %v, and said %v in that turn before", r.Name, r.InForce, w.last[r.Name])
+		}
+		seen[r.Name], w.counted[r.Name], w.last[r.Name] = true, r.Turn, r.InForce
+	})
+	if err != nil {
+		return err
+	}
+	s := w.tally.Status(w.now, w.log.Head())
+	said := 0
+	for _, f := range w.all {
+		for _, m := range f.said {
+			if !f.scope.All && m.Epoch == w.name() && m.Least() >= w.log.Head() {
+				said++
+				break
+			}
+		}
+	}
+	if s.Have > said && w.log.Head() > 0 {
+		return fmt.Errorf("broken: version %d counts as in force at %d, and %d said so", w.log.Head(), s.Have, said)
+	}
+	return nil
+}
+
+func reached(a, b feed.Mark) bool { return a.Targets <= b.Targets && a.Config <= b.Config }
+
+func size(list []feed.Record) (n float64) {
+	for i := range list {
+		n += float64(list[i].Size())
+	}
+	return n
+}
+
+// judgeDelta holds what a source sends against a reader's bytes, and has targets go before configuration.
+func (w *World) judgeDelta(to int, at account, d *feed.Delta) error {
+	a, rate, burst := w.accts[at], w.set.Source.Rate, w.set.Source.Burst
+	if d.For.All {
+		rate, burst = w.set.Source.RelayRate, w.set.Source.RelayBurst
+	}
+	groups, configs := map[uint64]float64{}, 0.0
+	for _, x := range d.Records {
+		n := float64(x.Size())
+		if a.n += n; x.Kind == feed.Targets {
+			groups[x.Version] += n
+			a.target = max(a.target, groups[x.Version])
+		} else {
+			configs += n
+		}
+	}
+	a.configs = max(a.configs, configs)
+	for _, b := range d.Buckets {
+		n := 32 + size(b.Records)
+		a.n, a.target = a.n+n, max(a.target, n)
+	}
+	if most := burst + rate*(w.now-a.since).Seconds() + a.target + a.configs; rate > 0 && a.n > most {
+		return fmt.Errorf("broken: %s got %.0f bytes from %s, and %.0f at most are for it", at.reader, a.n, at.source, most)
+	}
+	if source, _, _ := w.source(to); d.To.Config != d.From.Config && d.To.Targets != d.Head.Targets || source.Readers() == 0 {
+		return fmt.Errorf("broken: %s sends %s configuration while targets are owed", at.source, at.reader)
+	}
+	return nil
+}
+
+// admitted holds the number of readers that a source takes against its rate.
+func (w *World) admitted(at account) error {
+	a := w.admits[at]
+	if a == nil {
+		a = &spent{since: w.now}
+		w.admits[at] = a
+	}
+	a.n++
+	if most := w.set.Source.AdmitBurst + w.set.Source.Admit*(w.now-a.since).Seconds(); w.set.Source.Admit > 0 && a.n > most {
+		return fmt.Errorf("broken: %s took %.0f new readers, and %.1f at most may come", at.source, a.n, most)
+	}
+	return nil
+}
+
+// wrong brings a follower deltas that nobody may take: each is refused, and changes nothing.
+func (w *World) wrong(i int) error {
+	f := w.all[i]
+	have, whole := f.r.Position(), f.r.Whole()
+	h := f.r.Hello()
+	f.seq = h.Seq
+	f.said[h.Turn] = h.InForce
+	head := feed.Position{Targets: h.Seen.Targets + 1, Config: h.Seen.Config + 1}
+	good := func() *feed.Delta {
+		return &feed.Delta{Fleet: fleetName, Epoch: h.Epoch, Replaces: f.r.Store().Replaces(), For: f.scope, From: have, To: feed.Position{Targets: head.Targets, Config: have.Config},
+			Head: head, Records: []feed.Record{{Kind: feed.Targets, Key: "x", Version: head.Targets, Value: json.RawMessage(`{"x":0}`)}}}
+	}
+	buckets := func(d *feed.Delta) {
+		d.Records, d.Span = nil, &feed.Span{Start: head.Targets, To: w.set.Limits.Buckets}
+		d.To = feed.Position{Targets: head.Targets, Config: have.Config}
+	}
+	change := map[string]func(d *feed.Delta){
+		"another fleet":            func(d *feed.Delta) { d.Fleet = "g" },
+		"another fleet's digests":  func(d *feed.Delta) { d.Fleet = "g"; buckets(d) },
+		"another reader":           func(d *feed.Delta) { d.For.Name = "other" },
+		"another region":           func(d *feed.Delta) { d.For.Region = "other" },
+		"another region's digests": func(d *feed.Delta) { d.For.Region = "other"; buckets(d) },
+		"another epoch":            func(d *feed.Delta) { d.Epoch, d.From = "other", feed.Position{} },
+		"another epoch's digests":  func(d *feed.Delta) { d.Epoch, d.From = "other", feed.Position{}; buckets(d) },
+		"no epoch":                 func(d *feed.Delta) { d.Epoch = "" },
+		"a gap":                    func(d *feed.Delta) { d.From.Targets++; d.To.Targets++; d.Head.Targets++; d.Records[0].Version++ },
+		"a gap in configuration":   func(d *feed.Delta) { d.From.Config, d.To.Config = d.From.Config+1, d.To.Config+1 },
+		"before where it is":       func(d *feed.Delta) { d.From.Targets--; d.To.Targets = d.From.Targets },
+		"a source behind":          func(d *feed.Delta) { d.Head.Targets = h.Seen.Targets - 1; d.To.Targets, d.Records = have.Targets, nil },
+		"over its size":            func(d *feed.Delta) { d.Records[0].Value = huge },
+		"a value cut in the midst": func(d *feed.Delta) { d.Records[0].Value = json.RawMessage(`{"x":`) },
+		"a value that is no map":   func(d *feed.Delta) { d.Records[0].Value = json.RawMessage(`[]`) },
+		"past its end":             func(d *feed.Delta) { d.Records[0].Version++ },
+		"before its beginning":     func(d *feed.Delta) { d.Records[0].Version = have.Targets },
+		"past its source":          func(d *feed.Delta) { d.To.Targets++ },
+		"twice the same":           func(d *feed.Delta) { d.Records = append(d.Records, d.Records[0]) },
+		"configuration first":      func(d *feed.Delta) { d.To.Targets, d.To.Config, d.Records = have.Targets, head.Config, nil },
+		"buckets without a span":   func(d *feed.Delta) { d.Buckets = []feed.Bucket{{N: 0}} },
+		"the end of a run": func(d *feed.Delta) {
+			buckets(d)
+			d.Span.From = w.set.Limits.Buckets - 1
+			d.Span.Start++
+			d.Head.Targets++
+			d.To.Targets++
+		},
+		"a bucket past its span": func(d *feed.Delta) { buckets(d); d.Buckets = []feed.Bucket{{N: w.set.Limits.Buckets}} },
+		"another's layer": func(d *feed.Delta) {
+			d.To.Config = head.Config
+			d.Records = append(d.Records, feed.Record{Kind: feed.Config, Key: "region/other", Version: head.Config, Value: json.RawMessage(`{}`)})
+			if f.scope.All {
+				d.Records[1].Key = "other"
+			}
+		},
+	}
+	if h.Epoch != whole.Epoch {
+		return nil // it builds another history up
+	}
+	run := good()
+	buckets(run)
+	for _, d := range []*feed.Delta{good(), run} {
+		if h.Epoch == "" {
+			break
+		}
+		scratch := feed.NewReplica(fleetName, f.scope, 1, w.set.Limits)
+		if err := scratch.Restore(f.r.Store().Copy()); err != nil {
+			return fmt.Errorf("broken: %s can't read its own copy: %w", f.scope.Name, err)
+		}
+		if _, err := scratch.Take(d); err != nil {
+			return fmt.Errorf("broken: %s doesn't take what is right: %w", f.scope.Name, err)
+		}
+	}
+	before := w.printOf(i)
+	for name, c := range change {
+		switch {
+		case h.Epoch == "" && (strings.HasPrefix(name, "another epoch") || name == "a source behind"), h.Seen.Targets == 0 && name == "a source behind",
+			have.Targets == 0 && (name == "before where it is" || name == "another epoch"), whole.Epoch == "" && name != "another fleet" && name != "no epoch":
+			continue
+		}
+		d := good()
+		c(d)
+		if _, err := f.r.Take(d); err == nil {
+			return fmt.Errorf("broken: %s took a delta with %s", f.scope.Name, name)
+		}
+		if w.printOf(i) != before {
+			return fmt.Errorf("broken: a delta with %s changed %s", name, f.scope.Name)
+		}
+	}
+	return nil
+}
+
+var huge = json.RawMessage(`{"x":"` + strings.Repeat("x", feed.MostDelta) + `"}`)
+
+func (w *World) printOf(i int) string {
+	var b strings.Builder
+	w.all[i].r.Print(&b)
+	return b.String()
+}
+
+// Settle ends all faults and checks that everybody comes to have the log's state, those who talk in spite of one who doesn't, and that the
+// tally comes to know it.
+func (w *World) Settle() error {
+	w.mail = nil
+	if w.epoch > 1 && len(w.log.Replaces()) == 0 {
+		if err := w.word(); err != nil {
+			return err
+		}
+	}
+	if err := w.change(feed.Change{Puts: []feed.Put{{Kind: feed.Config, Key: "shared", Value: json.RawMessage(`{"last":1}`)}, {Kind: feed.Config, Key: "region/r", Gone: true},
+		{Kind: feed.Config, Key: "instance/" + w.all[len(w.all)-1].scope.Name, Gone: true}, {Kind: feed.Targets, Key: "last", Value: json.RawMessage(`{"last":1}`)}}}); err != nil {
+		return err
+	}
+	last := len(w.all) - 1
+	if err := w.level(last, 60); err != nil {
+		return fmt.Errorf("%w, while another is silent", err)
+	}
+	if err := w.level(len(w.all), 60); err != nil {
+		return err
+	}
+	if w.set.Relays == 0 {
+		return nil // nobody reports
+	}
+	for range 3 {
+		for i := range w.set.Relays {
+			if err := w.Do(Step{Report, i}); err != nil {
+				return err
+			}
+		}
+	}
+	if s := w.tally.Status(w.now, w.log.Head()); s.Have != w.set.Readers || s.Known != w.set.Readers {
+		return fmt.Errorf("broken: all %d have version %d in force, and the tally tells of %d of %d: %+v", w.set.Readers, s.Version, s.Have, s.Known, s.Lagging)
+	}
+	return nil
+}
+
+var errSlow = errors.New("broken: not all that talk come to be level")
+
+// level has all followers before the last so many exchange until they are level.
+func (w *World) level(most, rounds int) error {
+	for range rounds {
+		w.now += time.Second
+		all := true
+		for i := range most {
+			for range 4 {
+				if err := w.Do(Step{Exchange, i}); err != nil {
+					return err
+				}
+			}
+			f := w.all[i]
+			if f.pending {
+				if err := w.Do(Step{Apply, i}); err != nil {
+					return err
+				}
+			}
+			m := f.r.Whole()
+			if !f.scope.All {
+				m = f.r.InForce()
+			}
+			if m != (feed.Mark{Epoch: w.name(), Position: feed.Position{Targets: w.log.Head(), Config: w.log.Head()}}) {
+				all = false
+			}
+		}
+		if all {
+			return w.exactly(most)
+		}
+	}
+	for _, f := range w.all[:most] {
+		if f.r.Whole().Least() != w.log.Head() || f.r.Whole().Epoch != w.name() {
+			return fmt.Errorf("%w: %s has %v, and the log is at %s %d", errSlow, f.scope.Name, f.r.Whole(), w.name(), w.log.Head())
+		}
+	}
+	return errSlow
+}
+
+// exactly has each of the first so many hold the log's state, and the readers have it in force.
+func (w *World) exactly(most int) error {
+	p := w.past[w.name()]
+	for _, f := range w.all[:most] {
+		for _, kind := range feed.Kinds {
+			if err := p.exact(holds(f.r.Records(feed.Targets), f.r.Records(feed.Config)), f.scope, kind, p.head()); err != nil {
+				return err
+			}
+			if !f.scope.All {
+				if err := p.exact(f.force, f.scope, kind, p.head()); err != nil {
+					return fmt.Errorf("%w, in force", err)
+				}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/proof/feed/feed_test.go
@@ -0,0 +1,209 @@
+package feed
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/fleet/proof/explore"
+	"spindlehitch/internal/seeded"
+)
+
+// TestMain lets other packages' tests go first, as the other searches do.
+func TestMain(m *testing.M) {
+	if err := unix.Setpriority(unix.PRIO_PROCESS, 0, 10); err != nil {
+		panic(err)
+	}
+	seeded.Main(m)
+}
+
+var value int
+
+// set is a put whose value is no other's.
+func set(kind feed.Kind, key string, more ...string) feed.Put {
+	value++
+	bad := ""
+	if len(more) > 0 {
+		bad = `,"bad":1`
+	}
+	return feed.Put{Kind: kind, Key: key, Value: json.RawMessage(fmt.Sprintf(`{"v":%d%s}`, value, bad))}
+}
+
+func target(key string) feed.Put { return set(feed.Targets, key) }
+
+func gone(key string) feed.Put { return feed.Put{Kind: feed.Targets, Key: key, Gone: true} }
+
+func puts(n int, op Op) (list []Step) {
+	for range n {
+		list = append(list, Step{op, 0})
+	}
+	return list
+}
+
+func steps(all ...any) (list []Step) {
+	for _, x := range all {
+		switch x := x.(type) {
+		case Step:
+			list = append(list, x)
+		case []Step:
+			list = append(list, x...)
+		}
+	}
+	return list
+}
+
+// ample is a source that nothing waits for; scant gives one record at a time or so.
+var (
+	ample = feed.SourceOptions{Rate: 1e6, Burst: 1e6, RelayRate: 1e6, RelayBurst: 1e6, Admit: 100, AdmitBurst: 100}
+	scant = feed.SourceOptions{Rate: 100, Burst: 100, RelayRate: 1e6, RelayBurst: 1e6, Admit: 100, AdmitBurst: 100}
+	tight = feed.SourceOptions{Rate: 100, Burst: 100, RelayRate: 100, RelayBurst: 100, Admit: 1, AdmitBurst: 1}
+	small = feed.Limits{Targets: 8, Tombstones: 1, Scopes: 8, Buckets: 3}
+)
+
+type smallCase struct {
+	Setup
+	depth int
+}
+
+// cases are the small cases that are searched, and how deep.
+func cases() (list []smallCase) {
+	value = 0
+	mixed := [][]feed.Put{{target("a"), target("b")}, {set(feed.Config, "shared"), set(feed.Config, "region/r")}, {gone("a")}, {target("a"), target("c")},
+		{set(feed.Config, "shared"), set(feed.Config, "instance/n1"), set(feed.Config, "instance/n2"), gone("b")}, {gone("c"), gone("a")}, {target("b")}}
+	bad := [][]feed.Put{{target("a"), set(feed.Config, "shared")}, {set(feed.Config, "shared", "bad")}, {target("b")}, {set(feed.Config, "instance/n1")}, {set(feed.Config, "shared")}}
+	add := func(name string, depth int, s Setup, ops ...Op) {
+		s.Name, s.Ops = name, ops
+		if s.Limits.Buckets == 0 {
+			s.Limits = small
+		}
+		if s.TickMs == 0 {
+			s.TickMs = 500
+		}
+		if s.Letters == 0 {
+			s.Letters = 2
+		}
+		list = append(list, smallCase{s, depth})
+	}
+	one := Setup{Relays: 1, Readers: 2, Changes: mixed, Source: ample}
+	two := Setup{Relays: 2, Readers: 2, Changes: mixed, Source: ample}
+	lone := Setup{Relays: 0, Readers: 1, Changes: mixed, Source: ample}
+	with := func(s Setup, on []int, source feed.SourceOptions, before ...Step) Setup {
+		s.On, s.Source, s.Before = on, source, before
+		return s
+	}
+	round := []Step{{Exchange, 0}, {Exchange, 1}, {Exchange, 2}}
+	both := []Step{{Exchange, 0}, {Exchange, 1}, {Exchange, 2}, {Exchange, 3}}
+
+	add("a relay and two readers", 6, one, Put, Exchange)
+	add("messages", 6, with(one, []int{1}, ample, steps(puts(2, Put), round)...), Put, Say, Deliver, Repeat, Lose, Apply, Exchange)
+	add("a relay's messages", 6, with(one, []int{0}, ample, Step{Put, 0}), Put, Say, Deliver, Repeat, Lose)
+	add("in parts", 7, with(one, []int{0, 1}, scant, steps(puts(2, Put), round)...), Put, Exchange)
+	add("all in parts", 7, with(two, []int{0, 1, 2}, tight, puts(3, Put)...), Put, Exchange)
+	add("by digests", 7, with(one, []int{0, 1}, scant, puts(6, Put)...), Put, Exchange)
+	add("by digests, messages", 7, with(one, []int{1}, scant, steps(puts(3, Put), round, puts(3, Put), Step{Exchange, 0})...), Say, Deliver, Repeat, Lose, Put, Exchange)
+	add("moves", 6, with(two, []int{0, 1, 2}, ample, steps(puts(2, Put), both)...), Put, Exchange, Move)
+	add("moves by digests", 6, with(two, []int{1, 2}, scant, steps(puts(3, Put), both, puts(3, Put), Step{Exchange, 0})...), Put, Exchange, Move)
+	add("copies", 6, with(two, []int{0, 2}, ample, steps(puts(2, Put), both)...), Put, Exchange, Save, Restart, Move)
+	add("copies by digests", 7, with(two, []int{0, 2}, scant, steps(puts(3, Put), both, Step{Save, 0}, Step{Save, 2})...), Put, Exchange, Restart, Move)
+	add("a lone reader", 7, with(lone, nil, scant), Put, Say, Deliver, Apply, Exchange)
+	add("what can't be served", 7, with(Setup{Relays: 1, Readers: 1, Changes: bad}, []int{0, 1}, ample, steps(puts(1, Put), Step{Exchange, 0}, Step{Exchange, 1})...),
+		Put, Exchange, Apply, Save, Restart)
+	add("a log that begins anew", 7, with(two, []int{0, 2}, ample, steps(puts(2, Put), both)...), Put, Exchange, Empty, Word, Move)
+	add("a log that begins anew, in parts", 7, with(two, []int{0, 2}, tight, steps(puts(1, Put), both, Step{Tick, 0}, both, Step{Empty, 0}, puts(4, Put))...), Put, Exchange, Word, Move, Apply)
+	add("what nobody may take", 4, with(one, []int{0, 1}, scant, steps(puts(2, Put), round)...), Put, Exchange, Wrong, Empty)
+	add("reports", 6, with(two, []int{2}, ample, steps(puts(1, Put), both)...), Put, Exchange, Report, Tell, Deliver, Repeat, Move)
+	add("reports of those who move", 6, with(two, []int{2}, ample, steps(puts(1, Put), both, Step{Tell, 0}, Step{Put, 0}, Step{Exchange, 0}, Step{Exchange, 1})...),
+		Exchange, Report, Deliver, Move, Lead)
+	add("reports and restarts", 6, with(two, []int{0, 2}, ample, steps(puts(1, Put), both, Step{Report, 0})...), Put, Exchange, Tell, Report, Deliver, Restart, Lead)
+	return list
+}
+
+// searched is how many states TestSearch went through.
+var searched int
+
+// TestSearch goes through the states of the small cases; from one in sixteen it ends all faults, and has everybody come level.
+func TestSearch(t *testing.T) {
+	searched = 0
+	depth, most := 0, 60_000
+	if os.Getenv("SPINDLEHITCH_PROOF") == "" {
+		depth, most = -1, 3000 // a short one beside all other tests
+	}
+	for _, c := range cases() {
+		t.Run(c.Name, func(t *testing.T) {
+			began := time.Now()
+			n, full, err := explore.Search(c.Name, func() (*World, error) { return New(c.Setup) }, c.depth+depth, most, func(w *World) error { return w.Settle() })
+			searched += n
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d states to a depth of %d, whole %v, %v", n, c.depth+depth, full, time.Since(began).Round(time.Millisecond))
+		})
+	}
+}
+
+// TestLong takes long random walks with all that can happen, and has everybody come level at their end.
+func TestLong(t *testing.T) {
+	checks := "3000"
+	if os.Getenv("SPINDLEHITCH_PROOF") == "" {
+		checks = "600"
+	}
+	for name, value := range map[string]string{"rapid.checks": checks, "rapid.shrinktime": "2s"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		value = 0
+		s := Setup{Name: "long", Relays: rapid.IntRange(1, 2).Draw(t, "relays"), Readers: 2, Letters: 3, TickMs: rapid.SampledFrom([]int{50, 500, 3000}).Draw(t, "tick"),
+			Source: rapid.SampledFrom([]feed.SourceOptions{ample, scant, tight}).Draw(t, "source"),
+			Limits: feed.Limits{Targets: 8, Scopes: 8, Tombstones: rapid.IntRange(1, 3).Draw(t, "tombstones"), Buckets: rapid.IntRange(2, 5).Draw(t, "buckets")}}
+		for range rapid.IntRange(5, 20).Draw(t, "changes") {
+			s.Changes = append(s.Changes, drawPuts(t))
+		}
+		for op := Put; op < ops; op++ {
+			if op == Put || op == Exchange || rapid.IntRange(0, 2).Draw(t, "op") > 0 {
+				s.Ops = append(s.Ops, op)
+			}
+		}
+		w, err := New(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken, err := explore.Walk(s.Name, w, t, 60, func(s Step) Op { return s.Op }, Exchange, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := w.Settle(); err != nil {
+			t.Fatal(explore.Broken(s.Name, taken, fmt.Errorf("%w, while settling", err)))
+		}
+	})
+}
+
+func drawPuts(t *rapid.T) (list []feed.Put) {
+	used := map[string]bool{}
+	for range rapid.IntRange(1, 3).Draw(t, "puts") {
+		k := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "shared", "region/r", "instance/n2"}).Draw(t, "key")
+		if used[k] {
+			continue
+		}
+		used[k] = true
+		switch {
+		case len(k) == 1 && rapid.IntRange(0, 2).Draw(t, "gone") == 0:
+			list = append(list, gone(k))
+		case len(k) == 1:
+			list = append(list, target(k))
+		case k == "shared" && rapid.IntRange(0, 4).Draw(t, "bad") == 0:
+			list = append(list, set(feed.Config, k, "bad"))
+		default:
+			list = append(list, set(feed.Config, k))
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/fleet/proof/feed/world.go
@@ -0,0 +1,511 @@
+// Package feed holds the pieces by which changes get to all against each other in small worlds: a log, relays, readers and the tally, with
+// messages that are lost, repeated and late, relays and readers that start again from old copies or from nothing, readers that move, and
+// logs that begin anew. A judge that knows nothing of the pieces looks at what they hold, say and send after each step. It does no I/O.
+package feed
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"spindlehitch/internal/fleet/feed"
+)
+
+// Op is one kind of step.
+type Op byte
+
+// The kinds of steps.
+const (
+	Tick     Op = iota // time goes on
+	Put                // the next change of the case is in the log
+	Exchange           // a follower says hello, and takes what it gets for it
+	Say                // a follower says hello; that is on its way
+	Deliver            // a message arrives
+	Repeat             // a message arrives, and will again
+	Lose               // a message doesn't arrive
+	Apply              // a reader has what it took in force
+	Move               // a reader goes to another relay
+	Save               // a follower writes its copy
+	Restart            // a follower ends and starts from its copy
+	Report             // a relay reports, and hears the answer
+	Tell               // a relay reports; that is on its way
+	Lead               // another agent leads; its tally knows nobody
+	Empty              // the agents begin with an empty log
+	Word               // the operator says that this log takes the place of those before
+	Wrong              // a follower gets deltas that nobody may take
+	ops
+)
+
+func (o Op) String() string {
+	return [...]string{"tick", "put", "exchange", "say", "deliver", "repeat", "lose", "apply", "move", "save", "restart", "report", "tell", "lead", "empty", "word",
+		"wrong"}[o]
+}
+
+// Step is an op on the follower, relay or message of that number. Followers are the relays first, then the readers.
+type Step struct {
+	Op Op
+	On int
+}
+
+func (s Step) String() string { return fmt.Sprintf("%v %d", s.Op, s.On) }
+
+// Setup is a small case.
+type Setup struct {
+	Name    string
+	Relays  int
+	Readers int
+	Changes [][]feed.Put
+	Limits  feed.Limits
+	Source  feed.SourceOptions
+	TickMs  int
+	Letters int // on their way at a time, at most
+	Ops     []Op
+	On      []int // the followers that ops are done to; nil: all
+	Before  []Step
+}
+
+const fleetName = "f"
+
+// follower is a relay or a reader, with its edge.
+type follower struct {
+	scope   feed.Scope
+	r       *feed.Replica
+	source  *feed.Source // a relay's
+	copy    *feed.Copy
+	life    uint64
+	to      int // who it follows: -1 the agent, else a relay
+	changed []feed.Record
+	mark    feed.Mark // of the last that it took and has not applied
+	config  []feed.Record
+	pending bool
+	force   held
+
+	// What the judge remembers of this life.
+	whole map[string]feed.Position
+	have  map[string]feed.Position
+	tops  map[string]map[key]top
+	said  map[uint64]feed.Mark // what was said to be in force, by turn
+	seq   uint64               // of the last hello
+}
+
+// letter is on its way.
+type letter struct {
+	from, to int // followers; -1 is the agent
+	life     uint64
+	hello    *feed.Hello
+	delta    *feed.Delta
+	report   *feed.Report
+}
+
+// World is one state of a small case.
+type World struct {
+	set     Setup
+	now     time.Duration
+	log     *feed.Store
+	agent   *feed.Source
+	life    uint64
+	tally   *feed.Tally
+	all     []*follower
+	past    map[string]*past
+	epoch   int
+	put     int
+	mail    []letter
+	accts   map[account]*spent
+	counted map[string]uint64 // the turn that the tally had last of each
+	last    map[string]feed.Mark
+	admits  map[account]*spent // without a reader
+}
+
+// account is of one reader at one source's life.
+type account struct {
+	source string
+	life   uint64
+	reader string
+}
+
+type spent struct {
+	since           time.Duration
+	n               float64
+	target, configs float64 // the largest that went whole
+}
+
+// top is the highest version at which a key was held alive, and whether it went since.
+type top struct {
+	version uint64
+	went    bool
+}
+
+// New returns the first state of a case.
+func New(s Setup) (*World, error) {
+	if s.Source.Gather == 0 {
+		s.Source.Gather = 1
+	}
+	w := &World{set: s, now: time.Hour, past: map[string]*past{}, accts: map[account]*spent{}, admits: map[account]*spent{}, counted: map[string]uint64{}, last: map[string]feed.Mark{}}
+	w.tally = feed.NewTally(fleetName, feed.TallyOptions{})
+	w.empty()
+	for i := range s.Relays + s.Readers {
+		f := &follower{scope: feed.Scope{Name: fmt.Sprint("n", i), Region: "r", Zone: "z"}, to: (i - s.Relays) % max(1, s.Relays)}
+		if s.Relays == 0 {
+			f.to = -1
+		}
+		if i < s.Relays {
+			f.scope, f.to = feed.Scope{Name: fmt.Sprint("relay", i), All: true}, -1
+		}
+		w.all = append(w.all, f)
+		if err := w.start(i); err != nil {
+			return nil, err
+		}
+	}
+	for i, x := range s.Before {
+		if err := w.Do(x); err != nil {
+			return nil, fmt.Errorf("%w, after %v", err, s.Before[:i+1])
+		}
+	}
+	return w, nil
+}
+
+// empty begins a new log, with a change of its own in it.
+func (w *World) empty() {
+	w.epoch++
+	w.life++
+	w.log = feed.NewStore(fleetName, w.set.Limits)
+	w.agent = feed.NewSource(w.log, w.set.Source, w.life)
+	w.past[w.name()] = newPast()
+}
+
+func (w *World) name() string { return fmt.Sprint("e", w.epoch) }
+
+// start begins a life of a follower, from its copy if it has one.
+func (w *World) start(i int) error {
+	f := w.all[i]
+	f.life++
+	f.r = feed.NewReplica(fleetName, f.scope, f.life<<16, w.set.Limits)
+	if f.copy != nil {
+		if err := f.r.Restore(*f.copy); err != nil {
+			return fmt.Errorf("broken: %s can't read its own copy: %w", f.scope.Name, err)
+		}
+	}
+	if f.scope.All {
+		f.source = feed.NewSource(f.r.Store(), w.set.Source, f.life)
+	}
+	f.force, f.pending, f.changed = held{}, false, nil
+	f.whole, f.have, f.tops = map[string]feed.Position{}, map[string]feed.Position{}, map[string]map[key]top{}
+	if f.said == nil {
+		f.said = map[uint64]feed.Mark{}
+	}
+	if f.copy != nil { // what the copy has is applied like what is taken
+		f.took(append(f.r.Records(feed.Targets), f.r.Records(feed.Config)...))
+	}
+	return nil
+}
+
+// took notes what the edge is to apply.
+func (f *follower) took(changed []feed.Record) {
+	f.changed = append(f.changed, changed...)
+	f.mark, f.config, f.pending = f.r.Whole(), f.r.Records(feed.Config), true
+}
+
+// apply has all that was taken in force. A layer with "bad" in it can't be served.
+func (f *follower) apply() {
+	for _, x := range f.changed {
+		if k := (key{x.Kind, x.Key}); x.Kind == feed.Targets {
+			if delete(f.force, k); !x.Gone {
+				f.force[k] = x
+			}
+		}
+	}
+	merged, err := feed.Layers(f.config)
+	if err != nil || strings.Contains(string(merged), "bad") {
+		f.r.TurnDown(f.mark.Config, "bad")
+	} else {
+		for k := range f.force {
+			if k.kind == feed.Config {
+				delete(f.force, k)
+			}
+		}
+		for _, x := range f.config {
+			f.force[key{x.Kind, x.Key}] = x
+		}
+	}
+	f.r.Applied(f.mark)
+	f.changed, f.pending = nil, false
+}
+
+func (w *World) source(i int) (*feed.Source, string, uint64) {
+	if i < 0 {
+		return w.agent, "agent", w.life
+	}
+	return w.all[i].source, w.all[i].scope.Name, w.all[i].life
+}
+
+// Steps are all that can happen next, in a fixed order.
+func (w *World) Steps() []Step {
+	steps := []Step{{Tick, 0}}
+	on := w.set.On
+	if on == nil {
+		for i := range w.all {
+			on = append(on, i)
+		}
+	}
+	for _, op := range w.set.Ops {
+		switch op {
+		case Put:
+			if w.put < len(w.set.Changes) {
+				steps = append(steps, Step{op, 0})
+			}
+		case Exchange, Save, Restart, Wrong:
+			for _, i := range on {
+				steps = append(steps, Step{op, i})
+			}
+		case Say:
+			for _, i := range on {
+				if len(w.mail) < w.set.Letters {
+					steps = append(steps, Step{op, i})
+				}
+			}
+		case Deliver, Repeat, Lose:
+			for i := range w.mail {
+				steps = append(steps, Step{op, i})
+			}
+		case Apply, Move:
+			for _, i := range on {
+				if f := w.all[i]; !f.scope.All && (op == Move && w.set.Relays > 1 || op == Apply && f.pending) {
+					steps = append(steps, Step{op, i})
+				}
+			}
+		case Report, Tell:
+			for i := range w.set.Relays {
+				if op == Report || len(w.mail) < w.set.Letters {
+					steps = append(steps, Step{op, i})
+				}
+			}
+		case Empty:
+			if w.epoch < 3 {
+				steps = append(steps, Step{op, 0})
+			}
+		case Word:
+			if w.epoch > 1 && len(w.log.Replaces()) == 0 {
+				steps = append(steps, Step{op, 0})
+			}
+		case Lead:
+			steps = append(steps, Step{op, 0})
+		}
+	}
+	return steps
+}
+
+// Do takes a step and holds the world against the promises.
+func (w *World) Do(s Step) error {
+	if err := w.step(s); err != nil {
+		return err
+	}
+	return w.check()
+}
+
+func (w *World) step(s Step) error {
+	switch s.Op {
+	case Tick:
+		w.now += time.Duration(w.set.TickMs) * time.Millisecond
+	case Put:
+		w.put++
+		return w.change(feed.Change{Puts: w.set.Changes[w.put-1]})
+	case Exchange:
+		return w.exchange(s.On, true)
+	case Say:
+		h := w.hello(s.On)
+		w.mail = append(w.mail, letter{from: s.On, to: w.all[s.On].to, hello: &h})
+	case Deliver, Repeat:
+		l := w.mail[s.On]
+		if s.Op == Deliver {
+			w.mail = append(w.mail[:s.On:s.On], w.mail[s.On+1:]...)
+		}
+		return w.deliver(l)
+	case Lose:
+		w.mail = append(w.mail[:s.On:s.On], w.mail[s.On+1:]...)
+	case Apply:
+		w.all[s.On].apply()
+	case Move:
+		f := w.all[s.On]
+		f.to = (f.to + 1) % w.set.Relays
+		f.r.Moved()
+	case Save:
+		c := w.all[s.On].r.Store().Copy()
+		w.all[s.On].copy = &c
+	case Restart:
+		return w.start(s.On)
+	case Report:
+		rep := w.report(s.On)
+		return w.tell(rep, s.On)
+	case Tell:
+		rep := w.report(s.On)
+		w.mail = append(w.mail, letter{from: s.On, to: -1, life: w.all[s.On].life, report: &rep})
+	case Lead:
+		w.tally = feed.NewTally(fleetName, feed.TallyOptions{})
+		w.tally.Committed(w.now, w.log.Epoch(), w.log.Head())
+		clear(w.counted)
+		clear(w.last)
+	case Empty:
+		w.empty()
+		w.tally = feed.NewTally(fleetName, feed.TallyOptions{})
+		clear(w.counted)
+		clear(w.last)
+	case Word:
+		return w.word()
+	case Wrong:
+		return w.wrong(s.On)
+	}
+	return nil
+}
+
+func (w *World) change(c feed.Change) error {
+	c.Fleet, c.Epoch = fleetName, w.name()
+	v, err := w.log.Apply(c)
+	if err != nil {
+		return fmt.Errorf("broken: the log doesn't take %+v: %w", c, err)
+	}
+	p := w.past[w.name()]
+	if p.add(c); p.head() != v {
+		return fmt.Errorf("broken: a change has version %d, and is the log's number %d", v, p.head())
+	}
+	w.tally.Committed(w.now, w.name(), v)
+	return nil
+}
+
+// word has the operator say that this log takes the place of all before.
+func (w *World) word() error {
+	for e := 1; e < w.epoch; e++ {
+		if err := w.change(feed.Change{Replaces: fmt.Sprint("e", e)}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) hello(i int) feed.Hello {
+	f := w.all[i]
+	h := f.r.Hello()
+	f.said[h.Turn], f.seq = h.InForce, h.Seq
+	return h
+}
+
+// exchange has a follower say hello and take the answer, and have it in force if so wished.
+func (w *World) exchange(i int, apply bool) error {
+	f := w.all[i]
+	h := w.hello(i)
+	d, err := w.serve(f.to, h)
+	if err != nil || d == nil {
+		return err
+	}
+	if err = w.take(i, d); err == nil && apply && !f.scope.All {
+		f.apply()
+	}
+	return err
+}
+
+// serve has a source hear a hello, and returns what it sends for it.
+func (w *World) serve(to int, h feed.Hello) (*feed.Delta, error) {
+	source, name, life := w.source(to)
+	readers := source.Readers()
+	if err := source.Hear(w.now, h); err != nil {
+		return nil, w.refusal(err)
+	}
+	at := account{name, life, h.Name}
+	if source.Readers() > readers {
+		w.accts[at] = &spent{since: w.now}
+		if err := w.admitted(account{name, life, ""}); err != nil {
+			return nil, err
+		}
+	}
+	d, _ := source.Next(w.now, h.Name)
+	if d == nil {
+		return nil, nil
+	}
+	return d, w.judgeDelta(to, at, d)
+}
+
+// refusal passes what refusals are for, and nothing else.
+func (w *World) refusal(err error) error {
+	var r *feed.Refusal
+	var b *feed.Busy
+	if errors.As(err, &r) || errors.As(err, &b) {
+		return nil
+	}
+	return fmt.Errorf("broken: %w", err)
+}
+
+func (w *World) take(i int, d *feed.Delta) error {
+	f := w.all[i]
+	changed, err := f.r.Take(d)
+	if err != nil {
+		return w.refusal(err)
+	}
+	f.took(changed)
+	return nil
+}
+
+func (w *World) deliver(l letter) error {
+	switch {
+	case l.hello != nil:
+		d, err := w.serve(l.to, *l.hello)
+		if d != nil {
+			w.mail = append(w.mail, letter{from: l.to, to: l.from, delta: d})
+		}
+		return err
+	case l.delta != nil:
+		return w.take(l.to, l.delta)
+	}
+	return w.tell(*l.report, l.from)
+}
+
+func (w *World) report(i int) feed.Report {
+	return w.all[i].source.Report(w.now, w.all[i].scope.Name, "r")
+}
+
+func (w *World) tell(rep feed.Report, from int) error {
+	a, err := w.tally.Take(w.now, rep)
+	if err != nil {
+		return w.refusal(err)
+	}
+	w.all[from].source.Reported(a)
+	return nil
+}
+
+// Print implements explore.World.
+func (w *World) Print() string {
+	var b strings.Builder
+	fmt.Fprint(&b, w.epoch, w.put, len(w.log.Replaces()))
+	said := func(name string) uint64 {
+		for _, f := range w.all {
+			if f.scope.Name == name {
+				return f.seq
+			}
+		}
+		return 0
+	}
+	w.agent.Print(&b, w.now, said)
+	w.tally.Print(&b)
+	for _, f := range w.all {
+		f.r.Print(&b)
+		if f.source != nil {
+			f.source.Print(&b, w.now, said)
+		}
+		fmt.Fprint(&b, f.to, f.pending, f.mark, len(f.changed), f.copy != nil)
+		if f.copy != nil {
+			fmt.Fprint(&b, f.copy.Epoch, f.copy.Have, f.copy.Whole, f.copy.Seen, len(f.copy.Records))
+		}
+		fmt.Fprintln(&b)
+	}
+	for _, l := range w.mail {
+		switch {
+		case l.hello != nil:
+			fmt.Fprint(&b, l.from, l.to, l.hello.Have, l.hello.InForce, l.hello.Turn, w.all[l.from].seq-l.hello.Seq, l.hello.Digest, len(l.hello.Sums))
+		case l.delta != nil:
+			fmt.Fprint(&b, l.from, l.to, l.delta.Epoch, l.delta.From, l.delta.To, l.delta.Head, len(l.delta.Records), l.delta.Span, l.delta.Ask)
+		default:
+			fmt.Fprint(&b, l.from, l.report.Life, l.report.Base, l.report.Upto, l.report.Whole, len(l.report.Readers))
+		}
+		fmt.Fprintln(&b)
+	}
+	return b.String()
+}
