--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,529 @@
+package feed
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/monotone"
+	"spindlehitch/internal/seeded"
+)
+
+func TestMain(m *testing.M) { seeded.Main(m) }
+
+const fleet = "campus"
+
+// eventually waits for what comes when it comes.
+func eventually(t *testing.T, done func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, done, time.Minute, 5*time.Millisecond, what)
+}
+
+// book stands in for the agents: a store that changes are put into, and a server of it on the loopback.
+type book struct {
+	t       *testing.T
+	server  *Server
+	addr    string
+	http    *httptest.Server
+	mu      sync.Mutex
+	store   *feed.Store
+	source  *feed.Source
+	changed chan struct{}
+	looks   int  // how often the source was asked
+	deaf    bool // it hears of no leader
+}
+
+func newBook(t *testing.T, o feed.SourceOptions) *book {
+	b := &book{t: t, store: feed.NewStore(fleet, feed.Limits{}), changed: make(chan struct{})}
+	b.source = feed.NewSource(b.store, o, 1)
+	b.server = NewServer(b, 0)
+	mux := http.NewServeMux()
+	b.server.Routes(mux)
+	b.http = httptest.NewServer(mux)
+	b.addr = b.http.Listener.Addr().String()
+	t.Cleanup(func() { b.server.Stop(); b.http.CloseClientConnections(); b.http.Close() })
+	return b
+}
+
+func (b *book) Do(do func(time.Duration, *feed.Source)) (<-chan struct{}, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := monotone.Now()
+	if !b.deaf {
+		b.source.Fresh(now)
+	}
+	b.looks++
+	do(now, b.source)
+	return b.changed, true
+}
+
+func (b *book) put(puts ...feed.Put) uint64 {
+	b.t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v, err := b.store.Apply(feed.Change{Fleet: fleet, Epoch: "first", Puts: puts})
+	require.NoError(b.t, err)
+	close(b.changed)
+	b.changed = make(chan struct{})
+	return v
+}
+
+// has tells what the source knows to be in force at its readers.
+func (b *book) has() map[string]feed.Reading {
+	m := map[string]feed.Reading{}
+	b.Do(func(now time.Duration, s *feed.Source) {
+		for _, r := range s.Report(now, "book", "").Readers {
+			m[r.Name] = r
+		}
+	})
+	return m
+}
+
+func target(i, state int) feed.Put {
+	id := "t-" + strconv.Itoa(i)
+	return feed.Put{Kind: feed.Targets, Key: id, Value: fmt.Appendf(nil, `{"id":%q,"addr":"127.0.0.1:%d","cell":%d,"state":"SERVING"}`, id, 1000+state, i)}
+}
+
+func targets(n int) (list []feed.Put) {
+	for i := range n {
+		list = append(list, target(i, 0))
+	}
+	return list
+}
+
+func layer(scope, text string) feed.Put {
+	return feed.Put{Kind: feed.Config, Key: scope, Value: json.RawMessage(text)}
+}
+
+// heard is what a follower was told, in order.
+type heard struct {
+	*Follower
+	t    *testing.T
+	stop func()
+	mu   sync.Mutex
+	list []Change
+	down func(Change) error
+}
+
+// follow starts a follower. It is ended with the test, or by stop.
+func follow(t *testing.T, opt Options) *heard {
+	t.Helper()
+	h := &heard{t: t}
+	if opt.Fleet == "" {
+		opt.Fleet = fleet
+	}
+	if opt.Region == "" {
+		opt.Region = "north"
+	}
+	opt.Changed = h.take
+	f, err := NewFollower(opt)
+	require.NoError(t, err)
+	h.Follower = f
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { f.Run(ctx); close(ended) }()
+	var once sync.Once
+	h.stop = func() { once.Do(func() { end(); <-ended }) }
+	t.Cleanup(h.stop)
+	return h
+}
+
+func (h *heard) take(c Change) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := len(h.list); n > 0 {
+		last := h.list[n-1].Position
+		assert.True(h.t, c.Position.Targets >= last.Targets && c.Position.Config >= last.Config, "from %v to %v", last, c.Position)
+	}
+	h.list = append(h.list, c)
+	if h.down != nil {
+		return h.down(c)
+	}
+	return nil
+}
+
+func (h *heard) told() []Change {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Change(nil), h.list...)
+}
+
+// at waits until a version is in force whole.
+func (h *heard) at(v uint64) {
+	h.t.Helper()
+	eventually(h.t, func() bool { return h.State().InForce.Least() >= v }, fmt.Sprintf("%s has %d", h.opt.Name, v))
+}
+
+func to(addrs ...string) (list []feed.Relay) {
+	for i, a := range addrs {
+		list = append(list, feed.Relay{ID: "r" + strconv.Itoa(i), Region: "north", Addr: a})
+	}
+	return list
+}
+
+// TestDelta brings a follower all there is, then what changes: each newest state once, and what is in force is acknowledged.
+func TestDelta(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	b.put(append(targets(300), layer("shared", `{"a":1}`), layer("region/south", `{"a":2}`))...)
+	f := follow(t, Options{Name: "i1", Relays: to(b.addr)})
+	f.at(1)
+	require.Len(t, f.Records(feed.Targets), 300)
+	require.Len(t, f.Records(feed.Config), 1, "another region's layer is not its own")
+	v := b.put(target(7, 1), feed.Put{Kind: feed.Targets, Key: "t-8", Gone: true}, layer("instance/i1", `{"b":1}`))
+	f.at(v)
+	require.Len(t, f.Records(feed.Targets), 299)
+	require.Len(t, f.Records(feed.Config), 2)
+	var last []feed.Record
+	for _, c := range f.told() {
+		require.False(t, c.Whole)
+		for _, r := range c.Records {
+			if r.Version == v {
+				last = append(last, r)
+			}
+		}
+	}
+	require.Len(t, last, 3)
+	eventually(t, func() bool { return b.has()["i1"].InForce.Least() == v }, "acknowledged")
+	s := f.State()
+	require.Equal(t, "r0", s.Relay)
+	require.Empty(t, s.Refused)
+	require.Greater(t, s.In, uint64(3000))
+	require.Greater(t, s.Out, uint64(100))
+	require.Less(t, s.In, uint64(300*150), "300 targets go packed")
+}
+
+// TestWoken has a poll that waits be answered when a change comes, and not when its time is over.
+func TestWoken(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{Gather: time.Nanosecond})
+	v := b.put(target(0, 0))
+	r := feed.NewReplica(fleet, feed.Scope{Name: "i1"}, 1, feed.Limits{})
+	ask := func() (int, feed.Delta, time.Duration) {
+		h := r.Hello()
+		h.WaitMs = mostWait.Milliseconds()
+		from := time.Now()
+		status, body := post(t, b.addr, mustJSON(t, h), nil)
+		var d feed.Delta
+		if status == http.StatusOK {
+			require.NoError(t, json.Unmarshal(body, &d))
+			_, err := r.Take(&d)
+			require.NoError(t, err)
+		}
+		return status, d, time.Since(from)
+	}
+	status, _, _ := ask()
+	require.Equal(t, http.StatusOK, status)
+	// On a machine that stands still a poll may be over before the change comes: then it is tried again.
+	for try := range 20 {
+		b.mu.Lock()
+		looks := b.looks
+		b.mu.Unlock()
+		go func() {
+			for { // the poll has looked once after it was heard: now it waits
+				b.mu.Lock()
+				waits := b.looks >= looks+2
+				b.mu.Unlock()
+				if waits {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			b.put(target(0, try+1))
+		}()
+		v++
+		status, d, took := ask()
+		for status == http.StatusNoContent {
+			status, d, took = ask()
+			took = mostWait
+		}
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, v, d.To.Targets)
+		if took < mostWait/2 {
+			return
+		}
+	}
+	t.Error("no poll was woken by a change")
+}
+
+// post sends a body, and returns the answer unpacked.
+func post(t *testing.T, addr string, body []byte, head http.Header) (int, []byte) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr+watchPath, bytes.NewReader(body))
+	require.NoError(t, err)
+	for k, v := range head {
+		req.Header[k] = v
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, text
+}
+
+func mustJSON(t *testing.T, v any) []byte {
+	t.Helper()
+	text, err := json.Marshal(v)
+	require.NoError(t, err)
+	return text
+}
+
+// TestGarbageAsked sends what is no hello: each is refused with a status of its own, and nothing of it is kept.
+func TestGarbageAsked(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	b.put(target(0, 0))
+	good := mustJSON(t, feed.Hello{Fleet: fleet, Scope: feed.Scope{Name: "i1"}, Turn: 1, Seq: 1})
+	var bomb bytes.Buffer
+	z := gzip.NewWriter(&bomb)
+	_, err := z.Write(make([]byte, 64<<20))
+	require.NoError(t, err)
+	require.NoError(t, z.Close())
+	packed := http.Header{packedHead: {zipWord}}
+	for _, c := range []struct {
+		name string
+		body []byte
+		head http.Header
+		want int
+	}{
+		{"nothing", nil, nil, http.StatusBadRequest},
+		{"no JSON", []byte("hello"), nil, http.StatusBadRequest},
+		{"cut", good[:len(good)/2], nil, http.StatusBadRequest},
+		{"wrong types", []byte(`{"fleet":7}`), nil, http.StatusBadRequest},
+		{"too long", bytes.Repeat([]byte(" "), mostHello+1), nil, http.StatusBadRequest},
+		{"a bomb", bomb.Bytes(), packed, http.StatusBadRequest},
+		{"not packed", good, packed, http.StatusBadRequest},
+		{"no name", []byte(`{"fleet":"campus","turn":1,"seq":1}`), nil, http.StatusUnprocessableEntity},
+		{"odd sums", []byte(`{"fleet":"campus","name":"x","turn":1,"seq":1,"sums":"AAAAAAAAAAA="}`), nil, http.StatusUnprocessableEntity},
+		{"another fleet", bytes.Replace(good, []byte(fleet), []byte("other"), 1), nil, http.StatusConflict},
+		{"another epoch", bytes.Replace(good, []byte(`"turn"`), []byte(`"epoch":"odd","turn"`), 1), nil, http.StatusConflict},
+	} {
+		status, text := post(t, b.addr, c.body, c.head)
+		require.Equal(t, c.want, status, "%s: %s", c.name, text)
+		var no Refused
+		require.NoError(t, json.Unmarshal(text, &no), c.name)
+		require.NotEmpty(t, no.Reason, c.name)
+	}
+	b.Do(func(_ time.Duration, s *feed.Source) { require.Zero(t, s.Readers()) })
+	status, _ := post(t, b.addr, good, nil)
+	require.Equal(t, http.StatusOK, status)
+	status, _ = post(t, b.addr, good, nil)
+	require.Equal(t, http.StatusConflict, status, "a hello is said once")
+	rapid.Check(t, func(rt *rapid.T) {
+		at := rapid.IntRange(0, len(good)-1).Draw(rt, "at")
+		bent := bytes.Clone(good)
+		bent[at] = rapid.Byte().Draw(rt, "byte")
+		status, _ := post(t, b.addr, bent, nil)
+		require.Less(rt, status, 500)
+	})
+}
+
+// TestGarbageAnswered has sources answer what is no delta, or not this follower's: each is refused and counted, nothing is changed,
+// and the next good one is taken.
+func TestGarbageAnswered(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(append(targets(5), layer("shared", `{"a":1}`))...)
+	delta := func(bend func(*feed.Delta)) []byte {
+		d := feed.Delta{Fleet: fleet, Epoch: "first", For: feed.Scope{Name: "i1", Region: "north"}, To: feed.Position{Targets: 1, Config: 1},
+			Head: feed.Position{Targets: 1, Config: 1}, Records: []feed.Record{{Kind: feed.Targets, Key: "bad", Version: 1, Value: target(0, 0).Value}}}
+		bend(&d)
+		return mustJSON(t, d)
+	}
+	var bomb bytes.Buffer
+	z := gzip.NewWriter(&bomb)
+	_, err := z.Write(make([]byte, 64<<20))
+	require.NoError(t, err)
+	require.NoError(t, z.Close())
+	for _, c := range []struct {
+		name, count string
+		status      int
+		packed      bool
+		body        []byte
+	}{
+		{"a page", "malformed", 200, false, []byte("<html>")},
+		{"nothing", "malformed", 200, false, nil},
+		{"cut", "malformed", 200, false, delta(func(*feed.Delta) {})[:90]},
+		{"a bomb", "failed", 200, true, bomb.Bytes()},
+		{"not packed", "failed", 200, true, []byte("{}")},
+		{"another status", "failed", 418, false, nil},
+		{"another fleet", string(feed.Foreign), 200, false, delta(func(d *feed.Delta) { d.Fleet = "other" })},
+		{"another reader", string(feed.Misdirect), 200, false, delta(func(d *feed.Delta) { d.For.Region = "south" })},
+		{"a gap", string(feed.Gap), 200, false, delta(func(d *feed.Delta) { d.From.Targets = 1 })},
+		{"out of order", string(feed.Disorder), 200, false, delta(func(d *feed.Delta) { d.Records[0].Version = 2 })},
+		{"a layer of others", string(feed.OutOf), 200, false, delta(func(d *feed.Delta) {
+			d.Records[0] = feed.Record{Kind: feed.Config, Key: "region/south", Version: 1, Value: json.RawMessage("{}")}
+		})},
+		{"a hello refused", string(feed.Foreign), 409, false, []byte(`{"reason":"foreign","why":"not here"}`)},
+	} {
+		var bad sync.Once
+		odd := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			served := true
+			bad.Do(func() {
+				served = false
+				if c.packed {
+					w.Header().Set(packedHead, zipWord)
+				}
+				w.WriteHeader(c.status)
+				_, _ = w.Write(c.body)
+			})
+			if served {
+				b.http.Config.Handler.ServeHTTP(w, r)
+			}
+		}))
+		f := follow(t, Options{Name: "i1", Relays: to(odd.Listener.Addr().String()), Turn: uint64(time.Now().UnixNano())})
+		f.at(v)
+		s := f.State()
+		if c.count == "failed" {
+			require.Equal(t, uint64(1), s.Failed, c.name)
+		} else {
+			require.Equal(t, uint64(1), s.Refused[c.count], "%s: %v", c.name, s.Refused)
+		}
+		for _, r := range f.Records(feed.Targets) {
+			require.NotEqual(t, "bad", r.Key, c.name)
+		}
+		f.stop()
+		odd.CloseClientConnections()
+		odd.Close()
+	}
+}
+
+// TestBusy has more followers come than are admitted: they are told when to come again, and all get there.
+func TestBusy(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{Admit: 20, AdmitBurst: 1})
+	v := b.put(target(0, 0))
+	var all []*heard
+	for i := range 8 {
+		all = append(all, follow(t, Options{Name: fmt.Sprint("i", i), Relays: to(b.addr)}))
+	}
+	told := uint64(0)
+	for _, f := range all {
+		f.at(v)
+		told += f.State().Busy
+	}
+	require.NotZero(t, told)
+}
+
+// TestTurnedDown has a configuration turned down: the last good one stays in force and targets go on; a later one is taken.
+func TestTurnedDown(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	b.put(target(0, 0), layer("shared", `{"a":1}`))
+	f := follow(t, Options{Name: "i1", Relays: to(b.addr)})
+	f.at(1)
+	f.mu.Lock()
+	f.down = func(c Change) error {
+		for _, r := range c.Records {
+			if string(r.Value) == `{"a":"odd"}` {
+				return errors.New("a: not a number")
+			}
+		}
+		return nil
+	}
+	f.mu.Unlock()
+	b.put(layer("shared", `{"a":"odd"}`))
+	eventually(t, func() bool { return f.State().Down != nil }, "turned down")
+	v := b.put(target(0, 1))
+	eventually(t, func() bool { return f.State().InForce.Targets == v }, "targets go on")
+	require.Equal(t, uint64(1), f.State().InForce.Config)
+	eventually(t, func() bool {
+		r := b.has()["i1"]
+		return r.Refused != nil && r.Refused.Version == 2 && r.Refused.Reason == "a: not a number" && r.InForce.Targets == v && r.InForce.Config == 1
+	}, "told upward")
+	v = b.put(layer("shared", `{"a":2}`))
+	f.at(v)
+	require.Nil(t, f.State().Down)
+}
+
+// TestSlowReaders has readers that take nothing of their answers: no other waits for them.
+func TestSlowReaders(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{Rate: 10 << 20, Burst: 20 << 20, Admit: 1000, AdmitBurst: 1000})
+	long := make([]byte, 3000)
+	for i := range long {
+		long[i] = "0123456789abcdef"[(i*i+i/7)%16]
+	}
+	for n := range 20 {
+		var puts []feed.Put
+		for i := range 60 {
+			id := fmt.Sprintf("t-%d-%d", n, i)
+			puts = append(puts, feed.Put{Kind: feed.Targets, Key: id, Value: fmt.Appendf(nil, `{"id":%q,"x":"%s"}`, id, long)})
+		}
+		b.put(puts...)
+	}
+	for i := range 20 {
+		c, err := net.Dial("tcp", b.addr)
+		require.NoError(t, err)
+		defer c.Close()
+		body := mustJSON(t, feed.Hello{Fleet: fleet, Scope: feed.Scope{Name: fmt.Sprint("slow", i)}, Turn: 1, Seq: 1})
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", watchPath, len(body), body)
+		require.NoError(t, err)
+	}
+	f := follow(t, Options{Name: "i1", Relays: to(b.addr)})
+	for range 5 {
+		f.at(b.put(target(0, 1)))
+	}
+}
+
+// TestCopies begins with the copy on disk; one that is torn anywhere, or another fleet's, is passed over and counted.
+func TestCopies(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(append(targets(40), layer("shared", `{"a":1}`))...)
+	dir := t.TempDir()
+	f := follow(t, Options{Name: "i1", Relays: to(b.addr), Dir: dir})
+	f.at(v)
+	turn := f.replica.Turn()
+	f.stop()
+	require.Equal(t, uint64(1), f.State().Saved)
+	nowhere := to("127.0.0.1:1")
+	again := follow(t, Options{Name: "i1", Relays: nowhere, Dir: dir, Turn: 1})
+	again.at(v)
+	require.True(t, again.told()[0].Whole)
+	require.Len(t, again.told()[0].Records, 41)
+	require.Greater(t, again.replica.Turn(), turn, "also by a clock that was set back")
+	again.stop()
+	v = b.put(target(3, 1))
+	on := follow(t, Options{Name: "i1", Relays: to(b.addr), Dir: dir})
+	on.at(v)
+	require.Equal(t, uint64(1), on.State().Records, "what differs, and no more")
+	on.stop()
+
+	whole, err := os.ReadFile(filepath.Join(dir, copyName))
+	require.NoError(t, err)
+	starts := func(text []byte, opt Options) State {
+		opt.Dir, opt.Relays = t.TempDir(), nowhere
+		require.NoError(t, os.WriteFile(filepath.Join(opt.Dir, copyName), text, 0o600))
+		f, err := NewFollower(opt)
+		require.NoError(t, err)
+		return f.State()
+	}
+	mine := Options{Fleet: fleet, Name: "i1", Region: "north"}
+	require.Zero(t, starts(whole, mine).Torn)
+	rapid.Check(t, func(rt *rapid.T) {
+		bent := bytes.Clone(whole[:rapid.IntRange(0, len(whole)).Draw(rt, "cut")])
+		if len(bent) == len(whole) {
+			bent[rapid.IntRange(0, len(whole)-1).Draw(rt, "at")] ^= 1 << rapid.IntRange(0, 7).Draw(rt, "bit")
+		}
+		s := starts(bent, mine)
+		require.Equal(rt, uint64(1), s.Torn)
+		require.Zero(rt, s.Position)
+	})
+	for _, other := range []Options{{Fleet: "other", Name: "i1", Region: "north"}, {Fleet: fleet, Name: "i1", Region: "south"}} {
+		s := starts(whole, other)
+		require.Equal(t, uint64(1), s.Torn, other)
+		require.Zero(t, s.Position)
+	}
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -223,9 +223,6 @@
 		return feed.Turned, min(time.Duration(no.AfterMs)*time.Millisecond, time.Minute)
 	}
 	f.refused(relay, no.Reason, no.Why)
-	if no.Reason == feed.Stale {
-		return feed.Answered, 0 // the next one is newer
-	}
 	return feed.Refused, 0
 }
 
@@ -367,8 +364,9 @@
 
 // kept is what the copy on disk holds.
 type kept struct {
-	Turn uint64    `json:"turn"`
-	Copy feed.Copy `json:"copy"`
+	Turn  uint64     `json:"turn"`
+	Scope feed.Scope `json:"scope"` // another one is owed other layers
+	Copy  feed.Copy  `json:"copy"`
 }
 
 // manyTurns are more than a life has between two copies on disk.
@@ -417,7 +415,13 @@
 
 // restore takes a copy, before there is anyone else.
 func (f *Follower) restore(k *kept) error {
-	turn := max(f.replica.Turn(), k.Turn+manyTurns) // also after the machine's clock was set back
+	if k.Scope != f.replica.Scope() {
+		return fmt.Errorf("the copy is for %+v, and this is %+v", k.Scope, f.replica.Scope())
+	}
+	turn := f.replica.Turn()
+	if turn <= k.Turn {
+		turn = k.Turn + manyTurns // the machine's clock was set back
+	}
 	r := feed.NewReplica(f.opt.Fleet, f.replica.Scope(), turn, feed.Limits{})
 	if err := r.Restore(k.Copy); err != nil {
 		return err
@@ -438,7 +442,7 @@
 		return
 	}
 	f.mu.Lock()
-	k := kept{Turn: f.replica.Turn(), Copy: f.replica.Store().Copy()}
+	k := kept{Turn: f.replica.Turn(), Scope: f.replica.Scope(), Copy: f.replica.Store().Copy()}
 	f.mu.Unlock()
 	text, err := format.Marshal(&k)
 	if err == nil {
--- /dev/null
+++ b/internal/feed/relay_test.go
@@ -0,0 +1,282 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/monotone"
+)
+
+// relayed is a relay on the loopback that can be stopped and started again at its address.
+type relayed struct {
+	*Relay
+	t    *testing.T
+	opt  RelayOptions
+	addr string
+	kill func() // as by SIGKILL: connections are cut
+	stop func()
+}
+
+func relayAt(t *testing.T, addr string, opt RelayOptions) *relayed {
+	t.Helper()
+	opt.Fleet, opt.Region = fleet, "north"
+	r, err := NewRelay(opt)
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	x := &relayed{Relay: r, t: t, opt: opt, addr: l.Addr().String()}
+	ctx, end := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	work.Go(func() { r.Run(ctx) })
+	work.Go(func() {
+		if err := r.Serve(l); err != nil {
+			t.Error(err)
+		}
+	})
+	var once sync.Once
+	x.stop = func() { once.Do(func() { end(); work.Wait() }) }
+	x.kill = func() { r.http.Close(); x.stop() }
+	t.Cleanup(x.stop)
+	return x
+}
+
+// count stands in for the agents' leader.
+type count struct {
+	mu    sync.Mutex
+	tally *feed.Tally
+	gone  bool
+}
+
+func newCount() *count {
+	c := &count{}
+	c.renew()
+	return c
+}
+
+// renew is a change of leader: the new one knows nothing.
+func (c *count) renew() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tally = feed.NewTally(fleet, feed.TallyOptions{})
+	c.tally.Committed(monotone.Now(), "first", 1)
+}
+
+func (c *count) report(_ context.Context, r feed.Report) (feed.ReportAnswer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone {
+		return feed.ReportAnswer{}, fmt.Errorf("no leader at the moment")
+	}
+	return c.tally.Take(monotone.Now(), r)
+}
+
+func (c *count) status(v uint64) feed.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tally.Status(monotone.Now(), v)
+}
+
+// TestRelayKilled kills one of three relays: its followers go to the others and miss nothing, and nobody counts twice, with a change of
+// leader in the midst.
+func TestRelayKilled(t *testing.T) {
+	const n = 12
+	b, c := newBook(t, feed.SourceOptions{}), newCount()
+	v := b.put(append(targets(50), layer("shared", `{"a":1}`))...)
+	var relays []*relayed
+	var addrs []string
+	for i := range 3 {
+		relays = append(relays, relayAt(t, "127.0.0.1:0", RelayOptions{ID: fmt.Sprint("relay", i), Agents: []string{b.addr}, Report: c.report,
+			Source: feed.SourceOptions{Admit: 1000, AdmitBurst: 1000}}))
+		addrs = append(addrs, relays[i].addr)
+	}
+	var all []*heard
+	for i := range n {
+		all = append(all, follow(t, Options{Name: fmt.Sprint("i", i), Relays: to(addrs...)}))
+	}
+	settled := func(v uint64) {
+		t.Helper()
+		for _, f := range all {
+			f.at(v)
+		}
+		eventually(t, func() bool {
+			s := c.status(v)
+			require.LessOrEqual(t, s.Known, n)
+			require.LessOrEqual(t, s.Have, n)
+			return s.Have == n
+		}, "all count")
+	}
+	settled(v)
+	lost := -1
+	for i, r := range relays {
+		if r.State().Readers > 0 {
+			lost = i
+		}
+	}
+	require.GreaterOrEqual(t, lost, 0)
+	c.mu.Lock()
+	c.gone = true
+	c.mu.Unlock()
+	relays[lost].kill()
+	v = b.put(target(1, 1), layer("region/north", `{"a":2}`))
+	c.renew()
+	c.mu.Lock()
+	c.gone = false
+	c.mu.Unlock()
+	settled(v)
+	moves := uint64(0)
+	for _, f := range all {
+		moves += f.State().Moves
+	}
+	require.NotZero(t, moves)
+	require.Equal(t, n, c.status(v).Known, "the new leader has asked for all, each once")
+}
+
+// TestRelayCopy starts a relay that has an old copy: it serves that at once, with its age, and is brought up by what differs. A torn copy is
+// passed over.
+func TestRelayCopy(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(append(targets(200), layer("shared", `{"a":1}`), layer("zone/far", `{"a":2}`))...)
+	dir := t.TempDir()
+	opt := RelayOptions{ID: "relay", Agents: []string{b.addr}, Dir: dir}
+	r := relayAt(t, "127.0.0.1:0", opt)
+	eventually(t, func() bool { return r.State().Follower.InForce.Least() == v }, "up to date")
+	r.stop()
+	later := b.put(target(5, 1), feed.Put{Kind: feed.Targets, Key: "t-6", Gone: true})
+	alone := opt
+	alone.Agents = []string{"127.0.0.1:1"}
+	r = relayAt(t, "127.0.0.1:0", alone)
+	f := follow(t, Options{Name: "i1", Relays: to(r.addr)})
+	f.at(v)
+	require.Len(t, f.Records(feed.Targets), 200)
+	require.Greater(t, f.State().AgeMs, int64(1), "it has heard of no agent")
+	f.stop()
+	r.stop()
+	r = relayAt(t, "127.0.0.1:0", opt)
+	eventually(t, func() bool { return r.State().Follower.InForce.Least() == later }, "brought up")
+	require.Equal(t, uint64(2), r.State().Follower.Records, "what differs, and no more")
+	require.Equal(t, 199, r.State().Targets)
+	r.stop()
+	path := filepath.Join(dir, copyName)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, text[:len(text)/2], 0o600))
+	r = relayAt(t, "127.0.0.1:0", opt)
+	eventually(t, func() bool { return r.State().Follower.InForce.Least() == later }, "from nothing")
+	require.Equal(t, uint64(1), r.State().Follower.Torn)
+	require.Equal(t, uint64(201), r.State().Follower.Records)
+}
+
+// gate lets connections through until it is shut; then it cuts those there are and takes none.
+type gate struct {
+	mu   sync.Mutex
+	shut bool
+	open map[net.Conn]bool
+}
+
+func (g *gate) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut {
+		c.Close()
+		return nil, fmt.Errorf("the way is cut")
+	}
+	g.open[c] = true
+	return c, nil
+}
+
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut = shut; shut {
+		for c := range g.open {
+			c.Close()
+		}
+		clear(g.open)
+	}
+}
+
+// TestRelayCut cuts a relay off from all agents: it goes on serving what it has, readers hear how old that is, and once it hears again it
+// and they are brought up.
+func TestRelayCut(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(append(targets(20), layer("shared", `{"a":1}`))...)
+	g := &gate{open: map[net.Conn]bool{}}
+	r := relayAt(t, "127.0.0.1:0", RelayOptions{ID: "relay", Agents: []string{b.addr}, Dial: g.dial})
+	f := follow(t, Options{Name: "i1", Relays: to(r.addr)})
+	f.at(v)
+	g.set(true)
+	later := b.put(target(1, 1))
+	// A poll that is answered tells an age of some two seconds at most while the relay hears.
+	eventually(t, func() bool { return f.State().AgeMs > 4000 }, "its age is told")
+	late := follow(t, Options{Name: "i2", Relays: to(r.addr)})
+	late.at(v)
+	require.Greater(t, late.State().AgeMs, int64(4000))
+	require.Less(t, f.State().Position.Targets, later)
+	g.set(false)
+	f.at(later)
+	late.at(later)
+	eventually(t, func() bool { return f.State().AgeMs < 4000 }, "it hears again")
+}
+
+// TestAnotherFleet has a relay of another fleet and a follower of ours: nothing is taken, and it is counted.
+func TestAnotherFleet(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	b.put(target(0, 0))
+	f := follow(t, Options{Fleet: "other", Name: "i1", Relays: to(b.addr)})
+	eventually(t, func() bool { return f.State().Refused[string(feed.Foreign)] > 1 }, "refused")
+	require.Empty(t, f.told())
+	require.Zero(t, f.State().Position)
+	require.Zero(t, f.State().Records)
+}
+
+// TestRelayBounds has a relay be asked for more than it takes: readers over its number hear when to come again.
+func TestRelayBounds(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(target(0, 0))
+	r := relayAt(t, "127.0.0.1:0", RelayOptions{ID: "relay", Agents: []string{b.addr}, Source: feed.SourceOptions{MaxReaders: 2}})
+	first, second := follow(t, Options{Name: "i1", Relays: to(r.addr)}), follow(t, Options{Name: "i2", Relays: to(r.addr)})
+	first.at(v)
+	second.at(v)
+	third := follow(t, Options{Name: "i3", Relays: to(r.addr)})
+	eventually(t, func() bool { return third.State().Busy > 0 }, "turned away")
+	require.Equal(t, 2, r.State().Readers)
+	resp, err := http.Get("http://" + r.addr + "/v1/feed")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	var text bytes.Buffer
+	_, err = text.ReadFrom(resp.Body)
+	require.NoError(t, err)
+	require.Contains(t, text.String(), `"readers":2`)
+	// Connections beyond one for each reader and some more are closed at once.
+	var held []net.Conn
+	defer func() {
+		for _, c := range held {
+			c.Close()
+		}
+	}()
+	for range 2 + moreConns {
+		c, err := net.Dial("tcp", r.addr)
+		require.NoError(t, err)
+		held = append(held, c)
+	}
+	last := held[len(held)-1]
+	require.NoError(t, last.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = last.Read(make([]byte, 1))
+	require.Error(t, err)
+	eventually(t, func() bool { return r.conns.Load() <= 2+moreConns }, "bounded")
+}
