--- /dev/null
+++ b/cmd/spindlehitch/change_test.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spindlehitch/internal/agent"
+	"spindlehitch/internal/config"
+	edge "spindlehitch/internal/feed"
+	"spindlehitch/internal/fleet/feed"
+)
+
+// command runs a command line; the code is what the process would end with.
+func command(args ...string) (out string, code int, err error) {
+	var b bytes.Buffer
+	root := rootCommand()
+	root.SetOut(&b)
+	root.SetArgs(args)
+	if err = root.Execute(); err != nil {
+		code = 1
+		var e *exit
+		if errors.As(err, &e) {
+			code = e.code
+		}
+	}
+	return b.String(), code, err
+}
+
+// TestChangeCommands puts changes at an agent, carries them over a relay to an initiator, and asks where they are in force: by table, by
+// JSON and by exit codes.
+func TestChangeCommands(t *testing.T) {
+	ctx, end := context.WithCancel(context.Background())
+	api, at := freeAddr(t), freeAddr(t)
+	ended := make(chan error, 2)
+	go func() {
+		ended <- runAgent(ctx, &config.Agent{ID: "a", Dir: t.TempDir(), Peers: []config.Peer{{ID: "a", Raft: freeAddr(t), API: api}}}, quiet)
+	}()
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			end()
+			require.NoError(t, <-ended)
+			require.NoError(t, <-ended)
+		}
+	}
+	defer stop()
+	dir := t.TempDir()
+	set, err := config.ReadRelay("../../deploy/relay.toml")
+	require.NoError(t, err)
+	set.Listen, set.Agents, set.Dir = at, []string{api}, filepath.Join(dir, "relay")
+	go func() { ended <- runRelay(ctx, set, quiet) }()
+	agents := []string{"--agents", api}
+	run := func(args ...string) (string, int, error) { return command(append(args, agents...)...) }
+
+	out, code, err := command("change", "check", "../../deploy/change.toml", "--feed", "../../deploy/feed.toml")
+	require.NoError(t, err)
+	require.Zero(t, code)
+	require.Contains(t, out, "4 puts for fleet campus")
+	require.Eventually(t, func() bool { // a leader
+		_, err := (&agent.Client{Addrs: []string{api}}).List(ctx)
+		return err == nil
+	}, time.Minute, 50*time.Millisecond)
+	out, _, err = run("change", "put", "../../deploy/change.toml", "--if-version", "0")
+	require.NoError(t, err)
+	require.Equal(t, "version 1\n", out)
+	_, code, err = run("change", "put", "../../deploy/change.toml", "--if-version", "0")
+	require.Equal(t, 1, code)
+	require.ErrorContains(t, err, "change.toml")
+	require.ErrorContains(t, err, "at 1")
+	twice := filepath.Join(dir, "twice.json")
+	require.NoError(t, os.WriteFile(twice, []byte(`{"fleet":"campus","puts":[{"kind":"config","key":"region/a","value":{}},{"kind":"config","key":"region/a","value":{}}]}`), 0o600))
+	_, code, err = run("change", "put", twice)
+	require.Equal(t, 1, code)
+	require.ErrorContains(t, err, "twice.json: puts[1].key")
+
+	out, _, err = run("change", "show")
+	require.NoError(t, err)
+	require.Contains(t, out, "region/north")
+	require.Contains(t, out, "t-1")
+	out, _, err = run("change", "show", "target", "t-1", "--json")
+	require.NoError(t, err)
+	var records []feed.Record
+	require.NoError(t, json.Unmarshal([]byte(out), &records))
+	require.Len(t, records, 1)
+	require.Equal(t, uint64(1), records[0].Version)
+	for _, bad := range [][]string{{"change", "show", "odd"}, {"change", "show", "target", "t-9"}, {"change", "status", "x"}, {"change", "status", "7"}, {"change", "status", "0"}} {
+		_, code, err = run(bad...)
+		require.Equal(t, 1, code, bad)
+		require.Error(t, err)
+	}
+
+	f, err := edge.NewFollower(edge.Options{Fleet: "campus", Name: "n1", Region: "north", Zone: "north-a", Relays: []feed.Relay{{ID: "relay-1", Region: "north", Addr: at}}})
+	require.NoError(t, err)
+	go f.Run(ctx)
+	require.Eventually(t, func() bool {
+		out, _, err = run("change", "status")
+		return err == nil && strings.Contains(out, "in force at 1 of 1")
+	}, time.Minute, 50*time.Millisecond)
+	require.Contains(t, out, "version 1 of campus")
+	require.Contains(t, out, "relay-1")
+	out, _, err = run("change", "status", "1", "--json")
+	require.NoError(t, err)
+	var v agent.InForce
+	require.NoError(t, json.Unmarshal([]byte(out), &v))
+	require.Equal(t, 1, v.Have)
+	require.True(t, v.Leads)
+
+	stop()
+	_, code, err = run("change", "status")
+	require.Equal(t, exitSilent, code)
+	require.Error(t, err)
+	_, code, err = run("change", "put", "../../deploy/change.toml")
+	require.Equal(t, exitSilent, code, "it may have been made: %v", err)
+}
+
+// TestRelayFiles has a relay's file that can't be served stop the start, and name file and field.
+func TestRelayFiles(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/relay.toml")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "relay.toml")
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(raw), "readers = 3000", "readers = 0", 1)), 0o600))
+	_, code, err := command("relay", "--operator", path)
+	require.Equal(t, 1, code)
+	require.ErrorContains(t, err, "relay.readers: 0 is under 1")
+	_, code, err = command("relay", "--operator", "../../deploy/feed.toml")
+	require.Equal(t, 1, code)
+	require.ErrorContains(t, err, "relay: ")
+}
+
+// TestInForceTable writes what is known of a version, also where it is little.
+func TestInForceTable(t *testing.T) {
+	v := agent.InForce{Agent: "a", Fleet: "campus", Head: 9, Leads: true, Status: feed.Status{Epoch: "e", Version: 8, Known: 250, Have: 100, Share: 0.4, Silent: 1,
+		Refused: 1, SinceMs: 1500, HalfMs: -1, MostMs: -1, AllMs: -1,
+		Lagging: []feed.Lag{{Name: "n7", Relay: "r1", Has: 7, Why: feed.WhyRefused, HeardMs: 20, Refused: &feed.TurnedDown{Version: 8, Reason: "a: not a number"}}}}}
+	var b bytes.Buffer
+	require.NoError(t, writeInForce(&b, v))
+	for _, want := range []string{"in force at 100 of 250 (40 in 100), put 1.5s ago", "half had it after not known", "n7", "version 8: a: not a number", "and 149 more that lag"} {
+		require.Contains(t, b.String(), want)
+	}
+	b.Reset()
+	require.NoError(t, writeInForce(&b, agent.InForce{Agent: "a", Head: 9}))
+	require.NotContains(t, b.String(), "in force at")
+}
