Feed: a run by digests ends with its last part, and asks for sums only when it can go on

Long walks found two: a run that had ended was gone on with from its old start, for ever; and sums that were charged with each hello starved a reader of few bytes.

--- a/internal/fleet/feed/next.go
+++ b/internal/fleet/feed/next.go
@@ -8,6 +8,7 @@
 
 const (
 	pause     = time.Minute   // one waits so long who has nothing to wait for but a change
+	sumBytes  = 11            // that a bucket's sum takes in a hello
 	mostPiece = MostDelta / 8 // bytes that a delta is filled with at most, whatever the buckets allow; the change that passes it goes whole
 )
 
@@ -101,6 +102,14 @@
 	return list, to, 0
 }
 
+// until is how long it takes until so many bytes of targets may go.
+func (r *reader) until(n float64) time.Duration {
+	if may := r.targets(); may < n {
+		return max(time.Millisecond, time.Duration((n-may)/(r.own.rate+r.both.rate)*float64(time.Second)))
+	}
+	return 0
+}
+
 // crumbs is how long to wait before a part is sent, or anything.
 func (r *reader) crumbs(may float64, cut, any bool, k Kind) time.Duration {
 	rate, least := r.both.rate, r.both.burst/4
@@ -154,11 +163,17 @@
 	at := 0
 	switch {
 	case fresh:
-		r.run = &run{epoch: st.epoch, start: d.Head.Targets, new: true}
-	case r.run != nil && r.run.epoch == st.epoch && r.run.new && p == nil:
+		r.run = &run{epoch: st.epoch, start: d.Head.Targets}
+	case r.run != nil && r.run.epoch == st.epoch && p == nil: // its sums have just come
 	case r.run != nil && r.run.epoch == st.epoch && p != nil && r.run.start == p.Start && p.At <= len(st.sums):
-		at, r.run.new = p.At, false
+		at = p.At
 	default:
+		// It is asked only when there is enough for the sums and for a first part at once: else it would send them again and again.
+		sums := float64(sumBytes * len(st.sums))
+		if wait = r.until(min(sums+(r.own.burst+r.both.burst)/4, r.own.burst+r.both.burst)); wait > 0 {
+			return wait
+		}
+		r.both.tokens -= sums
 		r.run, d.Ask = nil, true
 		return 0
 	}
--- a/internal/fleet/feed/record.go
+++ b/internal/fleet/feed/record.go
@@ -211,7 +211,15 @@
 
 // Holds tells whether a record of that kind and key is for this scope.
 func (s Scope) Holds(k Kind, key string) bool {
-	return k == Targets || s.All && knownScope(key) || k == Config && slices.Contains(s.layers(), key)
+	if k == Targets || s.All {
+		return k == Targets || knownScope(key)
+	}
+	for i, name := range [...]string{s.Region, s.Zone, s.Name} {
+		if name != "" && strings.HasPrefix(key, scopes[i]) && key[len(scopes[i]):] == name {
+			return true
+		}
+	}
+	return key == shared
 }
 
 // Position is how far somebody is in the stream, by kind: changes up to this version.
--- a/internal/fleet/feed/source.go
+++ b/internal/fleet/feed/source.go
@@ -60,7 +60,6 @@
 	epoch string
 	start uint64
 	sums  Sums // of the reader when it began; nil: it had nothing
-	new   bool // no hello has told of a part of it yet
 }
 
 // bucket is a token bucket. It may be overdrawn by what can't be sent in parts.
@@ -149,8 +148,6 @@
 		}
 		r = &reader{own: newBucket(now, rate/2, burst/2), both: newBucket(now, rate/2, burst/2)}
 		s.readers[h.Name] = r
-	} else if h.Turn > r.hello.Turn {
-		r.run = nil
 	}
 	was := r.hello
 	if r.change == 0 || r.silent || was.InForce != h.InForce || was.Turn != h.Turn || was.Scope != h.Scope || was.Epoch != h.Epoch ||
@@ -158,10 +155,12 @@
 		s.changes++
 		r.change = s.changes
 	}
-	if len(h.Sums) > 0 {
-		r.run = &run{epoch: h.Epoch, start: s.store.whole.Targets, sums: h.Sums, new: true}
-		r.both.tokens -= float64(11 * len(h.Sums))
+	switch {
+	case len(h.Sums) > 0:
+		r.run = &run{epoch: h.Epoch, start: s.store.whole.Targets, sums: h.Sums}
 		h.Sums = nil
+	case h.Digest == nil:
+		r.run = nil // it is over, or nothing of it arrived
 	}
 	r.hello, r.heard, r.waits, r.silent = h, now, true, false
 	return nil
--- a/internal/fleet/proof/feed/world.go
+++ b/internal/fleet/proof/feed/world.go
@@ -115,6 +115,8 @@
 	counted map[string]uint64 // the turn that the tally had last of each
 	last    map[string]feed.Mark
 	admits  map[account]*spent // without a reader
+	touched []*follower        // by this step
+	told    bool               // the tally was, by this step
 }
 
 // account is of one reader at one source's life.
@@ -179,6 +181,7 @@
 // start begins a life of a follower, from its copy if it has one.
 func (w *World) start(i int) error {
 	f := w.all[i]
+	w.touched = append(w.touched, f)
 	f.life++
 	f.r = feed.NewReplica(fleetName, f.scope, f.life<<16, w.set.Limits)
 	if f.copy != nil {
@@ -295,8 +298,9 @@
 	return steps
 }
 
-// Do takes a step and holds the world against the promises.
+// Do takes a step and holds what it touched against the promises.
 func (w *World) Do(s Step) error {
+	w.touched, w.told = w.touched[:0], false
 	if err := w.step(s); err != nil {
 		return err
 	}
@@ -325,8 +329,10 @@
 		w.mail = append(w.mail[:s.On:s.On], w.mail[s.On+1:]...)
 	case Apply:
 		w.all[s.On].apply()
+		w.touched = append(w.touched, w.all[s.On])
 	case Move:
 		f := w.all[s.On]
+		w.touched = append(w.touched, f)
 		f.to = (f.to + 1) % w.set.Relays
 		f.r.Moved()
 	case Save:
@@ -384,6 +390,7 @@
 
 func (w *World) hello(i int) feed.Hello {
 	f := w.all[i]
+	w.touched = append(w.touched, f)
 	h := f.r.Hello()
 	f.said[h.Turn], f.seq = h.InForce, h.Seq
 	return h
@@ -436,6 +443,7 @@
 
 func (w *World) take(i int, d *feed.Delta) error {
 	f := w.all[i]
+	w.touched = append(w.touched, f)
 	changed, err := f.r.Take(d)
 	if err != nil {
 		return w.refusal(err)
@@ -463,6 +471,7 @@
 }
 
 func (w *World) tell(rep feed.Report, from int) error {
+	w.told = true
 	a, err := w.tally.Take(w.now, rep)
 	if err != nil {
 		return w.refusal(err)
