--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -23,6 +23,7 @@
 	deafFor    = 200 * time.Millisecond
 	retryIn    = time.Second // for readers of a source that has nothing yet
 	ageHead    = "Feed-Age-Ms"
+	headBytes  = 300  // of a question's and an answer's headers, about
 	mostServed = 4096 // polls at a time, unless told
 )
 
@@ -118,7 +119,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	s.send(w, r, d)
+	s.send(w, r, d, len(body))
 }
 
 // hear brings the source a reader's word.
@@ -177,8 +178,8 @@
 	}
 }
 
-// send writes a delta, within a time that doesn't hang on its reader.
-func (s *Server) send(w http.ResponseWriter, r *http.Request, d *feed.Delta) {
+// send writes a delta, within a time that doesn't hang on its reader, and tells the source what it and its question took.
+func (s *Server) send(w http.ResponseWriter, r *http.Request, d *feed.Delta, asked int) {
 	text, err := format.Marshal(d)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -190,6 +191,7 @@
 			w.Header().Set(packedHead, zipWord)
 		}
 	}
+	s.from.Do(func(_ time.Duration, src *feed.Source) { src.Sent(d.For.Name, d, asked+len(text)+headBytes) })
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, err = w.Write(text)
