--- a/internal/scale/run/control.go
+++ b/internal/scale/run/control.go
@@ -68,8 +68,8 @@
 	return all, nil
 }
 
-// putsOf is how many targets go in one change: well under its size.
-const putsOf = 1000
+// putsOf is how many targets go in one change where many come: a change goes to a reader in one piece.
+const putsOf = 50
 
 // put has targets changed, and tells the version with which all of it is.
 func (f *fleet) put(ctx context.Context, e []listing.Entry) (version uint64, err error) {
--- a/internal/scale/run/measure.go
+++ b/internal/scale/run/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,12 +32,11 @@
 	Settled     float64 `json:"settled_s"` // after the last change, or the fault's end, until all had the newest; -1: they had not
 	Lags        string  `json:"lags,omitempty"`
 	// For each hollow initiator.
-	Core     float64 `json:"core"`     // part of one, beyond what it takes switched off
-	CoreIdle float64 `json:"core_off"` // switched off
-	Memory   float64 `json:"memory_b"`
-	In       float64 `json:"in_b_s"`
-	Out      float64 `json:"out_b_s"`
-	Moves    uint64  `json:"moves"` // to other relays, of all
+	Kinds    map[kind]Each `json:"kinds,omitempty"`
+	CoreIdle float64       `json:"core_off"` // switched off, part of a core
+	In       float64       `json:"in_b_s"`
+	Out      float64       `json:"out_b_s"`
+	Moves    uint64        `json:"moves"` // to other relays, of all
 	// Of control.
 	Leader   Role    `json:"leader"`
 	Follower Role    `json:"follower"`     // the dearest
@@ -44,6 +44,30 @@
 	LogBytes float64 `json:"log_b_change"` // growth of an agent's folder for each change
 }
 
+// Each is what each hollow initiator of a kind takes.
+type Each struct {
+	Number int     `json:"number"`
+	Core   float64 `json:"core"` // part of one, beyond what it takes switched off
+	Memory float64 `json:"memory_b"`
+}
+
+// dearest is the most that an initiator of any kind takes, and usual what one takes of the kind that most are of.
+func (r *Row) dearest() (e Each) {
+	for _, k := range r.Kinds {
+		e.Core, e.Memory = max(e.Core, k.Core), max(e.Memory, k.Memory)
+	}
+	return e
+}
+
+func (r *Row) usual() (e Each) {
+	for _, k := range r.Kinds {
+		if k.Number > e.Number {
+			e = k
+		}
+	}
+	return e
+}
+
 // Role is what a process of control has taken.
 type Role struct {
 	Core   float64 `json:"core"`
@@ -97,17 +121,18 @@
 // between fills in what all took between two snapshots.
 func (f *fleet) between(a, b snapshot, r *Row) {
 	r.Seconds = b.at.Sub(a.at).Seconds()
-	var cpu time.Duration
-	var rss int64
+	r.Kinds = map[kind]Each{}
 	for i := range b.hosts {
-		cpu += b.hosts[i].CPU
-		if i < len(a.hosts) {
-			cpu -= a.hosts[i].CPU
-		}
-		rss += b.hosts[i].RSS
+		x := role(a.hosts[i], b.hosts[i], r.Seconds)
+		e := r.Kinds[f.kinds[i]]
+		e.Number, e.Core, e.Memory = e.Number+f.counts[i], e.Core+x.Core, e.Memory+float64(x.Memory)
+		r.Kinds[f.kinds[i]] = e
+	}
+	for k, e := range r.Kinds {
+		e.Core, e.Memory = e.Core/float64(e.Number)-r.CoreIdle, e.Memory/float64(e.Number)
+		r.Kinds[k] = e
 	}
 	n := float64(max(1, f.hollow))
-	r.Core, r.Memory = cpu.Seconds()/r.Seconds/n-r.CoreIdle, float64(rss)/n
 	r.In, r.Out = float64(b.in-a.in)/r.Seconds/n, float64(b.out-a.out)/r.Seconds/n
 	r.Moves = b.moves - a.moves
 	leader := -1
@@ -215,28 +240,40 @@
 }
 
 func (r *Row) line() string {
-	return fmt.Sprintf("%d initiators, %d targets, %.3g changes/s: %d in force at half %.0f, 99%% %.0f, last %.0f ms (%s; targets %.0f, configuration %.0f), %d missing; each %.3f%% core, %.1f MB, %.2f+%.2f KB/s; leader %.2f, relay %.2f core",
-		r.Initiators, r.Targets, r.Rate, r.Changes, r.Half, r.Most, r.Last, r.Who, r.LastTargets, r.LastConfig, r.Missing, 100*r.Core, r.Memory/1e6, r.In/1e3, r.Out/1e3, r.Leader.Core, r.Relay.Core)
+	return fmt.Sprintf("%d initiators, %d targets, %.3g changes/s: %d in force at half %.0f, 99%% %.0f, last %.0f ms (%s; targets %.0f, configuration %.0f), %d missing; each %s, %.2f+%.2f KB/s; leader %.2f, relay %.2f core",
+		r.Initiators, r.Targets, r.Rate, r.Changes, r.Half, r.Most, r.Last, r.Who, r.LastTargets, r.LastConfig, r.Missing, r.kinds(), r.In/1e3, r.Out/1e3, r.Leader.Core, r.Relay.Core)
+}
+
+// kinds tells what each takes, by kind.
+func (r *Row) kinds() string {
+	var all []string
+	for _, k := range slices.Sorted(maps.Keys(r.Kinds)) {
+		all = append(all, fmt.Sprintf("%s %.3f%% core %.1f MB", k, 100*r.Kinds[k].Core, r.Kinds[k].Memory/1e6))
+	}
+	return strings.Join(all, ", ")
 }
 
-// off measures the hollow initiators switched off: what their processes take anyway, as a part of a core for each.
-func (f *fleet) off() (float64, error) {
-	if f.hollow == 0 {
+// off measures hosts from one on, whose initiators are all switched off: what their processes take anyway, as a part of a core for each.
+func (f *fleet) off(from int) (float64, error) {
+	n := 0
+	for _, some := range f.counts[from:] {
+		n += some
+	}
+	if n == 0 {
 		return 0, errNobody
 	}
-	if _, err := f.each(order{Do: "gc"}); err != nil {
-		return 0, err
+	for _, p := range f.hosts[from:] {
+		if err := p.tell(order{Do: "gc"}, nil); err != nil {
+			return 0, err
+		}
 	}
-	a, err := f.snapshot()
-	if err != nil {
-		return 0, err
+	used := func() (cpu time.Duration) {
+		for _, p := range f.hosts[from:] {
+			cpu += p.used().CPU
+		}
+		return cpu
 	}
+	before, began := used(), time.Now()
 	f.pause(idle)
-	b, err := f.snapshot()
-	if err != nil {
-		return 0, err
-	}
-	var r Row
-	f.between(a, b, &r)
-	return r.Core, nil
+	return (used() - before).Seconds() / time.Since(began).Seconds() / float64(n), nil
 }
--- a/internal/scale/run/print.go
+++ b/internal/scale/run/print.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"image/color"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"text/tabwriter"
 
 	"gonum.org/v1/plot"
@@ -30,10 +32,18 @@
 	fmt.Fprintf(out, "%s, by %s, %s, seed %d: %d processes of hollow initiators, %d of these run the module and %d are members; %.0f s on %d cores\n\n", r.Name, r.Mechanism, r.Date, r.Seed,
 		r.Hosts, r.Modules, r.Members, r.Seconds, r.Cores)
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "of\tinitiators\ttargets\tchanges/s\tchanges\tfailed\thalf ms\t99% ms\tlast ms\tlast one\ttargets ms\tconfig ms\tprimary ms\tmissing\tsettled s\tcore %\toff %\tMB\tin B/s\tout B/s\tmoves\t")
+	fmt.Fprintln(t, "of\tinitiators\ttargets\tchanges/s\tchanges\tfailed\thalf ms\t99% ms\tlast ms\tlast one\ttargets ms\tconfig ms\tprimary ms\tmissing\tsettled s\toff %\tin B/s\tout B/s\tmoves\t")
 	for _, x := range r.Rows {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%.3g\t%d\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f\t%.0f\t%.0f\t%d\t%.1f\t%.4f\t%.4f\t%.1f\t%.0f\t%.0f\t%d\t\n", x.Of, x.Initiators, x.Targets, x.Rate, x.Changes, x.Failed, x.Half, x.Most, x.Last, x.Who,
-			x.LastTargets, x.LastConfig, x.Primary, x.Missing, x.Settled, 100*x.Core, 100*x.CoreIdle, x.Memory/1e6, x.In, x.Out, x.Moves)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3g\t%d\t%d\t%.0f\t%.0f\t%.0f\t%s\t%.0f\t%.0f\t%.0f\t%d\t%.1f\t%.4f\t%.0f\t%.0f\t%d\t\n", x.Of, x.Initiators, x.Targets, x.Rate, x.Changes, x.Failed, x.Half, x.Most, x.Last, x.Who,
+			x.LastTargets, x.LastConfig, x.Primary, x.Missing, x.Settled, 100*x.CoreIdle, x.In, x.Out, x.Moves)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "of\tinitiators\ttargets\tchanges/s\tkind\tof them\tcore %\tMB\t")
+	for _, x := range r.Rows {
+		for _, k := range slices.Sorted(maps.Keys(x.Kinds)) {
+			e := x.Kinds[k]
+			fmt.Fprintf(t, "%s\t%d\t%d\t%.3g\t%s\t%d\t%.4f\t%.2f\t\n", x.Of, x.Initiators, x.Targets, x.Rate, k, e.Number, 100*e.Core, e.Memory/1e6)
+		}
 	}
 	fmt.Fprintln(t)
 	fmt.Fprintln(t, "of\tinitiators\tleader core\tMB\tin B/s\tout B/s\tfds\tfollower core\tMB\tfds\trelay core\tMB\tin B/s\tout B/s\tfds\tlog B a change\t")
@@ -56,6 +66,9 @@
 	for _, u := range r.Ups {
 		fmt.Fprintf(out, "%d initiators are up and have the newest after %.1f s\n", u.Initiators, u.Seconds)
 	}
+	for _, m := range r.Mores {
+		fmt.Fprintf(out, "%d targets more: %d initiators had them after %.1f s, %d had not; a change right behind them took %.1f s to all\n", m.Targets, m.Initiators, m.Seconds, m.Without, m.Behind)
+	}
 	for _, n := range append(r.Notes, r.What...) {
 		fmt.Fprintln(out, n)
 	}
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"spindlehitch/internal/scale/hollow"
 	"spindlehitch/internal/scale/slope"
 )
 
@@ -23,12 +24,14 @@
 	Members   int      `json:"members"`
 	Rows      []Row    `json:"rows"`
 	Ups       []Up     `json:"ups"`
+	Mores     []More   `json:"mores"`
 	Fits      []Fit    `json:"fits"`
 	Checks    []Check  `json:"limits"`
 	Broken    int      `json:"broken"` // promises, by the judge
 	What      []string `json:"what,omitempty"`
 	Load      Load     `json:"load"`
 	Notes     []string `json:"notes,omitempty"`
+	idle      float64  // what an initiator takes switched off, at the last size
 }
 
 // Up is how long a number of initiators took to come up.
@@ -37,6 +40,15 @@
 	Seconds    float64 `json:"seconds"` // until the last had the newest versions; -1: not within the wait
 }
 
+// More is how long it took until all had targets that came in one go, at the rate that each may be sent.
+type More struct {
+	Targets    int     `json:"targets"`
+	Initiators int     `json:"initiators"`
+	Seconds    float64 `json:"seconds"`
+	Without    int     `json:"without"`  // that had not all of them when the wait was over
+	Behind     float64 `json:"behind_s"` // that a single change made right after them took to all
+}
+
 // Load is what became of the load on real initiators.
 type Load struct {
 	Asked   int64 `json:"asked"`
@@ -65,7 +77,7 @@
 	}
 	defer f.close()
 	r := &Result{Name: spec.Name, Mechanism: spec.Mechanism, Date: time.Now().Format(time.DateOnly), Seed: spec.Seed, Modules: spec.Modules, Members: spec.Members}
-	for _, step := range []func(*Result) error{f.agreement, f.targetSizes, f.initiatorSizes, f.changeSizes, f.suffer} {
+	for _, step := range []func(*Result) error{f.agreement, f.initiatorSizes, f.targetSizes, f.changeSizes, f.suffer} {
 		if err := step(r); err != nil {
 			return nil, errors.Join(ctx.Err(), err)
 		}
@@ -82,12 +94,16 @@
 	return r, nil
 }
 
+// bringUp is how long is waited for initiators that have to be sent all there is.
+const bringUp = 10 * time.Minute
+
 // size brings the fleet to so many hollow initiators, measures them switched off and has them come up.
 func (f *fleet) size(n int, r *Result) (coreIdle float64, err error) {
+	from := len(f.hosts)
 	if err := f.scale(n); err != nil {
 		return 0, err
 	}
-	if coreIdle, err = f.off(); err != nil {
+	if coreIdle, err = f.off(from); err != nil {
 		return 0, err
 	}
 	w := f.newWriter(uint64(n))
@@ -99,7 +115,7 @@
 	if _, err := f.each(order{Do: "on", Seed: f.spec.Seed}); err != nil {
 		return 0, err
 	}
-	_, s, err := f.reached([]mark{m}, long)
+	_, s, err := f.reached([]mark{m}, bringUp)
 	if err != nil {
 		return 0, err
 	}
@@ -150,23 +166,19 @@
 	has, n, took := real(), float64(f.spec.Real), after.at.Sub(before.at).Seconds()
 	row.In, row.Out = float64(after.hosts[0].In-before.hosts[0].In)/took/n, float64(after.hosts[0].Out-before.hosts[0].Out)/took/n
 	other := Row{Of: "real", Initiators: f.spec.Real, Targets: row.Targets, Rate: row.Rate, Seconds: took, Changes: row.Changes, Half: -1, Most: -1, Last: -1,
-		Core: (has.CPU - had.CPU).Seconds() / took / n, Memory: float64(has.RSS) / n, In: float64(has.In-had.In) / took / n, Out: float64(has.Out-had.Out) / took / n}
+		Kinds: map[kind]Each{"real": {f.spec.Real, (has.CPU - had.CPU).Seconds() / took / n, float64(has.RSS) / n}}, In: float64(has.In-had.In) / took / n, Out: float64(has.Out-had.Out) / took / n}
 	r.Rows = append(r.Rows, row, other)
-	f.say("hollow and real, %d each: read %.0f and %.0f, written %.0f and %.0f B/s each, %.4f and %.4f core each", f.spec.Real, row.In, other.In, row.Out, other.Out, row.Core, other.Core)
+	f.say("hollow and real, %d each: read %.0f and %.0f, written %.0f and %.0f B/s each, %.4f and %.4f core each", f.spec.Real, row.In, other.In, row.Out, other.Out, row.usual().Core, other.usual().Core)
 	f.load.start(f.ends, f.spec.Answering)
 	return nil
 }
 
 func (f *fleet) targetSizes(r *Result) error {
-	idle, err := f.size(max(f.spec.Initiators[0], f.hollow), r)
-	if err != nil {
-		return err
-	}
 	for _, n := range f.spec.Targets {
-		if err := f.more(n); err != nil {
+		if err := f.more(n, r); err != nil {
 			return err
 		}
-		row, err := f.measure("targets", f.spec.Changes[0], idle)
+		row, err := f.measure("targets", f.spec.Changes[0], r.idle)
 		if err != nil {
 			return err
 		}
@@ -176,7 +188,7 @@
 }
 
 // more has so many targets in all, and waits until all initiators know them.
-func (f *fleet) more(n int) error {
+func (f *fleet) more(n int, r *Result) error {
 	if n <= len(f.entries) {
 		return nil
 	}
@@ -187,21 +199,31 @@
 	if err != nil {
 		return err
 	}
-	took, s, err := f.reached([]mark{{Lane: "targets", Version: v}}, long)
+	took, s, err := f.reached([]mark{{Lane: hollow.Targets, Version: v}}, bringUp)
 	f.say("%d targets more: %d of %d had them after %.1f s", len(added), s.Reached, s.Running, took.Seconds())
+	if err != nil {
+		return err
+	}
+	// What each may be sent was used up by them: how long a single change takes behind them.
+	m, err := f.newWriter(uint64(n)).target(f.ctx)
+	if err != nil {
+		return err
+	}
+	behind, late, err := f.reached([]mark{m}, bringUp)
+	f.say("one change behind them: %d of %d had it after %.1f s", late.Reached, late.Running, behind.Seconds())
+	r.Mores = append(r.Mores, More{len(added), f.hollow, took.Seconds(), f.hollow - s.Reached, behind.Seconds()})
 	return err
 }
 
 func (f *fleet) initiatorSizes(r *Result) error {
 	for _, n := range f.spec.Initiators {
-		idle := 0.0
 		if n > f.hollow {
 			var err error
-			if idle, err = f.size(n, r); err != nil {
+			if r.idle, err = f.size(n, r); err != nil {
 				return err
 			}
 		}
-		row, err := f.measure("initiators", f.spec.Changes[0], idle)
+		row, err := f.measure("initiators", f.spec.Changes[0], r.idle)
 		if err != nil {
 			return err
 		}
@@ -212,7 +234,7 @@
 
 func (f *fleet) changeSizes(r *Result) error {
 	for _, rate := range f.spec.Changes {
-		row, err := f.measure("changes", rate, 0)
+		row, err := f.measure("changes", rate, r.idle)
 		if err != nil {
 			return err
 		}
@@ -231,7 +253,8 @@
 		for _, c := range []struct {
 			name string
 			cost func(Row) float64
-		}{{"last in force, ms", func(r Row) float64 { return r.Last }}, {"initiator, core", func(r Row) float64 { return r.Core }}, {"initiator, B", func(r Row) float64 { return r.Memory }},
+		}{{"last in force, ms", func(r Row) float64 { return r.Last }}, {"initiator, core", func(r Row) float64 { return r.usual().Core }}, {"initiator, B", func(r Row) float64 { return r.usual().Memory }},
+			{"initiator with a copy on disk, core", func(r Row) float64 { return r.Kinds[onDisk].Core }}, {"initiator with a module, core", func(r Row) float64 { return r.Kinds[deciding].Core }},
 			{"initiator, B/s", func(r Row) float64 { return r.In + r.Out }}, {"leader, core", func(r Row) float64 { return r.Leader.Core }}, {"leader, B/s", func(r Row) float64 { return r.Leader.In + r.Leader.Out }},
 			{"leader, descriptors", func(r Row) float64 { return float64(r.Leader.FDs) }}, {"relay, core", func(r Row) float64 { return r.Relay.Core }}, {"relay, B/s", func(r Row) float64 { return r.Relay.In + r.Relay.Out }},
 			{"relay, descriptors", func(r Row) float64 { return float64(r.Relay.FDs) }}, {"log, B a change", func(r Row) float64 { return r.LogBytes }}} {
@@ -275,8 +298,8 @@
 		if row.Primary > 0 {
 			primary.take(row.Primary / 1000)
 		}
-		core.take(row.Core)
-		memory.take(row.Memory / 1e6)
+		core.take(row.dearest().Core)
+		memory.take(row.dearest().Memory / 1e6)
 		wire.take((row.In + row.Out) / 1e3)
 		leader.take(row.Leader.Core)
 		if s.Relays > 0 && s.Mechanism == "feed" {
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,7 +45,9 @@
 	relayAt []relayAt
 	ways    map[string]ways
 	hosts   []*proc
-	hollow  int // initiators in hosts
+	kinds   []kind // of each host's initiators
+	counts  []int  // how many each has
+	hollow  int    // initiators in hosts
 	reals   []*proc
 	ends    []string                  // the reals' addresses
 	links   map[string][]*faults.Link // of each region, to all that is outside it
@@ -223,34 +226,54 @@
 	return all, nil
 }
 
+// kind is what a host's initiators have beside the rest: each kind is measured by itself.
+type kind string
+
+const (
+	plain    kind = "plain"
+	onDisk   kind = "disk"   // they keep a copy of what they have
+	deciding kind = "module" // they run the module
+)
+
+// kindOf is that of the initiator of a number: kinds are spread evenly, so that each size has its share.
+func (f *fleet) kindOf(i int) kind {
+	switch {
+	case every(i, f.spec.Modules, f.spec.all()):
+		return deciding
+	case f.byFeed() && every(i, f.spec.Disk, f.spec.all()):
+		return onDisk
+	}
+	return plain
+}
+
 // scale starts hosts until so many hollow initiators are there, off as yet.
 func (f *fleet) scale(to int) error {
 	ways, err := f.waysOf()
 	if err != nil {
 		return err
 	}
-	for f.hollow < to {
-		n := min(f.spec.PerProcess, to-f.hollow)
-		p := &proc{name: fmt.Sprint("host-", len(f.hosts)), path: f.opt.Self, args: []string{"host"}, dir: f.dir}
-		if err := p.start(true); err != nil {
-			return err
-		}
-		f.hosts = append(f.hosts, p)
-		o := order{Do: "add", Ways: ways, Crowd: f.spec.all(), Dir: f.dir, Fleet: fleetName}
-		if !f.byFeed() {
-			o.Known = f.service.list()
-		}
-		for range n {
-			i := f.hollow
-			// Modules are spread over the initiators, so that each size has its share.
-			o.Add = append(o.Add, hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i),
-				Module: every(i, f.spec.Modules, f.spec.all()), Disk: every(i, f.spec.Disk, f.spec.all())})
-			f.hollow++
-		}
-		if err := p.tell(o, nil); err != nil {
-			return err
+	groups := map[kind][]hollowSpec{}
+	for i := f.hollow; i < to; i++ {
+		k := f.kindOf(i)
+		groups[k] = append(groups[k], hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i), Module: k == deciding, Disk: k == onDisk})
+	}
+	for _, k := range []kind{plain, onDisk, deciding} {
+		for some := range slices.Chunk(groups[k], f.spec.PerProcess) {
+			p := &proc{name: fmt.Sprint("host-", len(f.hosts)), path: f.opt.Self, args: []string{"host"}, dir: f.dir}
+			if err := p.start(true); err != nil {
+				return err
+			}
+			f.hosts, f.kinds, f.counts = append(f.hosts, p), append(f.kinds, k), append(f.counts, len(some))
+			o := order{Do: "add", Add: some, Ways: ways, Crowd: f.spec.all(), Dir: f.dir, Fleet: fleetName}
+			if !f.byFeed() {
+				o.Known = f.service.list()
+			}
+			if err := p.tell(o, nil); err != nil {
+				return err
+			}
 		}
 	}
+	f.hollow = max(f.hollow, to)
 	return nil
 }
 
