--- a/internal/scale/run/proc.go
+++ b/internal/scale/run/proc.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -207,20 +208,29 @@
 	return kB << 10 / 2, nil
 }
 
+// ports is the next port to try: each is given out once.
+var ports atomic.Int64
+
 // freeAddrs finds ports of the loopback that nobody listens on, below those that the kernel gives to connections.
 func freeAddrs(n int) (addrs []string, err error) {
 	const first, many = 10_000, 20_000
-	for i := os.Getpid() * 131; len(addrs) < n; i++ {
-		if i > os.Getpid()*131+many {
-			return nil, errors.New("no free ports")
+	ports.CompareAndSwap(0, int64(os.Getpid())*131)
+	for range many {
+		if len(addrs) == n {
+			return addrs, nil
+		}
+		addr := fmt.Sprint("127.0.0.1:", first+ports.Add(1)%many)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
 		}
-		addr := fmt.Sprint("127.0.0.1:", first+i%many)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			l.Close()
+		l.Close()
+		if u, err := net.ListenPacket("udp", addr); err == nil {
+			u.Close()
 			addrs = append(addrs, addr)
 		}
 	}
-	return addrs, nil
+	return nil, errors.New("no free ports")
 }
 
 // folderSize is how many bytes the files below a folder have.
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -45,9 +45,10 @@
 	relayAt []relayAt
 	ways    map[string]ways
 	hosts   []*proc
-	kinds   []kind // of each host's initiators
-	counts  []int  // how many each has
-	hollow  int    // initiators in hosts
+	kinds   []kind   // of each host's initiators
+	counts  []int    // how many each has
+	hollow  int      // initiators in hosts
+	seeds   []string // members that others begin with
 	reals   []*proc
 	ends    []string                  // the reals' addresses
 	links   map[string][]*faults.Link // of each region, to all that is outside it
@@ -233,13 +234,19 @@
 	plain    kind = "plain"
 	onDisk   kind = "disk"   // they keep a copy of what they have
 	deciding kind = "module" // they run the module
+	member   kind = "member" // they know each other
 )
 
+// mostSeeds is how many members others are told of at their start.
+const mostSeeds = 8
+
 // kindOf is that of the initiator of a number: kinds are spread evenly, so that each size has its share.
 func (f *fleet) kindOf(i int) kind {
 	switch {
 	case every(i, f.spec.Modules, f.spec.all()):
 		return deciding
+	case every(i, f.spec.Members, f.spec.all()):
+		return member
 	case f.byFeed() && every(i, f.spec.Disk, f.spec.all()):
 		return onDisk
 	}
@@ -255,9 +262,20 @@
 	groups := map[kind][]hollowSpec{}
 	for i := f.hollow; i < to; i++ {
 		k := f.kindOf(i)
-		groups[k] = append(groups[k], hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i), Module: k == deciding, Disk: k == onDisk})
+		x := hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i), Module: k == deciding, Disk: k == onDisk}
+		if k == member {
+			bind, err := freeAddrs(1)
+			if err != nil {
+				return err
+			}
+			x.Bind, x.Seeds = bind[0], f.seeds
+			if len(f.seeds) < mostSeeds {
+				f.seeds = append(slices.Clone(f.seeds), x.Bind)
+			}
+		}
+		groups[k] = append(groups[k], x)
 	}
-	for _, k := range []kind{plain, onDisk, deciding} {
+	for _, k := range []kind{plain, onDisk, member, deciding} {
 		for some := range slices.Chunk(groups[k], f.spec.PerProcess) {
 			p := &proc{name: fmt.Sprint("host-", len(f.hosts)), path: f.opt.Self, args: []string{"host"}, dir: f.dir}
 			if err := p.start(true); err != nil {
