--- /dev/null
+++ b/internal/scale/hollow/hollow_test.go
@@ -0,0 +1,200 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spindlehitch"
+	"spindlehitch/internal/config"
+	edge "spindlehitch/internal/feed"
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/listing"
+	"spindlehitch/internal/monotone"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// set is the least that a module takes.
+func set(t *testing.T) spindlehitch.Settings {
+	t.Helper()
+	var o config.Options
+	require.NoError(t, json.Unmarshal([]byte(`{"peersTotal":1,"tickUs":2000,"classes":[{"name":"position-read","promiseUs":5000000,"deadlineUs":20000000,"effect":"pure","worth":3}],
+ "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8},"limits":{"sendCap":3}}`), &o))
+	s, err := o.Module()
+	require.NoError(t, err)
+	return s
+}
+
+func target(id string, cell int, turn int64, state string) listing.Entry {
+	return listing.Entry{ID: id, Addr: "127.0.0.1:9", Zone: "z", Cell: &cell, State: state, Started: turn}
+}
+
+// source serves a store of the feed.
+type source struct {
+	mu      sync.Mutex
+	store   *feed.Store
+	source  *feed.Source
+	changed chan struct{}
+}
+
+// Do implements edge.Origin.
+func (s *source) Do(f func(time.Duration, *feed.Source)) (<-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := monotone.Now()
+	s.source.Fresh(now)
+	f(now, s.source)
+	return s.changed, true
+}
+
+func (s *source) put(t *testing.T, puts ...feed.Put) uint64 {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, err := s.store.Apply(feed.Change{Fleet: "f", Epoch: "e", Puts: puts})
+	require.NoError(t, err)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return v
+}
+
+func put(e listing.Entry) feed.Put {
+	text, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	return feed.Put{Kind: feed.Targets, Key: e.ID, Value: text}
+}
+
+func newSource(t *testing.T) (s *source, addr string) {
+	t.Helper()
+	s = &source{store: feed.NewStore("f", feed.Limits{}), changed: make(chan struct{})}
+	s.source = feed.NewSource(s.store, feed.SourceOptions{}, 1)
+	mux := http.NewServeMux()
+	server := edge.NewServer(s, 0)
+	server.Routes(mux)
+	front := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		server.Stop()
+		front.Close()
+	})
+	return s, strings.TrimPrefix(front.URL, "http://")
+}
+
+func reaches(t *testing.T, in *Initiator, lane Lane, v uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool { in.Poll(); return in.Journal.At(lane) >= v }, time.Minute, 5*time.Millisecond, "%s %d", lane, v)
+}
+
+// TestFeed has a hollow initiator with a module and a copy on disk follow changes, and start again.
+func TestFeed(t *testing.T) {
+	s, addr := newSource(t)
+	s.put(t, put(target("a", 0, 0, serving)), put(target("b", 1, 0, serving)))
+	s.put(t, feed.Put{Kind: feed.Config, Key: "shared", Value: []byte(`{"limits":{"sockets":100}}`)})
+	module := set(t)
+	in := New(Options{Name: "h1", Region: "r", Zone: "z", Module: &module, Log: quiet,
+		Feed: &edge.Options{Fleet: "f", Name: "h1", Region: "r", Zone: "z", Dir: t.TempDir(), Relays: []feed.Relay{{ID: "r1", Region: "r", Addr: addr}}}})
+	require.NoError(t, in.Start())
+	reaches(t, in, Targets, 1)
+	reaches(t, in, Config, 2)
+	reaches(t, in, Targets, s.put(t, put(target("a", 0, 1, "DRAINING"))))
+	reaches(t, in, Targets, s.put(t, put(target("a", 0, 2, serving)), put(target("b", 1, 1, "DRAINING"))))
+	in.Stop(true)
+	require.False(t, in.Running())
+	read, written, _ := in.Wire()
+	require.Positive(t, read)
+	require.Positive(t, written)
+	in.Journal.Lives(true)
+	v := s.put(t, put(target("b", 1, 2, serving)))
+	require.NoError(t, in.Start())
+	reaches(t, in, Targets, v)
+	in.Stop(false)
+	n, what := in.Journal.Broken()
+	require.Zero(t, n, what)
+}
+
+// TestModuleSends shows that the judge sees what the module sends: once a target's drain is told, the module is tried at it and sends nothing
+// there; told by a list that the module never gets, it would be found out.
+func TestModuleSends(t *testing.T) {
+	j := NewJournal("h1")
+	m, err := newModule(set(t), 1, j)
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	go m.run(ctx)
+	defer func() { stop(); <-m.ended }()
+	v := int64(1)
+	require.True(t, m.wait(&listing.List{Version: &v, Full: true, Servers: listing.Entries{target("a", 0, 0, serving), target("b", 1, 0, serving)}}))
+	require.True(t, m.wait(&listing.List{Version: &v, Servers: listing.Entries{target("a", 0, 1, "DRAINING"), target("b", 1, 1, serving)}}))
+	require.True(t, m.wait(&listing.List{Version: &v, Servers: listing.Entries{target("b", 1, 2, serving)}}))
+	n, what := j.Broken()
+	require.Zero(t, n, what)
+	j.Told([]listing.Entry{target("b", 1, 3, "DRAINING")}) // which the module does not hear
+	require.True(t, m.wait(&listing.List{Version: &v, Servers: listing.Entries{{ID: "b", Addr: "127.0.0.1:9", Cell: new(int), State: serving, Zone: "z", Started: 2}}}))
+	n, what = j.Broken()
+	require.Positive(t, n, what)
+}
+
+// TestDiscovery has a hollow initiator take its list from discovery and its configuration from an agent.
+func TestDiscovery(t *testing.T) {
+	changed := make(chan struct{})
+	found := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch after := r.URL.Query().Get("after"); after {
+		case "":
+			fmt.Fprint(w, `{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:9","cell":0,"state":"SERVING"}]}`)
+		case "1":
+			<-changed
+			fmt.Fprint(w, `{"version":2,"full":false,"servers":[{"id":"a","addr":"127.0.0.1:9","cell":0,"state":"DRAINING","started_ms":1}]}`)
+		default:
+			<-r.Context().Done()
+		}
+	}))
+	defer found.Close()
+	agents := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") == "0" {
+			fmt.Fprint(w, `{"name":"h1","version":7,"config":{}}`)
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer agents.Close()
+	at := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	in := New(Options{Name: "h1", Discovery: at(found), Agents: []string{at(agents)}, Log: quiet})
+	require.NoError(t, in.Start())
+	defer in.Stop(true)
+	reaches(t, in, Targets, 1)
+	reaches(t, in, Config, 7)
+	close(changed)
+	reaches(t, in, Targets, 2)
+	n, what := in.Journal.Broken()
+	require.Zero(t, n, what)
+}
+
+// TestDeaf makes calls that a source answers, for one that does not read.
+func TestDeaf(t *testing.T) {
+	s, addr := newSource(t)
+	s.put(t, put(target("a", 0, 0, serving)))
+	in := New(Options{Name: "h1", Region: "r", Zone: "z", Log: quiet, Feed: &edge.Options{Fleet: "f", Relays: []feed.Relay{{ID: "r0", Region: "q", Addr: "127.0.0.1:9"}, {ID: "r1", Region: "r", Addr: addr}}}})
+	to, request, err := in.Asks("deaf-1")
+	require.NoError(t, err)
+	require.Equal(t, addr, to)
+	c, err := net.Dial("tcp", to)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write(request)
+	require.NoError(t, err)
+	require.Eventually(t, func() (heard bool) {
+		s.Do(func(_ time.Duration, src *feed.Source) { heard = src.Readers() == 1 })
+		return heard
+	}, time.Minute, 5*time.Millisecond)
+}
