--- a/internal/scale/slope/agent.go
+++ b/internal/scale/slope/agent.go
@@ -175,6 +175,7 @@
 		Gives: []Gives{{Name: "leader.cpu", Unit: "us/s", Of: "the leader", Per: "member"},
 			{Name: "leader.wire", Unit: "B/s", Of: "renewals and answers at the leader, both ways", Per: "member"},
 			{Name: "leader.follower", Unit: "us/s", Of: "a follower", Per: "member"},
+			{Name: "renewer.cpu", Unit: "us/s", Of: "the members, their loops and HTTP", Per: "member"},
 			{Name: "leader.join", Unit: "us", Of: "the leader, joins", Per: "member"},
 			{Name: "leader.joins", Unit: "us", Of: "joins, 16 at a time", Per: "member"}},
 		Sizes: []float64{50, 100, 200, 400, 800}, Short: []float64{4, 8, 16, 32},
@@ -263,9 +264,9 @@
 	if err != nil {
 		return nil, err
 	}
-	start := time.Now()
+	start, own := time.Now(), cpu()
 	round(idleFor)
-	lasted := time.Since(start).Seconds()
+	lasted, mine := time.Since(start).Seconds(), float64((cpu() - own).Microseconds())
 	to, err := g.look()
 	if err != nil {
 		return nil, err
@@ -274,7 +275,7 @@
 		return nil, fmt.Errorf("%d renewals of %d members failed", n, size)
 	}
 	return []float64{(to[leader].CPU - warm[leader].CPU) / lasted, (to[leader].In + to[leader].Out - warm[leader].In - warm[leader].Out) / lasted,
-		(to[follower].CPU - warm[follower].CPU) / lasted, from[leader].CPU - before[leader].CPU, float64(joined.Microseconds())}, nil
+		(to[follower].CPU - warm[follower].CPU) / lasted, mine / lasted, from[leader].CPU - before[leader].CPU, float64(joined.Microseconds())}, nil
 }
 
 // atOnce does something for each of n, so many at a time, and returns the first error.
--- a/internal/scale/slope/fit.go
+++ b/internal/scale/slope/fit.go
@@ -24,15 +24,15 @@
 type Line struct {
 	Base, Rise  float64
 	Error       float64 // standard error of Rise
-	Power       float64 // 1 or 2
+	Power       float64 // 1; 2 of a square; any where the points lie on no line and no square
 	Noise       float64 // residual of the points fitted, as a part of each; root of the mean square
 	Least, Most float64 // sizes measured, the one left out included
 	Foretold    float64 // at the largest size, which was left out
 	Off         float64 // Foretold less what was measured there, as a part of it
 }
 
-// Fit fits what was measured at four sizes or more, the largest left out and foretold from the rest. Of a line and a square it takes the one that is nearer to
-// the points fitted. Each counts by its distance as a part of itself, or the larger sizes would drown the smaller ones.
+// Fit fits what was measured at four sizes or more, the largest left out and foretold from the rest. It is a line, unless the points lie clearly nearer to a
+// square or to another power of the size. Each counts by its distance as a part of itself, or the larger sizes would drown the smaller ones.
 func Fit(points []Point) (Line, error) {
 	points = slices.Clone(points)
 	slices.SortFunc(points, func(a, b Point) int {
@@ -54,9 +54,12 @@
 	}
 	rest, last := points[:len(points)-1], points[len(points)-1]
 	best := fit(rest, 1)
-	// A line is what is expected: a square has to be clearly nearer, where the line is clearly off.
-	if square := fit(rest, 2); best.Noise > bent && square.Noise < best.Noise/2 && square.Rise > 0 {
-		best = square
+	if best.Noise > bent {
+		for _, other := range []Line{fit(rest, 2), power(rest)} {
+			if other.Rise > 0 && other.Noise < best.Noise/2 {
+				best = other
+			}
+		}
 	}
 	best.Least, best.Most = rest[0].Size, last.Size
 	best.Foretold = best.Base + best.Rise*math.Pow(last.Size, best.Power)
@@ -66,6 +69,7 @@
 	return best, nil
 }
 
+// fit is a line through the sizes' powers.
 func fit(points []Point, power float64) Line {
 	x, y, w := make([]float64, len(points)), make([]float64, len(points)), make([]float64, len(points))
 	for i, p := range points {
@@ -76,16 +80,39 @@
 	}
 	l := Line{Power: power}
 	l.Base, l.Rise = stat.LinearRegression(x, y, w, false)
+	l.Noise, l.Error = residual(x, y, w, l.Base, l.Rise)
+	return l
+}
+
+// residual is the root of the mean square of what a line is off by, weighted, and the standard error of its rise.
+func residual(x, y, w []float64, base, rise float64) (noise, err float64) {
 	mean := stat.Mean(x, w)
 	square, spread := 0.0, 0.0
 	for i := range x {
-		r := y[i] - l.Base - l.Rise*x[i]
+		r := y[i] - base - rise*x[i]
 		square += w[i] * r * r
 		spread += w[i] * (x[i] - mean) * (x[i] - mean)
 	}
-	l.Noise = math.Sqrt(square / float64(len(x)))
 	if spread > 0 && len(x) > 2 {
-		l.Error = math.Sqrt(square / float64(len(x)-2) / spread)
+		err = math.Sqrt(square / float64(len(x)-2) / spread)
+	}
+	return math.Sqrt(square / float64(len(x))), err
+}
+
+// power is a line through the logarithms: a cost of Rise x size^Power. Its error is that of Rise at the sizes' middle.
+func power(points []Point) Line {
+	x, y, w := make([]float64, len(points)), make([]float64, len(points)), make([]float64, len(points))
+	for i, p := range points {
+		if p.Size <= 0 || p.Cost <= 0 {
+			return Line{Noise: math.Inf(1)}
+		}
+		x[i], y[i], w[i] = math.Log(p.Size), math.Log(p.Cost), 1
+	}
+	base, rise := stat.LinearRegression(x, y, w, false)
+	noise, _ := residual(x, y, w, base, rise)
+	l := Line{Rise: math.Exp(base), Power: rise, Noise: noise}
+	if len(x) > 2 {
+		l.Error = l.Rise * noise / math.Sqrt(float64(len(x)-2))
 	}
 	return l
 }
--- a/internal/scale/slope/fleet.go
+++ b/internal/scale/slope/fleet.go
@@ -107,6 +107,37 @@
 			}) / 2
 			return []float64{cost, join, held, float64(wire)}, nil
 		},
+	}, {
+		About: "internal/fleet/holder and giver: a renewal and its answer, as JSON, by targets that the member has connections to; 1,024 keys are the most that one member names",
+		Gives: []Gives{{Name: "renewal.wire", Unit: "B", Of: "a renewal and its answer", Per: "target used", Exact: true}},
+		Sizes: []float64{8, 32, 128, 512, 1000}, Short: []float64{8, 16, 32, 64},
+		Run: func(_ context.Context, size int) ([]float64, error) {
+			doc, err := budgets(10)
+			if err != nil {
+				return nil, err
+			}
+			now, m := time.Hour, member(0)
+			h := seated(now, m.ID, doc)
+			for k := used; k < size; k++ {
+				h.Open(now, target(k))
+			}
+			g := giver.New(now, doc, []fleet.Member{m})
+			now += time.Minute
+			wire := 0
+			for range 2 {
+				now += time.Second
+				r := h.Renew(now)
+				a, err := g.Renew(now, r)
+				if err != nil {
+					return nil, err
+				}
+				h.Accept(now, a)
+				asked, _ := json.Marshal(r)
+				told, _ := json.Marshal(a)
+				wire = len(asked) + len(told)
+			}
+			return []float64{float64(wire)}, nil
+		},
 	}, {
 		About: "internal/fleet/keeper: claims of 100 members that hold all shards of up to four tasks between them; what the log is asked to change, with nothing to do",
 		Gives: []Gives{{Name: "keeper.claim", Unit: "us", Of: "one claim", Per: "shard"}, {Name: "keeper.orders", Unit: "us", Of: "a look for orders, 100 members", Per: "shard"}},
--- a/internal/scale/slope/slope.go
+++ b/internal/scale/slope/slope.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed"
 	"fmt"
 	"math"
@@ -21,7 +22,7 @@
 //go:embed slopes.json
 var embedded []byte
 
-// Slope is what something costs for each of what it grows by: at a size it costs Base + Value x size^Power.
+// Slope is what something costs for each of what it grows by: beyond the sizes measured it costs Base + Value x size^Power.
 type Slope struct {
 	Name     string  `json:"name"`
 	Unit     string  `json:"unit"`     // of the cost: us, B, allocs, ...
@@ -44,8 +45,21 @@
 	About    string  `json:"about"`    // what was run, in a line
 }
 
-// At is the cost at a size, beyond the range measured as well.
-func (s Slope) At(size float64) float64 { return s.Base + s.Value*math.Pow(size, s.Power) }
+// At is the cost at a size. Between two sizes that were measured it lies on the power of the size that joins them; beyond all of them it is what was fitted.
+func (s Slope) At(size float64) float64 {
+	i, there := slices.BinarySearchFunc(s.Measured, size, func(p Point, size float64) int { return cmp.Compare(p.Size, size) })
+	switch {
+	case there:
+		return s.Measured[i].Cost
+	case i == 0 || i == len(s.Measured):
+		return s.Base + s.Value*math.Pow(size, s.Power)
+	}
+	a, b := s.Measured[i-1], s.Measured[i]
+	if a.Cost <= 0 || b.Cost <= 0 || a.Size <= 0 {
+		return a.Cost + (b.Cost-a.Cost)*(size-a.Size)/(b.Size-a.Size)
+	}
+	return a.Cost * math.Pow(size/a.Size, math.Log(b.Cost/a.Cost)/math.Log(b.Size/a.Size))
+}
 
 // Known tells whether it was measured.
 func (s Slope) Known() bool { return s.Name != "" }
@@ -142,12 +156,17 @@
 			return fmt.Errorf("%s: %v is no number from %v on", f.field, f.value, f.least)
 		}
 	}
-	if s.Power != 1 && s.Power != 2 {
-		return fmt.Errorf("power: %v is neither 1 nor 2", s.Power)
+	if !(s.Power > 0 && s.Power <= 5) {
+		return fmt.Errorf("power: %v is not over 0 and up to 5", s.Power)
 	}
 	if len(s.Measured) < fewest {
 		return fmt.Errorf("measured: %d sizes, wanted %d or more", len(s.Measured), fewest)
 	}
+	for i, p := range s.Measured {
+		if i > 0 && p.Size <= s.Measured[i-1].Size {
+			return fmt.Errorf("measured[%d].size: %v is not over the one before", i, p.Size)
+		}
+	}
 	if _, err := time.Parse(time.DateOnly, s.Date); err != nil {
 		return fmt.Errorf("date: %q is no date like 2026-12-02", s.Date)
 	}
