--- /dev/null
+++ b/internal/scale/slope/figure.go
@@ -0,0 +1,145 @@
+package slope
+
+import (
+	"math"
+	"slices"
+	"strings"
+)
+
+// Figure is one cost of a role at a size, held against its limit.
+type Figure struct {
+	Role, Of, When string // when: an ordinary day, the worst minute, ...
+	Unit           string
+	Names          []string // the slopes that it is reckoned from
+	Value          func(c costs, s Size, l Limits) float64
+	Limit          func(c costs, s Size, l Limits) float64 // nil: none is told
+	Mechanism      string
+	Untold         string // what has to be known for a verdict and was not told
+}
+
+// costs is what a figure is reckoned from.
+type costs struct {
+	t      *Table
+	beyond map[string]bool // slopes that were not measured at as large a size; nil: nobody asks
+}
+
+// at is the cost at a size.
+func (c costs) at(name string, size float64) float64 {
+	x := c.t.At(name)
+	if c.beyond != nil && size > x.Most {
+		c.beyond[name] = true
+	}
+	return x.At(size)
+}
+
+// each is what one more costs, where the base is the fleet's own or the other end's.
+func (c costs) each(name string) float64 {
+	x := c.t.At(name)
+	if x.Power != 1 {
+		return x.At(x.Most) / x.Most
+	}
+	return x.Value
+}
+
+// most is the largest size that was measured.
+func (c costs) most(name string) float64 { return c.t.At(name).Most }
+
+// Verdict is how a figure stands.
+type Verdict string
+
+const (
+	Holds   Verdict = "holds"
+	Lacks   Verdict = "lacks"
+	Unknown Verdict = "not known"
+)
+
+// Judged is a figure at the table's size.
+type Judged struct {
+	Figure
+	Value   float64
+	Limit   float64 // 0: none is told
+	Verdict Verdict
+	Factor  float64  // value over limit
+	Breaks  float64  // the smallest fleet, in initiators with the same proportions, at which the limit is passed; 0: none up to ten times the size
+	Beyond  []string // slopes that were not measured at as large a size
+}
+
+// Judge holds every figure against its limit.
+func (t *Table) Judge() (all []Judged) {
+	for _, f := range Figures() {
+		all = append(all, t.judge(f))
+	}
+	return all
+}
+
+// mostTimes is how many times the size a limit is looked for.
+const mostTimes = 10
+
+func (t *Table) judge(f Figure) Judged {
+	j := Judged{Figure: f, Verdict: Unknown}
+	for _, n := range f.Names {
+		if !t.At(n).Known() {
+			return j
+		}
+	}
+	c := costs{t, map[string]bool{}}
+	j.Value = f.Value(c, t.Size, t.Limits)
+	for n := range c.beyond {
+		j.Beyond = append(j.Beyond, n)
+	}
+	slices.Sort(j.Beyond)
+	if f.Limit == nil {
+		return j
+	}
+	j.Limit = f.Limit(c, t.Size, t.Limits)
+	j.Factor = j.Value / j.Limit
+	if f.Untold != "" {
+		return j
+	}
+	j.Verdict = Holds
+	if j.Factor > 1 {
+		j.Verdict = Lacks
+	}
+	j.Breaks = t.breaks(f)
+	return j
+}
+
+// breaks is the smallest fleet whose figure passes its limit.
+func (t *Table) breaks(f Figure) float64 {
+	passed := func(n float64) bool {
+		s, c := t.Size.Of(n), costs{t: t}
+		return f.Value(c, s, t.Limits) > f.Limit(c, s, t.Limits)
+	}
+	// The first of ever larger fleets, and then between it and the one before.
+	lo, hi := 0.0, 1.0
+	for ; !passed(hi); lo, hi = hi, hi*1.25 {
+		if hi > mostTimes*t.Size.Initiators {
+			return 0
+		}
+	}
+	for range 40 {
+		if mid := (lo + hi) / 2; passed(mid) {
+			hi = mid
+		} else {
+			lo = mid
+		}
+	}
+	return math.Ceil(hi)
+}
+
+// Rank is what the fleet's size does not bear, the first to break first.
+func (t *Table) Rank() []Judged {
+	all := slices.DeleteFunc(t.Judge(), func(j Judged) bool { return j.Verdict != Lacks })
+	slices.SortStableFunc(all, func(a, b Judged) int { return int(a.Breaks - b.Breaks) })
+	return all
+}
+
+// Missing is the mechanisms that are not there for the size, the one that breaks first first, each with the figure that breaks first.
+func (t *Table) Missing() (all []Judged) {
+	for _, j := range t.Rank() {
+		if !slices.ContainsFunc(all, func(x Judged) bool { return strings.EqualFold(x.Mechanism, j.Mechanism) }) {
+			all = append(all, j)
+		}
+	}
+	return all
+}
--- a/internal/scale/slope/size.go
+++ b/internal/scale/slope/size.go
@@ -17,8 +17,27 @@
 	Restarts       float64 `json:"restarts_day"` // of machines that are restarted or replaced
 	InitiatorsBack float64 `json:"initiator_restarts_day"`
 	Burst          float64 `json:"burst_changes_s"` // the worst minute's changes of configuration
+	Entries        float64 `json:"entries_each"`    // of the list, for a machine that goes and comes: it drains, is gone, another is up
+	Config         float64 `json:"configuration_bytes"`
+	Volumes        float64 `json:"volumes_each"` // that an initiator keeps accounts of: the bound's default
+	Shards         float64 `json:"task_shards"`  // of tasks that are done once for the fleet
 }
 
+const (
+	day    = 86_400.0
+	minute = 60.0
+	hour   = 3600.0
+)
+
+// ListRate is how many entries of the list change a second on an ordinary day.
+func (s Size) ListRate() float64 { return (s.Entries*(s.Failures+s.Restarts) + 2*s.Primaries) / day }
+
+// ChangeRate is how many changes of configuration there are a second on an ordinary day.
+func (s Size) ChangeRate() float64 { return s.Changes / day }
+
+// RequestsEach is how many requests an initiator has a second.
+func (s Size) RequestsEach() float64 { return s.Requests / s.Initiators }
+
 // Limits are what an initiator may spend on control, what is set aside for it, and until when a change is in force.
 type Limits struct {
 	Core      float64 `json:"initiator_core"`    // part of a core
@@ -27,8 +46,10 @@
 	Machines  float64 `json:"control_machines"`
 	MachineOf float64 `json:"control_machine_cores"`
 	InForce   float64 `json:"change_in_force_s"`
-	Calls     float64 `json:"discovery_calls_s"` // that one discovery service answers
-	Rack      float64 `json:"rack_targets"`      // what goes with one
+	Call      float64 `json:"discovery_call_s"` // what one service that all initiators share takes for a call, and for a line of its answer: docs/standing.md
+	Line      float64 `json:"discovery_line_s"`
+	Rack      float64 `json:"rack_targets"`    // what goes with one
+	Back      float64 `json:"restarts_back_s"` // all of a day's restarts of initiators may come at once, and are over by then
 }
 
 // field is one of a number of numbers that have to be over 0.
@@ -51,13 +72,15 @@
 	return positive(field{"initiators", s.Initiators}, field{"targets", s.Targets}, field{"client_connections", s.Clients}, field{"requests_s", s.Requests},
 		field{"primary_changes_day", s.Primaries}, field{"primary_change_s", s.PrimaryWithin}, field{"regions", s.Regions}, field{"zones", s.Zones},
 		field{"configuration_changes_day", s.Changes}, field{"failures_day", s.Failures}, field{"restarts_day", s.Restarts},
-		field{"initiator_restarts_day", s.InitiatorsBack}, field{"burst_changes_s", s.Burst})
+		field{"initiator_restarts_day", s.InitiatorsBack}, field{"burst_changes_s", s.Burst}, field{"entries_each", s.Entries},
+		field{"configuration_bytes", s.Config}, field{"volumes_each", s.Volumes}, field{"task_shards", s.Shards})
 }
 
 // Check names the first field that can't be used.
 func (l Limits) Check() error {
 	return positive(field{"initiator_core", l.Core}, field{"initiator_bytes", l.Memory}, field{"initiator_bytes_s", l.Wire}, field{"control_machines", l.Machines},
-		field{"control_machine_cores", l.MachineOf}, field{"change_in_force_s", l.InForce}, field{"discovery_calls_s", l.Calls}, field{"rack_targets", l.Rack})
+		field{"control_machine_cores", l.MachineOf}, field{"change_in_force_s", l.InForce}, field{"discovery_call_s", l.Call}, field{"discovery_line_s", l.Line},
+		field{"rack_targets", l.Rack}, field{"restarts_back_s", l.Back})
 }
 
 // Of is the size of a fleet with so many initiators and the same proportions: targets, requests, changes and failures go with it, what regions and
