--- a/internal/fleet/merge/merge.go
+++ b/internal/fleet/merge/merge.go
@@ -165,7 +165,7 @@
 		return
 	}
 	if e.State == deleted {
-		if w.names = false; e.Started <= 0 || e.Started < w.Started {
+		if w.names = false; e.Started <= 0 {
 			return
 		}
 	} else {
