merge: the joined list whole, beside its changes

Whoever listens first gets a whole list, which pieces of a bring-up are not: when that is, the instance decides. Take answers changes alone now; the reference test holds both, after each list.

--- a/internal/fleet/merge/merge.go
+++ b/internal/fleet/merge/merge.go
@@ -12,6 +12,7 @@
 import (
 	"container/list"
 	"slices"
+	"strings"
 
 	"spindlehitch/internal/listing"
 )
@@ -90,7 +91,7 @@
 	gone     *list.List // ids, the longest gone first
 	mostGone int
 	told     uint64
-	version  int64
+	version  int64 // of the joined list
 }
 
 // New returns an empty view, that remembers so many targets that are gone.
@@ -108,8 +109,25 @@
 	return n
 }
 
-// Take joins a source's list or change, which has been checked, and returns what changed in the joined list; nil: nothing. The first list
-// that is taken is answered whole, also where nothing is in it. An entry DELETED without a start, or with an older one than the source
+// Whole is the joined list, by id.
+func (v *View) Whole() *listing.List {
+	l := v.list()
+	l.Full = true
+	for _, t := range v.targets {
+		if t.shown != nil {
+			l.Servers = append(l.Servers, *t.shown)
+		}
+	}
+	slices.SortFunc(l.Servers, func(a, b listing.Entry) int { return strings.Compare(a.ID, b.ID) })
+	return l
+}
+
+func (v *View) list() *listing.List {
+	version := v.version
+	return &listing.List{Version: &version}
+}
+
+// Take joins a source's list or change, which has been checked, and returns what changed in the joined list; nil: nothing. An entry DELETED without a start, or with an older one than the source
 // told before, says no more than that the source names it no longer.
 func (v *View) Take(from Source, l *listing.List) *listing.List {
 	var touched []string
@@ -132,21 +150,21 @@
 		slices.Sort(silent) // equal lists are answered equally
 		touched = append(touched, silent...)
 	}
-	out := &listing.List{Full: v.version == 0}
+	var changed listing.Entries
 	for _, id := range touched {
 		if t := v.targets[id]; t != nil {
-			if e, changed := v.show(t); changed {
-				out.Servers = append(out.Servers, e)
+			if e, new := v.show(t); new {
+				changed = append(changed, e)
 			}
 			v.keep(id, t)
 		}
 	}
-	if !out.Full && len(out.Servers) == 0 {
+	if len(changed) == 0 {
 		return nil
 	}
 	v.version++
-	version := v.version
-	out.Version = &version
+	out := v.list()
+	out.Servers = changed
 	return out
 }
 
--- a/internal/fleet/merge/merge_test.go
+++ b/internal/fleet/merge/merge_test.go
@@ -142,10 +142,15 @@
 		v, s := New(MostGone), shown{}
 		for i, x := range all {
 			l := v.Take(x.from, x.list)
-			if (i == 0) != (l != nil && l.Full) {
-				t.Fatalf("list %d: answered by %+v", i, l)
+			if l != nil && (l.Full || len(l.Servers) == 0) {
+				t.Fatalf("list %d: answered by %+v, wanted changes", i, l)
 			}
 			s.apply(l)
+			whole := shown{}
+			whole.apply(v.Whole())
+			if !maps.EqualFunc(whole, s, same) {
+				t.Fatalf("after list %d: %v in whole, the changes come to %v", i, whole, s)
+			}
 			if want := simple(all[:i+1]); !maps.Equal(want, s.standings()) {
 				t.Fatalf("after list %d: %v, wanted %v", i, s.standings(), want)
 			}
