--- a/cmd/spindlehitch/serve.go
+++ b/cmd/spindlehitch/serve.go
@@ -15,6 +15,7 @@
 func serveCommand() *cobra.Command {
 	var operator string
 	var agents []string
+	var layers bool
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run one initiator, as the environment and its configuration say",
@@ -26,12 +27,17 @@
 			// Taken from the start on: a SIGHUP that nobody waits for would end the process.
 			hup := make(chan os.Signal, 1)
 			signal.Notify(hup, syscall.SIGHUP)
-			if len(agents) > 0 {
+			if len(agents) > 0 || layers {
 				go func() {
 					for range hup {
 						log.Info("nothing to reload", slog.String("reason", "AGENTS_CONFIGURE"))
 					}
 				}()
+			}
+			if layers {
+				return instance.FollowFeed(stop, os.Getenv, operator, log)
+			}
+			if len(agents) > 0 {
 				return instance.Follow(stop, agents, os.Getenv, operator, log)
 			}
 			cfg, op, err := instance.Load(os.Getenv, operator)
@@ -44,5 +50,7 @@
 	}
 	cmd.Flags().StringVar(&operator, "operator", "", "an operator's file (TOML), such as deploy/nvme.toml")
 	cmd.Flags().StringSliceVar(&agents, "agents", nil, "take the configuration of PROXY_NAME from these agents, and follow its changes")
+	cmd.Flags().BoolVar(&layers, "config-from-feed", false, "take the configuration of PROXY_NAME from the feed in the operator's file, and follow its changes")
+	cmd.MarkFlagsMutuallyExclusive("agents", "config-from-feed")
 	return cmd
 }
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -32,7 +32,8 @@
 	Uses    string   // TOML
 	Socket  *os.File // the clients' socket, inherited; Listen says where it is bound
 	Listen  string
-	Files   int // how many descriptors the machine grants; 0: as many as this process
+	Files   int    // how many descriptors the machine grants; 0: as many as this process
+	File    string // an operator's file, TOML, in place of one that names the agents
 }
 
 // Instance starts one initiator.
@@ -52,7 +53,9 @@
  "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],
  "extra":{"meanUnits":1,"largest":8,"coldBears":40},"limits":{"sendCap":3,"probes":true},"rules":%s}}`, name, n.Listen, n.Control, o.Targets.Discovery, o.Peers, rules))
 	args := []string{"serve"}
-	if o.Agents != nil {
+	if o.File != "" {
+		args = append(args, "--operator", r.File(name+".toml", o.File))
+	} else if o.Agents != nil {
 		var agents []string
 		for i, a := range o.Agents.API {
 			n.Links = append(n.Links, r.Link(name, fmt.Sprint("agent-", i), a))
--- a/internal/faults/judge.go
+++ b/internal/faults/judge.go
@@ -38,6 +38,7 @@
 	Judge     *Judge
 	All       []*Target
 	Discovery string
+	Reached   func(t *Target, request string) // told of each request that reaches a target; nil: nobody asks. Set before any comes
 	mu        sync.Mutex
 	version   int
 	changed   chan struct{}
@@ -140,6 +141,9 @@
 		return
 	}
 	t.all.Add(1)
+	if g.Reached != nil {
+		g.Reached(t, q.Header.Get("Request-Id"))
+	}
 	cold := t.Started.Load() > 0
 	j.mu.Lock()
 	id := q.Header.Get("Request-Id")
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -45,7 +45,7 @@
 	// bodies alone.
 	Transport http.RoundTripper
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // of its own transport; nil: the usual one
-	// Changed is told what is new, in order, from the goroutine of Run; first of all what the copy on disk had. When it returns nil,
+	// Changed is told what is new, be it only that more is there than was known to be, in order, from the goroutine of Run; first of all what the copy on disk had. When it returns nil,
 	// that is in force. An error turns the configuration down, with its text as the reason: targets are in force all the same.
 	// nil: everything is in force at once.
 	Changed func(Change) error
@@ -96,7 +96,8 @@
 	fresh   time.Duration // when what it has was known to be as the log is; 0: never
 	state   State
 
-	dirty bool // of Run alone, as what follows
+	told  feed.Position // of Run alone, as what follows
+	dirty bool
 	saved time.Duration
 	ever  bool // saved
 }
@@ -309,8 +310,9 @@
 // apply tells what is new, and acknowledges it as far as it is in force.
 func (f *Follower) apply(c Change, mark feed.Mark) {
 	var err error
-	if f.opt.Changed != nil && (len(c.Records) > 0 || c.Whole) {
+	if f.opt.Changed != nil && (len(c.Records) > 0 || c.Whole || c.Position != f.told) {
 		err = f.opt.Changed(c)
+		f.told = c.Position
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -18,18 +18,34 @@
 	if name == "" {
 		return config.Missing("PROXY_NAME")
 	}
-	// The environment names the instance alone: where it listens is for the agents to say.
+	return succession(stop, operator, log, nil, func(watch context.Context, offers chan<- offer) {
+		client := &agent.Client{Addrs: agents}
+		client.Follow(watch, name, log, func(e agent.Entry) {
+			select {
+			case offers <- offer{Entry: e}:
+			case <-watch.Done():
+			}
+		})
+	})
+}
+
+// offer is a configuration that may be served; answer, where somebody waits for it, is told what became of it.
+type offer struct {
+	agent.Entry
+	answer chan<- error
+}
+
+// succession serves what is offered, each in place of the one before, until stop ends or one in force ends by itself. Of is the process's
+// feed; nil: there is none.
+func succession(stop context.Context, operator string, log *slog.Logger, of *stream, offering func(context.Context, chan<- offer)) error {
+	// The environment names the instance alone: where it listens is for those who configure it to say.
 	nothing := func(string) string { return "" }
-	news := make(chan agent.Entry)
+	offers := make(chan offer)
 	watch, unwatch := context.WithCancel(stop)
+	var watching sync.WaitGroup
+	defer watching.Wait()
 	defer unwatch()
-	client := &agent.Client{Addrs: agents}
-	go client.Follow(watch, name, log, func(e agent.Entry) {
-		select {
-		case news <- e:
-		case <-watch.Done():
-		}
-	})
+	watching.Go(func() { offering(watch, offers) })
 	var now *generation
 	var leaving sync.WaitGroup // predecessors with requests open
 	defer leaving.Wait()
@@ -46,8 +62,11 @@
 			return <-now.ended
 		case err := <-ended:
 			return err
-		case e := <-news:
-			next, err := succeed(stop, e, nothing, operator, log)
+		case e := <-offers:
+			next, err := succeed(stop, e.Entry, nothing, operator, log, of)
+			if e.answer != nil {
+				e.answer <- err
+			}
 			if err != nil {
 				notTaken(log, slog.Uint64("version", e.Version), slog.Any("error", err))
 				continue
@@ -69,7 +88,7 @@
 }
 
 // succeed starts a generation and waits until it listens.
-func succeed(stop context.Context, e agent.Entry, getenv func(string) string, operator string, log *slog.Logger) (*generation, error) {
+func succeed(stop context.Context, e agent.Entry, getenv func(string) string, operator string, log *slog.Logger, of *stream) (*generation, error) {
 	cfg, err := config.Parse(e.Config, getenv)
 	if err != nil {
 		return nil, err
@@ -86,7 +105,7 @@
 	ctx, leave := context.WithCancel(stop)
 	g := &generation{leave, make(chan error, 1)}
 	up := make(chan struct{})
-	go func() { g.ended <- Serve(ctx, cfg, op, Options{Log: log, Listening: func() { close(up) }}) }()
+	go func() { g.ended <- Serve(ctx, cfg, op, Options{Log: log, Listening: func() { close(up) }, feed: of}) }()
 	select {
 	case <-up:
 		return g, nil
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -45,6 +45,7 @@
 	// at. Nil: there is none.
 	Listening func()
 	Changes   <-chan Change // taken over also while the instance leaves; nil: none come
+	feed      *stream       // the process's; nil: the instance has one of its own, where its operator's file asks for it
 }
 
 // Serve runs an instance until stop ends, and then until everything taken is answered. One that is stopped while it starts has
@@ -194,11 +195,20 @@
 		}
 		in.parts = append(in.parts, book)
 	}
-	in.parts = append(in.parts, newWatch(cfg, log, func(l *listing.List) {
+	tell := func(l *listing.List) {
 		in.parts.listed(l)
 		listed.Store(true)
 		in.fronts.once.Do(func() { close(in.fronts.known) })
-	}))
+	}
+	if op.Feed != nil {
+		fed, err := newFeeding(op.Feed, opt.feed, cfg.Name, log, tell)
+		if err != nil {
+			return nil, err
+		}
+		tell = fed.discovered
+		in.parts = append(in.parts, fed) // before discovery, which finds it running
+	}
+	in.parts = append(in.parts, newWatch(cfg, log, tell))
 	if cfg.Inherited != "" {
 		in.crew = newCrew(cfg.Name, log, limits.divide)
 		in.parts = append(in.parts, in.crew)
