Fault runs of the feed: agents, relays in two regions, a dozen initiators; configuration by layers

TestFeedScheduled: three agents, four relays in two regions, twelve initiators behind links, targets that drain and serve anew every 0.3 s, while discovery says now and then that all serve as at the start; relays, an agent and initiators are killed, stand still, a region is cut off. Judged: what reaches a target from an initiator that has said to have its drain in force, versions that go back within a life, answers that count more than have it, and all at one version after quiet.

--- a/internal/faults/feed.go
+++ b/internal/faults/feed.go
@@ -77,6 +77,17 @@
 	return n
 }
 
+// Layered starts an initiator that takes its configuration from the feed as well.
+func (f *Feed) Layered(name, region string) *Reader {
+	f.rig.T.Helper()
+	addrs := FreeAddrs(f.rig.T, 2)
+	n := &Reader{Region: region, Lives: 1, Instance: &Instance{Listen: addrs[0], Control: addrs[1]}}
+	var file string
+	file, n.links = f.file(name, region)
+	n.Proc = f.rig.Start(name, []string{"PROXY_NAME=" + name}, "serve", "--operator", f.rig.File(name+".toml", file), "--config-from-feed")
+	return n
+}
+
 // file is the operator's file of an initiator.
 func (f *Feed) file(name, region string) (string, []*Link) {
 	var links []*Link
@@ -119,7 +130,6 @@
 // Put has the fleet changed, once, whoever leads, and returns the version that it made.
 func (f *Feed) Put(puts ...feed.Put) (version uint64) {
 	f.rig.T.Helper()
-	head := make([]byte, 0, 512)
 	body, err := json.Marshal(feed.Change{Fleet: feedFleet, Epoch: "runs", Puts: puts})
 	if err != nil {
 		f.rig.T.Fatal(err)
@@ -136,14 +146,14 @@
 			if err != nil {
 				continue
 			}
-			head, _ = io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+			text, _ := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
 			resp.Body.Close()
 			var made struct{ Version uint64 }
-			if resp.StatusCode == http.StatusOK && json.Unmarshal(head, &made) == nil && made.Version > 0 {
+			if resp.StatusCode == http.StatusOK && json.Unmarshal(text, &made) == nil && made.Version > 0 {
 				version = made.Version
 				return true
 			}
-			if said = fmt.Sprint(resp.StatusCode, " ", string(head)); resp.StatusCode >= 400 && resp.StatusCode < 500 {
+			if said = fmt.Sprint(resp.StatusCode, " ", string(text)); resp.StatusCode >= 400 && resp.StatusCode < 500 {
 				f.rig.T.Fatalf("a change is refused: %s", said)
 			}
 		}
--- a/internal/faults/feed_test.go
+++ b/internal/faults/feed_test.go
@@ -34,7 +34,7 @@
 const sentBefore = 2 * time.Second
 
 // newFed starts agents, two relays in each of two regions, targets for four shards and initiators. Discovery goes on to tell that all targets
-// serve as they did when the run began: it lags for good.
+// serve as they did when the run began: it lags for good, and says so now and then.
 func newFed(t *testing.T, initiators int) *fed {
 	t.Helper()
 	r := New(t)
@@ -96,7 +96,7 @@
 // feedEvent is one fault of a run. What lasts ends by itself.
 type feedEvent struct {
 	At, For time.Duration
-	What    string // relay-kill, relay-pause, agent-kill, agent-pause, region-cut, restart
+	What    string // relay-kill, relay-pause, agent-kill, agent-pause, region-cut, restart and pause (of an initiator)
 	On      int
 }
 
@@ -106,7 +106,7 @@
 	var all []feedEvent
 	free := map[string]time.Duration{}
 	// Each kind comes, however short the run.
-	kinds := []string{"relay-kill", "relay-pause", "agent-kill", "region-cut", "restart", "restart", "agent-pause", "relay-kill"}
+	kinds := []string{"relay-kill", "relay-pause", "agent-kill", "region-cut", "restart", "restart", "pause", "agent-pause", "relay-kill"}
 	for at, i := every, 0; at < length; at, i = at+time.Duration((0.5+rng.Float64())*float64(every)), i+1 {
 		e := feedEvent{At: at, For: time.Duration((0.5 + 4*rng.Float64()) * float64(time.Second)), What: kinds[rng.IntN(len(kinds))]}
 		if i < len(kinds) {
@@ -119,12 +119,13 @@
 		case "region":
 			on, key = 2, "region"
 			e.For += 2 * time.Second
-		case "restart":
+		case "restart", "pause":
 			on = initiators
 		}
-		if e.On = rng.IntN(on); on >= 4 {
-			key = fmt.Sprint(strings.Cut(e.What, "-"))
-			key += fmt.Sprint(e.On)
+		if e.On = rng.IntN(on); on == initiators {
+			key = fmt.Sprint("initiator ", e.On)
+		} else if on == 4 {
+			key = fmt.Sprint("relay ", e.On)
 		}
 		if at < free[key] {
 			continue
@@ -136,7 +137,7 @@
 }
 
 // TestFeedScheduled plays faults at random, by a seed, while targets drain and serve again: relays are killed and stand still, an agent does,
-// a region is cut off and comes back, initiators are started again. By hand it goes on for as long as SPINDLEHITCH_FAULTS says (such as 10m);
+// a region is cut off and comes back, initiators stand still or are started again, and discovery says now and then that all serve. By hand it goes on for as long as SPINDLEHITCH_FAULTS says (such as 10m);
 // SPINDLEHITCH_SEED is another seed.
 func TestFeedScheduled(t *testing.T) {
 	length, seed := 14*time.Second, uint64(1)
@@ -210,6 +211,8 @@
 			end = func() { f.HealRegion(f.regions[e.On], f.all) }
 		case "restart":
 			begin, end = func() { f.all[e.On].Renew(e.On, f.judge) }, func() {}
+		case "pause":
+			begin, end = f.all[e.On].Pause, f.all[e.On].Resume
 		}
 		steps = append(steps, step{e.At, begin}, step{e.At + e.For, end})
 	}
@@ -222,7 +225,9 @@
 			steps = steps[1:]
 		}
 		version = f.turn(rng)
-		changes++
+		if changes++; changes%5 == 0 {
+			f.targets.Tell()
+		}
 	}
 	version = f.Put(f.entry(f.targets.All[0], map[bool]string{true: "DRAINING", false: "SERVING"}[f.drained["t0"]]))
 	took := f.until("all have the last version in force after quiet", version, f.all)
@@ -280,6 +285,82 @@
 	return "", true
 }
 
+// layer is one of a configuration.
+func layer(key, value string, args ...any) feed.Put {
+	return feed.Put{Kind: feed.Config, Key: key, Value: fmt.Appendf(nil, value, args...)}
+}
+
+// TestFeedConfiguration has two initiators take their configuration from the feed in layers. One that can't be served is turned down by name
+// of its field, and known to be; the last good one goes on, also where the process is started again with no relay to ask.
+func TestFeedConfiguration(t *testing.T) {
+	r := New(t)
+	f := &fed{Rig: r, t: t, targets: r.Targets(1, nil), starts: map[string]int64{"t0": 1000}}
+	agents := r.Agents(3)
+	f.Feed = r.Feed(agents, 1, "north")
+	agents.Leader()
+	relay := f.Relays[0]
+	for i := range 2 {
+		f.all = append(f.all, f.Layered(fmt.Sprint("n", i), "north"))
+	}
+	shared := `{"discovery":%q,"settings":{"peersTotal":2,"tickUs":2000,"classes":[{"name":"position-read","promiseUs":1000000,"deadlineUs":2000000,"effect":"pure","worth":1}],
+ "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8},"limits":{"sendCap":%d}}}`
+	version := f.Put(f.entry(f.targets.All[0], "SERVING"), layer("shared", shared, f.targets.Discovery, 3), layer("region/north", `{"limits":{"sockets":256}}`),
+		layer("instance/n0", `{"listen":%q,"control":%q}`, f.all[0].Listen, f.all[0].Control), layer("instance/n1", `{"listen":%q,"control":%q}`, f.all[1].Listen, f.all[1].Control))
+	f.until("both serve", version, f.all)
+	r.Load(t.Context(), []*Instance{f.all[0].Instance, f.all[1].Instance}, 1)
+	serves := func(n *Reader) {
+		t.Helper()
+		had := n.Served.Load()
+		f.Until(n.Name+" serves", func() bool { return n.Served.Load() > had+10 })
+	}
+	for _, n := range f.all {
+		n.Offer(50)
+		serves(n)
+	}
+	version = f.Put(layer("shared", shared, f.targets.Discovery, 4))
+	f.until("both have another configuration", version, f.all)
+	for _, n := range f.all {
+		serves(n)
+		require.Equal(t, 2, strings.Count(n.Log(), "configuration taken"), "%s", n.Log())
+		require.Zero(t, n.Lost.Load(), "the predecessor answers what it took")
+		require.Zero(t, n.Other.Load())
+	}
+	// What says the same again is no other configuration.
+	version = f.Put(layer("region/north", `{"limits": {"sockets": 256}}`))
+	f.until("both have what is the same", version, f.all)
+	require.Equal(t, 2, strings.Count(f.all[0].Log(), "configuration taken"))
+
+	good := version
+	version = f.Put(layer("instance/n0", `{"listen":%q,"control":"nowhere"}`, f.all[0].Listen))
+	f.until("n1 has it", version, f.all[1:])
+	turnedDown := func() {
+		t.Helper()
+		f.Until("the fleet knows that n0 has turned it down", func() bool {
+			s, ok := f.status(fmt.Sprint(version))
+			return ok && s.Have == 1 && s.Refused == 1 && len(s.Lagging) == 1 && s.Lagging[0].Name == "n0" && s.Lagging[0].Why == feed.WhyRefused &&
+				s.Lagging[0].Refused != nil && strings.Contains(s.Lagging[0].Refused.Reason, "control: ")
+		})
+	}
+	turnedDown()
+	says := f.all[0].Says()
+	require.EqualValues(t, good, says["in_force.config"])
+	require.Positive(t, says["refused.config"])
+	serves(f.all[0])
+
+	relay.Kill()
+	f.all[0].Kill()
+	f.all[0].Restart()
+	serves(f.all[0])
+	require.NotContains(t, f.all[0].Log(), "FEED_NOT_KEPT")
+	relay.Restart()
+	turnedDown()
+	serves(f.all[0])
+	version = f.Put(layer("instance/n0", `{"listen":%q,"control":%q}`, f.all[0].Listen, f.all[0].Control))
+	f.until("all have what can be served", version, f.all)
+	f.Until("the fleet knows", func() bool { s, ok := f.status(fmt.Sprint(version)); return ok && s.Have == 2 && s.Refused == 0 })
+	serves(f.all[0])
+}
+
 // status is what the fleet knows of a version.
 func (f *fed) status(version string) (s feed.Status, ok bool) {
 	for _, a := range f.Group.API {
--- a/internal/faults/judge.go
+++ b/internal/faults/judge.go
@@ -124,6 +124,11 @@
 // Restarted has the list tell that a target has started at that moment: it is cold.
 func (g *Targets) Restarted(t *Target) {
 	t.Started.Store(time.Now().UnixMilli())
+	g.Tell()
+}
+
+// Tell has the list told again, as it is.
+func (g *Targets) Tell() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.version++
