--- a/internal/fleet/feed/mover.go
+++ b/internal/fleet/feed/mover.go
@@ -90,7 +90,7 @@
 	if len(m.order) == 0 {
 		return Relay{}, now + m.opt.Most
 	}
-	if m.at != 0 && m.back < 0 && m.home > 0 && now >= m.home {
+	if m.at != 0 && m.back < 0 && m.fails == 0 && m.here == 0 && m.home > 0 && now >= m.home {
 		m.back, m.at, m.due = m.at, 0, now
 	}
 	return m.order[m.at], max(m.due, now)
--- a/internal/fleet/feed/take.go
+++ b/internal/fleet/feed/take.go
@@ -46,7 +46,7 @@
 	}
 	s.trim()
 	if s == r.next {
-		if s.whole != s.seen || s.have != s.seen {
+		if s.whole != s.seen || s.whole.Targets != s.whole.Config { // a relay that has no configuration yet has all that it has, too
 			return nil, nil
 		}
 		return r.turnOver(), nil // 9
--- a/internal/fleet/proof/feed/judge.go
+++ b/internal/fleet/proof/feed/judge.go
@@ -15,9 +15,10 @@
 // past is what the judge knows of one history: the state of all keys at each version, by itself.
 type past struct {
 	states []map[key]feed.Record // by version; 0: nothing
+	words  map[string]uint64     // the versions at which it was said of another history that this one takes its place
 }
 
-func newPast() *past { return &past{states: []map[key]feed.Record{{}}} }
+func newPast() *past { return &past{states: []map[key]feed.Record{{}}, words: map[string]uint64{}} }
 
 func (p *past) head() uint64 { return uint64(len(p.states)) - 1 }
 
@@ -30,6 +31,9 @@
 		next[key{x.Kind, x.Key}] = feed.Record{Kind: x.Kind, Key: x.Key, Version: p.head() + 1, Gone: x.Gone, Value: x.Value}
 	}
 	p.states = append(p.states, next)
+	if c.Replaces != "" {
+		p.words[c.Replaces] = p.head()
+	}
 }
 
 // held is live records by key.
--- a/internal/fleet/proof/feed/world.go
+++ b/internal/fleet/proof/feed/world.go
@@ -87,6 +87,7 @@
 	tops  map[string]map[key]top
 	said  map[uint64]feed.Mark // what was said to be in force, by turn
 	seq   uint64               // of the last hello
+	was   string               // the history that it had last
 }
 
 // letter is on its way.
@@ -197,6 +198,7 @@
 	if f.said == nil {
 		f.said = map[uint64]feed.Mark{}
 	}
+	f.was = ""
 	if f.copy != nil { // what the copy has is applied like what is taken
 		f.took(append(f.r.Records(feed.Targets), f.r.Records(feed.Config)...))
 	}
@@ -317,7 +319,10 @@
 	case Exchange:
 		return w.exchange(s.On, true)
 	case Say:
-		h := w.hello(s.On)
+		h, err := w.hello(s.On)
+		if err != nil {
+			return err
+		}
 		w.mail = append(w.mail, letter{from: s.On, to: w.all[s.On].to, hello: &h})
 	case Deliver, Repeat:
 		l := w.mail[s.On]
@@ -388,18 +393,21 @@
 	return nil
 }
 
-func (w *World) hello(i int) feed.Hello {
+func (w *World) hello(i int) (feed.Hello, error) {
 	f := w.all[i]
 	w.touched = append(w.touched, f)
 	h := f.r.Hello()
 	f.said[h.Turn], f.seq = h.InForce, h.Seq
-	return h
+	return h, w.checkForce(f, h.InForce)
 }
 
 // exchange has a follower say hello and take the answer, and have it in force if so wished.
 func (w *World) exchange(i int, apply bool) error {
 	f := w.all[i]
-	h := w.hello(i)
+	h, err := w.hello(i)
+	if err != nil {
+		return err
+	}
 	d, err := w.serve(f.to, h)
 	if err != nil || d == nil {
 		return err
