--- a/internal/fleet/proof/feed/world.go
+++ b/internal/fleet/proof/feed/world.go
@@ -87,6 +87,7 @@
 	tops  map[string]map[key]top
 	said  map[uint64]feed.Mark // what was said to be in force, by turn
 	seq   uint64               // of the last hello
+	was   string               // the history that it had last
 }
 
 // letter is on its way.
@@ -115,6 +116,8 @@
 	counted map[string]uint64 // the turn that the tally had last of each
 	last    map[string]feed.Mark
 	admits  map[account]*spent // without a reader
+	touched []*follower        // by this step
+	told    bool               // the tally was, by this step
 }
 
 // account is of one reader at one source's life.
@@ -179,6 +182,7 @@
 // start begins a life of a follower, from its copy if it has one.
 func (w *World) start(i int) error {
 	f := w.all[i]
+	w.touched = append(w.touched, f)
 	f.life++
 	f.r = feed.NewReplica(fleetName, f.scope, f.life<<16, w.set.Limits)
 	if f.copy != nil {
@@ -194,6 +198,7 @@
 	if f.said == nil {
 		f.said = map[uint64]feed.Mark{}
 	}
+	f.was = ""
 	if f.copy != nil { // what the copy has is applied like what is taken
 		f.took(append(f.r.Records(feed.Targets), f.r.Records(feed.Config)...))
 	}
@@ -295,8 +300,9 @@
 	return steps
 }
 
-// Do takes a step and holds the world against the promises.
+// Do takes a step and holds what it touched against the promises.
 func (w *World) Do(s Step) error {
+	w.touched, w.told = w.touched[:0], false
 	if err := w.step(s); err != nil {
 		return err
 	}
@@ -313,7 +319,10 @@
 	case Exchange:
 		return w.exchange(s.On, true)
 	case Say:
-		h := w.hello(s.On)
+		h, err := w.hello(s.On)
+		if err != nil {
+			return err
+		}
 		w.mail = append(w.mail, letter{from: s.On, to: w.all[s.On].to, hello: &h})
 	case Deliver, Repeat:
 		l := w.mail[s.On]
@@ -325,8 +334,10 @@
 		w.mail = append(w.mail[:s.On:s.On], w.mail[s.On+1:]...)
 	case Apply:
 		w.all[s.On].apply()
+		w.touched = append(w.touched, w.all[s.On])
 	case Move:
 		f := w.all[s.On]
+		w.touched = append(w.touched, f)
 		f.to = (f.to + 1) % w.set.Relays
 		f.r.Moved()
 	case Save:
@@ -382,17 +393,21 @@
 	return nil
 }
 
-func (w *World) hello(i int) feed.Hello {
+func (w *World) hello(i int) (feed.Hello, error) {
 	f := w.all[i]
+	w.touched = append(w.touched, f)
 	h := f.r.Hello()
 	f.said[h.Turn], f.seq = h.InForce, h.Seq
-	return h
+	return h, w.checkForce(f, h.InForce)
 }
 
 // exchange has a follower say hello and take the answer, and have it in force if so wished.
 func (w *World) exchange(i int, apply bool) error {
 	f := w.all[i]
-	h := w.hello(i)
+	h, err := w.hello(i)
+	if err != nil {
+		return err
+	}
 	d, err := w.serve(f.to, h)
 	if err != nil || d == nil {
 		return err
@@ -436,6 +451,7 @@
 
 func (w *World) take(i int, d *feed.Delta) error {
 	f := w.all[i]
+	w.touched = append(w.touched, f)
 	changed, err := f.r.Take(d)
 	if err != nil {
 		return w.refusal(err)
@@ -463,6 +479,7 @@
 }
 
 func (w *World) tell(rep feed.Report, from int) error {
+	w.told = true
 	a, err := w.tally.Take(w.now, rep)
 	if err != nil {
 		return w.refusal(err)
