--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -225,11 +225,12 @@
 	State   string `json:"state"`
 	Leader  string `json:"leader"`
 	Applied uint64 `json:"applied"`
+	Format  int    `json:"format"` // of its snapshots: what it knows of; 0: it is older than that it tells
 }
 
 func (a *Agent) status(w http.ResponseWriter, _ *http.Request) {
 	_, leader := a.raft.LeaderWithID()
-	reply(w, http.StatusOK, Status{ID: a.opt.ID, State: a.raft.State().String(), Leader: string(leader), Applied: a.raft.AppliedIndex()})
+	reply(w, http.StatusOK, Status{ID: a.opt.ID, State: a.raft.State().String(), Leader: string(leader), Applied: a.raft.AppliedIndex(), Format: format})
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -110,6 +110,10 @@
 		refuse(w, &Refusal{http.StatusUnprocessableEntity, err.Error()})
 		return
 	}
+	if err := d.ready(r.Context()); err != nil {
+		refuse(w, err)
+		return
+	}
 	v, err := d.a.apply(change{Feed: &c, ID: r.Header.Get("Change-Id")})
 	if no, is := v.(error); is && err == nil {
 		err = no
@@ -129,6 +133,33 @@
 	}
 }
 
+// ready tells whether a change may go into the log. An agent of before the feed passes over its entries and would have none of them after its
+// next snapshot, so the first of all waits until every agent has told that it knows of them; snapshots keep older programs out from then on.
+func (d *feedDesk) ready(ctx context.Context) error {
+	s := d.a.store
+	s.mu.Lock()
+	begun := s.feed.store != nil
+	s.mu.Unlock()
+	if begun {
+		return nil
+	}
+	c := &Client{}
+	for _, p := range d.a.opt.Peers {
+		if p.ID == d.a.opt.ID {
+			continue
+		}
+		_, answer, err := c.once(ctx, p.API, call{method: http.MethodGet, path: "/v1/status"}, statusWithin)
+		status, err := decode[Status](answer, err)
+		if err != nil {
+			return fmt.Errorf("the first change of the feed waits until all agents are up: %s: %w", p.ID, err)
+		}
+		if status.Format < feedFormat {
+			return &Refusal{http.StatusConflict, fmt.Sprintf("agent %s is of a program from before the feed: replace it before the first change", p.ID)}
+		}
+	}
+	return nil
+}
+
 // Put answers a change.
 type Put struct {
 	Version uint64 `json:"version"`
--- a/internal/agent/feed_test.go
+++ b/internal/agent/feed_test.go
@@ -286,3 +286,43 @@
 	_, found, _ = other.get("n1")
 	require.True(t, found, "a snapshot that can't be restored changes nothing")
 }
+
+// TestFeedBegins has a group in which one agent is down, or of before the feed: no first change goes into the log until all know it. Later ones
+// need a majority.
+func TestFeedBegins(t *testing.T) {
+	g := newThree(t)
+	g.leader()
+	old := (g.leader() + 1) % 3
+	g.stop(old)
+	lead := g.leader()
+	first := changeOf(shared(`{"a":1}`))
+	c := &Client{Addrs: []string{g.peers[lead].API}}
+	ask := func() error {
+		ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
+		defer done()
+		_, err := c.PutChange(ctx, first)
+		return err
+	}
+	g.until("it waits", func() bool {
+		err := ask()
+		require.Error(t, err)
+		return strings.Contains(err.Error(), "until all agents are up")
+	})
+	l, err := net.Listen("tcp", g.peers[old].API)
+	require.NoError(t, err)
+	before := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"id":"agent-x","state":"Follower","leader":"","applied":7}`)
+	})}
+	go before.Serve(l)
+	g.until("it is refused", func() bool {
+		err := ask()
+		require.Error(t, err)
+		var no *Refusal
+		return errors.As(err, &no) && strings.Contains(no.Text, "from before the feed")
+	})
+	before.Close()
+	g.start(old)
+	require.Equal(t, uint64(1), g.putChange(first))
+	g.stop(old)
+	require.Equal(t, uint64(2), g.putChange(changeOf(shared(`{"a":2}`))))
+}
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -195,7 +195,10 @@
 	Feed    *feed.Copy        `json:"feed,omitempty"` // nil: no change of it has come yet
 }
 
-const format = 4 // 2 had no leases, 3 no feed: a program that knows no more would lose them
+const (
+	format     = 4 // 2 had no leases, 3 no feed: a program that knows no more would lose them
+	feedFormat = 4
+)
 
 // Snapshot implements raft.FSM.
 func (s *store) Snapshot() (raft.FSMSnapshot, error) {
