--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -45,9 +45,9 @@
 	// bodies alone.
 	Transport http.RoundTripper
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // of its own transport; nil: the usual one
-	// Changed is told what is new, be it only that more is there than was known to be, in order, from the goroutine of Run; first of all what the copy on disk had. When it returns nil,
-	// that is in force. An error turns the configuration down, with its text as the reason: targets are in force all the same.
-	// nil: everything is in force at once.
+	// Changed is told what is new, be it only that more is there than was known to be, in order, from the goroutine of Run; first of all
+	// what the copy on disk had. When it returns nil, that is in force. An error turns the configuration down, with its text as the
+	// reason: targets are in force all the same. nil: everything is in force at once.
 	Changed func(Change) error
 	Turn    uint64 // of the first hello, over all of earlier lives; 0: by the clock and the copy on disk
 }
--- a/internal/instance/feed.go
+++ b/internal/instance/feed.go
@@ -241,11 +241,17 @@
 	to.Gauge("feed.position.config", int64(at.Position.Config), 1)
 	to.Gauge("feed.in_force.targets", int64(at.InForce.Targets), 1)
 	to.Gauge("feed.in_force.config", int64(at.InForce.Config), 1)
+	down := int64(0)
+	if at.Down != nil {
+		down = int64(at.Down.Version)
+	}
+	to.Gauge("feed.turned_down", down, 1)
 	to.Gauge("feed.age_ms", at.AgeMs, 1)
 	to.Inc("feed.moves", int64(at.Moves), 1)
 	to.Inc("feed.deltas", int64(at.Deltas), 1)
 	to.Inc("feed.records", int64(at.Records), 1)
 	to.Inc("feed.failed", int64(at.Failed), 1)
+	to.Inc("feed.busy", int64(at.Busy), 1)
 	to.Inc("feed.bytes.in", int64(at.In), 1)
 	to.Inc("feed.bytes.out", int64(at.Out), 1)
 	for reason, n := range at.Refused {
