--- a/internal/scale/hollow/feed.go
+++ b/internal/scale/hollow/feed.go
@@ -47,7 +47,8 @@
 		}
 		e := listing.Entry{ID: r.Key, State: "DELETED"}
 		if !r.Gone {
-			if err := format.Unmarshal(r.Value, &e); err != nil {
+			var err error
+			if e, err = listing.DecodeEntry(r.Value); err != nil {
 				in.Journal.Breaks("target %s: %v", r.Key, err)
 				continue
 			}
--- a/internal/scale/run/change.go
+++ b/internal/scale/run/change.go
@@ -73,21 +73,30 @@
 func (w *writer) target(ctx context.Context) (mark, error) {
 	f := w.f
 	f.mu.Lock()
-	i := w.rng.IntN(len(f.entries))
+	i := f.drains(w.rng.IntN(len(f.entries)))
 	e := []listing.Entry{f.turn(i)}
-	primary := w.made%8 == 1 && len(f.entries) > 1
+	primary := w.made%8 == 1 && len(f.entries) > 2
 	if primary {
-		e = append(e, f.turn((i+1)%len(f.entries)))
+		e = append(e, f.turn(f.drains((i+2)%len(f.entries))))
 	}
 	f.mu.Unlock()
 	at := monotone.Now()
 	version, err := f.put(ctx, e)
 	for _, e := range e {
-		f.targets.tell(*e.Cell, e.State)
+		f.targets.tell(e.ID, e.State)
 	}
 	return mark{Lane: hollow.Targets, Version: version, At: at, Primary: primary}, err
 }
 
+// drains is the target whose state is changed in place of one that has to stay: of those that answer each second one does, so that its shard, which
+// it has in common with the one before, is always served.
+func (f *fleet) drains(i int) int {
+	if i < len(f.targets.addrs) {
+		return i &^ 1
+	}
+	return i
+}
+
 // turn changes a target's state. Its caller holds mu.
 func (f *fleet) turn(i int) listing.Entry {
 	e := &f.entries[i]
@@ -101,9 +110,10 @@
 }
 
 // tell has the judge know a target's state.
-func (a *answering) tell(i int, state string) {
-	switch {
-	case i >= len(a.drained):
+func (a *answering) tell(id, state string) {
+	var i int
+	switch _, err := fmt.Sscanf(id, "t%d", &i); {
+	case err != nil || i >= len(a.drained):
 	case state == "SERVING":
 		a.drained[i].Store(0)
 	default:
--- a/internal/scale/run/control.go
+++ b/internal/scale/run/control.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 
+	"spindlehitch/internal/agent"
 	"spindlehitch/internal/fleet/feed"
 	"spindlehitch/internal/listing"
 	"spindlehitch/internal/monotone"
@@ -19,6 +20,50 @@
 // byFeed tells whether the feed carries changes.
 func (f *fleet) byFeed() bool { return f.spec.Mechanism == "feed" }
 
+// startAgents starts them and waits for a leader.
+func (f *fleet) startAgents() error {
+	addrs, err := freeAddrs(2 * f.spec.Agents)
+	if err != nil {
+		return err
+	}
+	f.apis = addrs[:f.spec.Agents]
+	for i := range f.apis {
+		var b strings.Builder
+		dir := filepath.Join(f.dir, fmt.Sprint("agent-", i, ".data"))
+		f.dirs = append(f.dirs, dir)
+		fmt.Fprintf(&b, "[agent]\nid = \"agent-%d\"\ndir = %q\n", i, dir)
+		for j := range f.apis {
+			fmt.Fprintf(&b, "[[agent.peer]]\nid = \"agent-%d\"\nraft = %q\napi = %q\n", j, addrs[f.spec.Agents+j], addrs[j])
+		}
+		path := filepath.Join(f.dir, fmt.Sprintf("agent-%d.toml", i))
+		if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+			return err
+		}
+		p := &proc{name: fmt.Sprint("agent-", i), path: f.opt.Program, args: []string{"agent", "--operator", path}, dir: f.dir}
+		f.agents = append(f.agents, p)
+		if err := p.start(false); err != nil {
+			return err
+		}
+	}
+	f.client = &agent.Client{Addrs: f.apis}
+	_, err = f.leader()
+	return err
+}
+
+// leader waits until an agent leads, and tells which.
+func (f *fleet) leader() (leader int, err error) {
+	err = f.until("a leader of the agents", long, func() bool {
+		for i, s := range f.client.Status(f.ctx) {
+			if s.State == "Leader" {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader, err
+}
+
 // startRelays starts them, spread over the regions; each meets the agents by its region's links.
 func (f *fleet) startRelays() error {
 	addrs, err := freeAddrs(f.spec.Relays)
--- a/internal/scale/run/measure.go
+++ b/internal/scale/run/measure.go
@@ -213,7 +213,7 @@
 		keys = append(keys, ms)
 	}
 	slices.Sort(keys)
-	r.Half, r.Most = -1, -1
+	r.Half, r.Most, r.Last, r.Who, r.LastTargets, r.LastConfig, r.Primary = -1, -1, 0, "", 0, 0, 0
 	n := 0
 	for _, ms := range keys {
 		n += at[ms]
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	f.load.stop()
-	r.Broken, r.What, r.Hosts, r.Seconds = s.Broken, s.What, len(f.hosts), time.Since(f.began).Seconds()
+	r.Broken, r.What, r.Hosts, r.Seconds = s.Broken+f.backwards, s.What, len(f.hosts), time.Since(f.began).Seconds()
 	r.Load = Load{Asked: f.load.asked.Load(), Served: f.load.served.Load(), Other: f.load.other.Load(), Late: f.targets.late.Load(), Targets: f.targets.total()}
 	r.fit()
 	r.check(spec)
@@ -128,51 +128,6 @@
 	return coreIdle, nil
 }
 
-// agreement holds as many hollow initiators against real ones: the same changes, what each kind takes by the kernel's count.
-func (f *fleet) agreement(r *Result) error {
-	if f.spec.Real == 0 {
-		return nil
-	}
-	if err := f.startReals(); err != nil {
-		return err
-	}
-	per := f.spec.PerProcess
-	f.spec.PerProcess = f.spec.Real // one process with just them
-	idle, err := f.size(f.spec.Real, r)
-	if f.spec.PerProcess = per; err != nil {
-		return err
-	}
-	f.pause(time.Second)
-	a, real := f.snapshot, func() (u use) {
-		for _, p := range f.reals {
-			x := p.used()
-			u.CPU, u.In, u.Out, u.RSS = u.CPU+x.CPU, u.In+x.In, u.Out+x.Out, u.RSS+x.RSS
-		}
-		return u
-	}
-	before, err := a()
-	if err != nil {
-		return err
-	}
-	had := real()
-	row, err := f.measure("hollow", f.spec.Changes[0], idle)
-	if err != nil {
-		return err
-	}
-	after, err := a()
-	if err != nil {
-		return err
-	}
-	has, n, took := real(), float64(f.spec.Real), after.at.Sub(before.at).Seconds()
-	row.In, row.Out = float64(after.hosts[0].In-before.hosts[0].In)/took/n, float64(after.hosts[0].Out-before.hosts[0].Out)/took/n
-	other := Row{Of: "real", Initiators: f.spec.Real, Targets: row.Targets, Rate: row.Rate, Seconds: took, Changes: row.Changes, Half: -1, Most: -1, Last: -1,
-		Kinds: map[kind]Each{"real": {f.spec.Real, (has.CPU - had.CPU).Seconds() / took / n, float64(has.RSS) / n}}, In: float64(has.In-had.In) / took / n, Out: float64(has.Out-had.Out) / took / n}
-	r.Rows = append(r.Rows, row, other)
-	f.say("hollow and real, %d each: read %.0f and %.0f, written %.0f and %.0f B/s each, %.4f and %.4f core each", f.spec.Real, row.In, other.In, row.Out, other.Out, row.usual().Core, other.usual().Core)
-	f.load.start(f.ends, f.spec.Answering)
-	return nil
-}
-
 func (f *fleet) targetSizes(r *Result) error {
 	for _, n := range f.spec.Targets {
 		if err := f.more(n, r); err != nil {
@@ -330,23 +285,15 @@
 	for _, row := range r.Rows {
 		missing.take(float64(row.Missing))
 	}
-	broken := Check{Name: "promises broken at hollow initiators", Limit: 0, Measured: true, Value: float64(r.Broken)}
+	broken := Check{Name: "promises broken", Limit: 0, Measured: true, Value: float64(r.Broken)}
 	late := Check{Name: "first bytes past a drain at real initiators", Limit: 0, Measured: s.Real > 0, Value: float64(r.Load.Late)}
 	unserved := Check{Name: "requests not served by real initiators", Unit: "of all", Limit: 0.01, Measured: r.Load.Asked > 0}
 	if unserved.Measured {
 		unserved.Value = float64(r.Load.Other) / float64(r.Load.Asked)
 	}
-	agree := Check{Name: "agreement of hollow and real in bytes", Unit: "of the real ones'", Limit: s.Limits.Agreement}
-	for i := 1; i < len(r.Rows); i++ {
-		if a, b := r.Rows[i-1], r.Rows[i]; a.Of == "hollow" && b.Of == "real" {
-			agree.take(abs(a.In+a.Out-b.In-b.Out) / (b.In + b.Out))
-		}
-	}
-	r.Checks = append(r.Checks, missing, broken, late, unserved, agree)
+	r.Checks = append(append(r.Checks, missing, broken, late, unserved), r.agree(s)...)
 }
 
-func abs(x float64) float64 { return max(x, -x) }
-
 // never stands for what had not come when the wait for it was over.
 const never = 1e9
 
--- a/internal/scale/run/spec.go
+++ b/internal/scale/run/spec.go
@@ -29,7 +29,7 @@
 	Changes    []float64 `toml:"changes"`    // a second, the same
 	ForS       float64   `toml:"for_s"`      // each size is measured for so long
 	Real       int       `toml:"real"`       // spindlehitch serve
-	Answering  int       `toml:"answering"`  // targets that answer
+	Answering  int       `toml:"answering"`  // targets that answer, an even number
 	Agents     int       `toml:"agents"`
 	Relays     int       `toml:"relays"`
 	PerProcess int       `toml:"per_process"` // hollow initiators that share one
@@ -137,12 +137,15 @@
 		name        string
 		n           int
 		least, most int
-	}{{"real", s.Real, 0, mostTogether}, {"answering", s.Answering, 1, 100}, {"agents", s.Agents, 1, 7}, {"relays", s.Relays, 0, 64}, {"per_process", s.PerProcess, 1, mostShared},
-		{"modules", s.Modules, 0, s.all()}, {"members", s.Members, 0, s.all()}, {"disk", s.Disk, 0, s.all()}, {"answering", s.Answering, 1, s.Targets[0]}} {
+	}{{"real", s.Real, 0, mostTogether}, {"answering", s.Answering, 2, 100}, {"agents", s.Agents, 1, 7}, {"relays", s.Relays, 0, 64}, {"per_process", s.PerProcess, 1, mostShared},
+		{"modules", s.Modules, 0, s.all()}, {"members", s.Members, 0, s.all()}, {"disk", s.Disk, 0, s.all()}, {"answering", s.Answering, 2, s.Targets[0]}} {
 		if f.n < f.least || f.n > f.most {
 			return fmt.Errorf("%s: %d is not within %d and %d", f.name, f.n, f.least, f.most)
 		}
 	}
+	if s.Answering%2 != 0 {
+		return fmt.Errorf("answering: %d is odd", s.Answering)
+	}
 	if !(s.ForS > 0 && s.ForS <= 600) {
 		return fmt.Errorf("for_s: %v is not over 0 and at most 600", s.ForS)
 	}
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -5,15 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"spindlehitch/internal/agent"
@@ -31,32 +26,32 @@
 
 // fleet is all processes of a run, and what stands in for the rest.
 type fleet struct {
-	spec    *Spec
-	opt     Options
-	ctx     context.Context
-	dir     string
-	began   time.Time
-	service *service
-	targets *answering
-	agents  []*proc
-	apis    []string // the agents'
-	dirs    []string // the agents'
-	relays  []*proc
-	relayAt []relayAt
-	ways    map[string]ways
-	hosts   []*proc
-	kinds   []kind   // of each host's initiators
-	counts  []int    // how many each has
-	hollow  int      // initiators in hosts
-	seeds   []string // members that others begin with
-	reals   []*proc
-	ends    []string                  // the reals' addresses
-	links   map[string][]*faults.Link // of each region, to all that is outside it
-	client  *agent.Client
-	entries []listing.Entry
-	turns   []int64 // changes of each
-	mu      sync.Mutex
-	load    load
+	spec      *Spec
+	opt       Options
+	ctx       context.Context
+	dir       string
+	began     time.Time
+	service   *service
+	targets   *answering
+	agents    []*proc
+	apis      []string // the agents'
+	dirs      []string // the agents'
+	relays    []*proc
+	relayAt   []relayAt
+	ways      map[string]ways
+	hosts     []*proc
+	kinds     []kind   // of each host's initiators
+	counts    []int    // how many each has
+	hollow    int      // initiators in hosts
+	seeds     []string // members that others begin with
+	reals     []*real
+	backwards int                       // times that a real one said that an older version is in force
+	links     map[string][]*faults.Link // of each region, to all that is outside it
+	client    *agent.Client
+	entries   []listing.Entry
+	turns     []int64 // changes of each
+	mu        sync.Mutex
+	load      load
 }
 
 // newFleet starts discovery, targets, agents and what else there is before the first initiator.
@@ -95,13 +90,13 @@
 	fmt.Fprintf(f.opt.Log, "%6.1f s  %s\n", time.Since(f.began).Seconds(), fmt.Sprintf(form, about...))
 }
 
-// grow makes more targets and returns them, each a shard of its own. The first few answer.
+// grow makes more targets and returns them, each a shard of its own. The first few answer: two of these have a shard in common.
 func (f *fleet) grow(to int) []listing.Entry {
 	from := len(f.entries)
 	for i := from; i < to; i++ {
 		e := listing.Entry{ID: fmt.Sprintf("t%05d", i), Addr: "127.0.0.1:9", Zone: f.zone(i), Cell: new(int), State: "SERVING"}
 		if *e.Cell = i; i < len(f.targets.addrs) {
-			e.Addr = f.targets.addrs[i]
+			e.Addr, *e.Cell = f.targets.addrs[i], i/2
 		}
 		f.entries, f.turns = append(f.entries, e), append(f.turns, 0)
 	}
@@ -115,36 +110,6 @@
 	return r.Zones[i/len(f.spec.Regions)%len(r.Zones)]
 }
 
-// startAgents starts them and waits for a leader.
-func (f *fleet) startAgents() error {
-	addrs, err := freeAddrs(2 * f.spec.Agents)
-	if err != nil {
-		return err
-	}
-	f.apis = addrs[:f.spec.Agents]
-	for i := range f.apis {
-		var b strings.Builder
-		dir := filepath.Join(f.dir, fmt.Sprint("agent-", i, ".data"))
-		f.dirs = append(f.dirs, dir)
-		fmt.Fprintf(&b, "[agent]\nid = \"agent-%d\"\ndir = %q\n", i, dir)
-		for j := range f.apis {
-			fmt.Fprintf(&b, "[[agent.peer]]\nid = \"agent-%d\"\nraft = %q\napi = %q\n", j, addrs[f.spec.Agents+j], addrs[j])
-		}
-		path := filepath.Join(f.dir, fmt.Sprintf("agent-%d.toml", i))
-		if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
-			return err
-		}
-		p := &proc{name: fmt.Sprint("agent-", i), path: f.opt.Program, args: []string{"agent", "--operator", path}, dir: f.dir}
-		f.agents = append(f.agents, p)
-		if err := p.start(false); err != nil {
-			return err
-		}
-	}
-	f.client = &agent.Client{Addrs: f.apis}
-	_, err = f.leader()
-	return err
-}
-
 // long is a bound for whatever a busy machine needs time for.
 const long = 2 * time.Minute
 
@@ -171,20 +136,6 @@
 	}
 }
 
-// leader waits until an agent leads, and tells which.
-func (f *fleet) leader() (leader int, err error) {
-	err = f.until("a leader of the agents", long, func() bool {
-		for i, s := range f.client.Status(f.ctx) {
-			if s.State == "Leader" {
-				leader = i
-				return true
-			}
-		}
-		return false
-	})
-	return leader, err
-}
-
 // way makes a link from a region to something outside it.
 func (f *fleet) way(region, to, addr string) (string, error) {
 	l, err := faults.NewLink(region, to, addr)
@@ -234,6 +185,7 @@
 	plain    kind = "plain"
 	onDisk   kind = "disk"   // they keep a copy of what they have
 	deciding kind = "module" // they run the module
+	whole    kind = "whole"  // both: as many as there are real ones, to be held against them
 	member   kind = "member" // they know each other
 )
 
@@ -243,6 +195,8 @@
 // kindOf is that of the initiator of a number: kinds are spread evenly, so that each size has its share.
 func (f *fleet) kindOf(i int) kind {
 	switch {
+	case i < f.spec.Real:
+		return whole
 	case every(i, f.spec.Modules, f.spec.all()):
 		return deciding
 	case every(i, f.spec.Members, f.spec.all()):
@@ -262,7 +216,7 @@
 	groups := map[kind][]hollowSpec{}
 	for i := f.hollow; i < to; i++ {
 		k := f.kindOf(i)
-		x := hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i), Module: k == deciding, Disk: k == onDisk}
+		x := hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i), Module: k == deciding || k == whole, Disk: k == onDisk || k == whole}
 		if k == member {
 			bind, err := freeAddrs(1)
 			if err != nil {
@@ -275,7 +229,7 @@
 		}
 		groups[k] = append(groups[k], x)
 	}
-	for _, k := range []kind{plain, onDisk, member, deciding} {
+	for _, k := range []kind{plain, onDisk, member, deciding, whole} {
 		for some := range slices.Chunk(groups[k], f.spec.PerProcess) {
 			p := &proc{name: fmt.Sprint("host-", len(f.hosts)), path: f.opt.Self, args: []string{"host"}, dir: f.dir}
 			if err := p.start(true); err != nil {
@@ -350,42 +304,6 @@
 // lacks tells whether, of so many, one does not run or has not what was asked about.
 func (s *state) lacks(of int) bool { return s.Pending > 0 || s.Running < of || s.Reached < s.Running }
 
-// startReals starts initiators as they are.
-func (f *fleet) startReals() error {
-	addrs, err := freeAddrs(2 * f.spec.Real)
-	if err != nil {
-		return err
-	}
-	for i := range f.spec.Real {
-		r := f.region(i)
-		found, err := f.way(r.Name, "discovery", f.service.addr)
-		if err != nil {
-			return err
-		}
-		name := fmt.Sprint("real-", i)
-		text, err := format.Marshal(map[string]any{"name": name, "listen": addrs[2*i], "control": addrs[2*i+1], "discovery": found, "known": f.service.list(),
-			"settings": rawText(fmt.Sprintf(settings, f.spec.all()+f.spec.Real))})
-		path := filepath.Join(f.dir, name+".json")
-		if err == nil {
-			err = os.WriteFile(path, text, 0o600)
-		}
-		if err != nil {
-			return err
-		}
-		p := &proc{name: name, path: f.opt.Program, args: []string{"serve"}, env: []string{"PROXY_CONFIG=" + path}, dir: f.dir}
-		if err := p.start(false); err != nil {
-			return err
-		}
-		f.reals, f.ends = append(f.reals, p), append(f.ends, addrs[2*i])
-	}
-	for i, at := range f.ends {
-		if err := f.until(f.reals[i].name+" is ready", long, func() bool { return answers("http://" + at + "/-/ready") }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func answers(url string) bool {
 	c := http.Client{Timeout: time.Second}
 	resp, err := c.Get(url)
@@ -405,7 +323,11 @@
 		}
 	}
 	var all sync.WaitGroup
-	for i, p := range [][]*proc{f.reals, f.relays, f.agents, f.hosts} {
+	var reals []*proc
+	for _, r := range f.reals {
+		reals = append(reals, r.proc)
+	}
+	for i, p := range [][]*proc{reals, f.relays, f.agents, f.hosts} {
 		for _, p := range p {
 			if p.cmd == nil || !p.alive() {
 				continue
@@ -432,53 +354,3 @@
 		os.RemoveAll(f.dir)
 	}
 }
-
-// answering is the targets that answer.
-type answering struct {
-	addrs   []string
-	servers []*http.Server
-	asked   []atomic.Int64
-	drained []atomic.Int64 // since when it is, in Unix milliseconds; 0: it is not
-	late    atomic.Int64   // requests longer after a drain than any initiator may be without it
-	from    atomic.Int64   // requests are judged since then, in Unix milliseconds
-}
-
-// drainBy is when all are told of a drain where nothing is cut off.
-const drainBy = 15 * time.Second
-
-func newAnswering(n int) (*answering, error) {
-	a := &answering{asked: make([]atomic.Int64, n), drained: make([]atomic.Int64, n)}
-	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			a.close()
-			return nil, err
-		}
-		s := &http.Server{ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			a.asked[i].Add(1)
-			if since := a.drained[i].Load(); since > 0 && time.Now().UnixMilli()-max(since, a.from.Load()) > drainBy.Milliseconds() {
-				a.late.Add(1)
-			}
-			fmt.Fprint(w, "from the target")
-		})}
-		a.addrs, a.servers = append(a.addrs, l.Addr().String()), append(a.servers, s)
-		go s.Serve(l)
-	}
-	return a, nil
-}
-
-// judgeFrom has requests be judged from then on.
-func (a *answering) judgeFrom(at time.Time) { a.from.Store(at.UnixMilli()) }
-
-func (a *answering) total() (n int64) {
-	for i := range a.asked {
-		n += a.asked[i].Load()
-	}
-	return n
-}
-
-func (a *answering) close() {
-	for _, s := range a.servers {
-		s.Close()
-	}
-}
