--- a/internal/scale/run/change.go
+++ b/internal/scale/run/change.go
@@ -29,9 +29,15 @@
 	return &writer{f: f, rng: rand.New(rand.NewPCG(f.spec.Seed, seed))}
 }
 
-// run makes changes until so long is over or ctx ends. One that takes longer than its turn has the next wait.
+// atOnce is how many changes are under way at a time: what is late has those behind it wait then.
+const atOnce = 32
+
+// run makes changes until so long is over or ctx ends, and returns once all are confirmed or failed.
 func (w *writer) run(ctx context.Context, rate float64, length time.Duration) {
 	began := time.Now()
+	var all sync.WaitGroup
+	defer all.Wait()
+	room := make(chan struct{}, atOnce)
 	for k := 0; ; k++ {
 		at := began.Add(time.Duration((float64(k) + 0.5) / rate * float64(time.Second)))
 		if at.Sub(began) >= length {
@@ -45,49 +51,101 @@
 		if time.Since(began) >= length {
 			return
 		}
-		w.change(ctx)
+		do := w.next(ctx)
+		room <- struct{}{}
+		all.Go(func() {
+			defer func() { <-room }()
+			w.note(ctx, do)
+		})
 	}
 }
 
-// change makes one: by turns of a target (a drain, a return, or a change of primary) and of configuration.
-func (w *writer) change(ctx context.Context) {
-	var m mark
-	var err error
+// next decides on a change, by turns of a target (a drain, a return, or a change of primary) and of configuration, and returns what makes it.
+func (w *writer) next(ctx context.Context) func() (mark, error) {
 	if w.made++; w.made%2 == 1 {
-		m, err = w.target(ctx)
-	} else {
-		m, err = w.config(ctx, false)
+		e, primary := w.choose()
+		return func() (mark, error) { return w.target(ctx, e, primary) }
+	}
+	if !w.f.byFeed() {
+		turn := w.made
+		return func() (mark, error) { return w.each(ctx, turn) }
 	}
+	layer := w.layer(false)
+	return func() (mark, error) { return layer(ctx) }
+}
+
+// note keeps what came of a change.
+func (w *writer) note(ctx context.Context, do func() (mark, error)) {
+	m, err := do()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err != nil {
-		if ctx.Err() == nil {
-			w.failed++
-		}
-		return
+	switch {
+	case err == nil:
+		w.marks = append(w.marks, m)
+	case ctx.Err() == nil:
+		w.failed++
 	}
-	w.marks = append(w.marks, m)
 }
 
-// target drains a target or has it back; every fourth time one takes another's place: a change of primary.
-func (w *writer) target(ctx context.Context) (mark, error) {
+// one makes a single change of a target.
+func (w *writer) one(ctx context.Context) (mark, error) {
+	e, primary := w.choose()
+	return w.target(ctx, e, primary)
+}
+
+// choose takes a target to drain or to have back; every fourth time one takes another's place: a change of primary. Of one target only one
+// change is under way at a time, or the older could come into force after the newer.
+func (w *writer) choose() (e []listing.Entry, primary bool) {
 	f := w.f
 	f.mu.Lock()
-	i := f.drains(w.rng.IntN(len(f.entries)))
-	e := []listing.Entry{f.turn(i)}
-	primary := w.made%8 == 1 && len(f.entries) > 2
-	if primary {
-		e = append(e, f.turn(f.drains((i+2)%len(f.entries))))
+	defer f.mu.Unlock()
+	free := func(i int) (int, bool) {
+		for range f.entries {
+			if i = f.drains(i % len(f.entries)); !f.busy[i] {
+				return i, true
+			}
+			i += 2
+		}
+		return 0, false
+	}
+	if primary = w.made%8 == 1; primary {
+		if i, some := free(w.rng.IntN(len(f.entries))); some {
+			e = append(e, f.turn(i))
+		}
+	}
+	if i, some := free(w.rng.IntN(len(f.entries))); some {
+		e = append(e, f.turn(i))
+	}
+	return e, primary && len(e) == 2
+}
+
+// target makes a change of targets.
+func (w *writer) target(ctx context.Context, e []listing.Entry, primary bool) (mark, error) {
+	f := w.f
+	if len(e) == 0 {
+		return mark{}, errAllBusy
 	}
-	f.mu.Unlock()
 	at := monotone.Now()
 	version, err := f.put(ctx, e)
+	f.mu.Lock()
+	for _, e := range e {
+		delete(f.busy, number(e.ID))
+	}
+	f.mu.Unlock()
 	for _, e := range e {
 		f.targets.tell(e.ID, e.State)
 	}
 	return mark{Lane: hollow.Targets, Version: version, At: at, Primary: primary}, err
 }
 
+// number is the number of a target.
+func number(id string) (i int) {
+	if _, err := fmt.Sscanf(id, "t%d", &i); err != nil {
+		return -1
+	}
+	return i
+}
+
 // drains is the target whose state is changed in place of one that has to stay: of those that answer each second one does, so that its shard, which
 // it has in common with the one before, is always served.
 func (f *fleet) drains(i int) int {
@@ -97,10 +155,11 @@
 	return i
 }
 
-// turn changes a target's state. Its caller holds mu.
+// turn changes a target's state, which is under way from then on. Its caller holds mu.
 func (f *fleet) turn(i int) listing.Entry {
 	e := &f.entries[i]
 	f.turns[i]++
+	f.busy[i] = true
 	if e.Started = f.turns[i]; e.State == "SERVING" {
 		e.State = "DRAINING"
 	} else {
@@ -111,9 +170,9 @@
 
 // tell has the judge know a target's state.
 func (a *answering) tell(id, state string) {
-	var i int
-	switch _, err := fmt.Sscanf(id, "t%d", &i); {
-	case err != nil || i >= len(a.drained):
+	i := number(id)
+	switch {
+	case i < 0 || i >= len(a.drained):
 	case state == "SERVING":
 		a.drained[i].Store(0)
 	default:
@@ -124,12 +183,17 @@
 // putsAtOnce is how many configurations are written at a time.
 const putsAtOnce = 16
 
-// config changes the configuration of all. Where each has one of its own, that is a change for each.
-func (w *writer) config(ctx context.Context, shared bool) (mark, error) {
-	f := w.f
-	if f.byFeed() {
-		return w.layer(ctx, shared)
+// config changes the configuration of all.
+func (w *writer) config(ctx context.Context) (mark, error) {
+	if w.f.byFeed() {
+		return w.layer(true)(ctx)
 	}
+	return w.each(ctx, w.made)
+}
+
+// each changes the configuration of all where each has one of its own: a change for each.
+func (w *writer) each(ctx context.Context, turn int) (mark, error) {
+	f := w.f
 	m := mark{Lane: hollow.Config, At: monotone.Now(), By: map[string]uint64{}}
 	var mu sync.Mutex
 	var failed error
@@ -140,7 +204,7 @@
 		all.Go(func() {
 			defer func() { <-room }()
 			name := nameOf(i)
-			e, err := f.client.Put(ctx, name, f.configOf(name, w.made), "")
+			e, err := f.client.Put(ctx, name, f.configOf(name, turn), "")
 			mu.Lock()
 			defer mu.Unlock()
 			if m.By[name] = e.Version; err != nil {
@@ -158,6 +222,9 @@
 		fmt.Sprintf(settings, f.spec.all()))
 }
 
+// errAllBusy says that changes of all targets are under way.
+var errAllBusy = errors.New("changes of all targets are under way")
+
 // errNobody says that there is nobody to be measured.
 var errNobody = errors.New("no hollow initiators")
 
@@ -170,7 +237,9 @@
 	newest := map[hollow.Lane]mark{}
 	for _, m := range marks {
 		m.Region, m.Zone, m.Name = "", "", ""
-		newest[m.Lane] = m
+		if m.Version >= newest[m.Lane].Version {
+			newest[m.Lane] = m
+		}
 	}
 	asked := slices.Collect(maps.Values(newest))
 	began := time.Now()
--- a/internal/scale/run/control.go
+++ b/internal/scale/run/control.go
@@ -140,10 +140,10 @@
 	return version, nil
 }
 
-// layer changes a layer of the configuration: one change, whatever it reaches.
-func (w *writer) layer(ctx context.Context, shared bool) (mark, error) {
+// layer decides on a layer of the configuration and returns what changes it: one change, whatever it reaches.
+func (w *writer) layer(shared bool) func(context.Context) (mark, error) {
 	f := w.f
-	m := mark{Lane: hollow.Config, At: monotone.Now()}
+	m := mark{Lane: hollow.Config}
 	key := "shared"
 	if !shared {
 		i := w.rng.IntN(max(1, f.hollow))
@@ -160,9 +160,11 @@
 		}
 	}
 	value := fmt.Appendf(nil, `{"limits":{"sockets":%d}}`, 1024+w.made%1024)
-	var err error
-	m.Version, err = f.client.PutChange(ctx, feed.Change{Fleet: fleetName, Puts: []feed.Put{{Kind: feed.Config, Key: key, Value: value}}})
-	return m, err
+	return func(ctx context.Context) (_ mark, err error) {
+		m.At = monotone.Now()
+		m.Version, err = f.client.PutChange(ctx, feed.Change{Fleet: fleetName, Puts: []feed.Put{{Kind: feed.Config, Key: key, Value: value}}})
+		return m, err
+	}
 }
 
 // nameOf is the name of the hollow initiator of a number.
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -107,7 +107,7 @@
 		return 0, err
 	}
 	w := f.newWriter(uint64(n))
-	m, err := w.config(f.ctx, true)
+	m, err := w.config(f.ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -160,7 +160,7 @@
 		return err
 	}
 	// What each may be sent was used up by them: how long a single change takes behind them.
-	m, err := f.newWriter(uint64(n)).target(f.ctx)
+	m, err := f.newWriter(uint64(n)).one(f.ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/run/run_test.go
+++ b/internal/scale/run/run_test.go
@@ -166,9 +166,16 @@
 
 // TestChangesOfTargets counts each target's changes, so that the judge can tell an older state from a newer one.
 func TestChangesOfTargets(t *testing.T) {
-	f := &fleet{entries: []listing.Entry{{ID: "a", State: "SERVING"}}, turns: []int64{0}, targets: &answering{}}
+	f := &fleet{spec: &Spec{}, entries: []listing.Entry{{ID: "a", State: "SERVING"}}, turns: []int64{0}, targets: &answering{}, busy: map[int]bool{}}
 	require.Equal(t, listing.Entry{ID: "a", State: "DRAINING", Started: 1}, f.turn(0))
 	require.Equal(t, listing.Entry{ID: "a", State: "SERVING", Started: 2}, f.turn(0))
+	w := f.newWriter(1)
+	e, _ := w.choose()
+	require.Empty(t, e, "a change of the only one is under way")
+	delete(f.busy, 0)
+	e, primary := w.choose()
+	require.Len(t, e, 1)
+	require.False(t, primary)
 	c := feed.Change{Fleet: fleetName, Epoch: "e", Puts: []feed.Put{{Kind: feed.Targets, Key: "a", Value: []byte(`{}`)}}}
 	require.NoError(t, c.Check())
 }
--- a/internal/scale/run/spec.go
+++ b/internal/scale/run/spec.go
@@ -223,6 +223,13 @@
 func (s *Spec) all() int  { return s.Initiators[len(s.Initiators)-1] }
 func (s *Spec) most() int { return s.Targets[len(s.Targets)-1] }
 
+const (
+	// eachTakes is what a hollow initiator takes without a single target, in bytes: its goroutines, connections and buffers. Measured by the run itself.
+	eachTakes = 256 << 10
+	// garbage is what a host's collector leaves beside what lives, as a factor: it runs at half as much again.
+	garbage = 1.5
+)
+
 // replicaMemory is the slope of what an initiator keeps of each target that it hears of by the feed.
 const replicaMemory = "feed.replica.memory"
 
@@ -234,13 +241,13 @@
 	}
 	module, members := t.At("module.memory"), t.At("members.memory")
 	ok = list.Known() && (module.Known() || s.Modules == 0) && (members.Known() || s.Members == 0)
-	sum := 0.0
+	sum := float64(s.all() * eachTakes)
 	for _, part := range []struct {
 		s       slope.Slope
 		n, size int
 	}{{list, s.all(), s.most()}, {module, s.Modules, s.most()}, {members, s.Members, s.Members}} {
 		if part.s.Known() && part.n > 0 {
-			sum += float64(part.n) * part.s.At(float64(part.size))
+			sum += float64(part.n) * part.s.At(float64(part.size)) * garbage
 		}
 	}
 	return int64(sum), ok
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -49,14 +49,15 @@
 	links     map[string][]*faults.Link // of each region, to all that is outside it
 	client    *agent.Client
 	entries   []listing.Entry
-	turns     []int64 // changes of each
+	turns     []int64      // changes of each
+	busy      map[int]bool // a change of it is under way
 	mu        sync.Mutex
 	load      load
 }
 
 // newFleet starts discovery, targets, agents and what else there is before the first initiator.
 func newFleet(ctx context.Context, spec *Spec, opt Options) (f *fleet, err error) {
-	f = &fleet{spec: spec, opt: opt, ctx: ctx, dir: opt.Dir, began: time.Now(), links: map[string][]*faults.Link{}}
+	f = &fleet{spec: spec, opt: opt, ctx: ctx, dir: opt.Dir, began: time.Now(), links: map[string][]*faults.Link{}, busy: map[int]bool{}}
 	if f.dir == "" {
 		if f.dir, err = os.MkdirTemp("", "spindlehitch-scale"); err != nil {
 			return nil, err
