--- a/internal/fleet/proof/feed/feed_test.go
+++ b/internal/fleet/proof/feed/feed_test.go
@@ -131,7 +131,7 @@
 func TestLong(t *testing.T) {
 	checks := "3000"
 	if os.Getenv("SPINDLEHITCH_PROOF") == "" {
-		checks = "600"
+		checks = "1000"
 	}
 	for name, value := range map[string]string{"rapid.checks": checks, "rapid.shrinktime": "2s"} {
 		if err := flag.Set(name, value); err != nil {
@@ -173,7 +173,7 @@
 	searched = 0
 	depth, most := 0, 60_000
 	if os.Getenv("SPINDLEHITCH_PROOF") == "" {
-		depth, most = -1, 1200 // a short one beside all other tests
+		depth, most = -1, 2500 // a short one beside all other tests
 	}
 	for _, c := range cases() {
 		t.Run(c.Name, func(t *testing.T) {
--- a/internal/fleet/proof/feed/world.go
+++ b/internal/fleet/proof/feed/world.go
@@ -303,6 +303,7 @@
 // Do takes a step and holds what it touched against the promises.
 func (w *World) Do(s Step) error {
 	w.touched, w.told = w.touched[:0], false
+	w.now += time.Microsecond // nothing happens at once
 	if err := w.step(s); err != nil {
 		return err
 	}
