--- a/cmd/spindlehitch/change_test.go
+++ b/cmd/spindlehitch/change_test.go
@@ -151,3 +151,30 @@
 	require.NoError(t, writeInForce(&b, agent.InForce{Agent: "a", Head: 9}))
 	require.NotContains(t, b.String(), "in force at")
 }
+
+// TestPublishCommand has a discovery's list put into the feed.
+func TestPublishCommand(t *testing.T) {
+	ctx, end := context.WithCancel(context.Background())
+	api := freeAddr(t)
+	w := newWorld(t)
+	ended := make(chan error, 2)
+	go func() {
+		ended <- runAgent(ctx, &config.Agent{ID: "a", Dir: t.TempDir(), Peers: []config.Peer{{ID: "a", Raft: freeAddr(t), API: api}}}, quiet)
+	}()
+	set := publishing{agents: []string{api}, fleet: "campus", discovery: w.discovery}
+	go func() {
+		set.run(ctx, quiet)
+		ended <- nil
+	}()
+	client := &agent.Client{Addrs: []string{api}}
+	require.Eventually(t, func() bool {
+		records, err := client.Records(ctx, feed.Targets, "t")
+		return err == nil && len(records) == 1 && records[0].Version == 1
+	}, time.Minute, 50*time.Millisecond)
+	end()
+	require.NoError(t, <-ended)
+	require.NoError(t, <-ended)
+	_, code, err := command("publish")
+	require.Equal(t, 1, code)
+	require.ErrorContains(t, err, "--fleet")
+}
--- a/cmd/spindlehitch/main.go
+++ b/cmd/spindlehitch/main.go
@@ -43,6 +43,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), agentCommand(), configCommand(),
-		conformCommand(), modelCommand(), reportCommand(), topCommand(), budgetCommand(), leaseCommand(), membersCommand(), relayCommand(), changeCommand())
+		conformCommand(), modelCommand(), reportCommand(), topCommand(), budgetCommand(), leaseCommand(), membersCommand(), relayCommand(), changeCommand(), publishCommand())
 	return root
 }
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -26,7 +26,7 @@
 
 const (
 	dialIn    = time.Second
-	silentIn  = 2 * time.Second // beyond the poll's wait: then the source is silent
+	silentIn  = 1500 * time.Millisecond // beyond the poll's wait: then the source is silent
 	idleFor   = 30 * time.Second
 	saveEvery = 10 * time.Second // between two copies on disk, while something changes; or
 	saveShare = 200              // times as long as the last one took
--- /dev/null
+++ b/internal/feed/publisher.go
@@ -0,0 +1,230 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/listing"
+)
+
+const (
+	publishEvery = 50 * time.Millisecond // at the most: what comes meanwhile goes together
+	mostTogether = 500                   // targets in one change
+	publishAgain = time.Second           // after a change of which it isn't known whether it was made
+	// A whole list that takes away more than half of so many targets is taken for a mistake of discovery's.
+	fewTargets = 8
+)
+
+// PublisherOptions set up a publisher.
+type PublisherOptions struct {
+	Fleet string
+	Put   func(context.Context, feed.Change) (uint64, error) // makes a change
+	Have  func(context.Context) ([]feed.Record, error)       // the targets in the stream
+	Shed  bool                                               // whole lists may take away more than half
+	Log   *slog.Logger
+}
+
+// Publisher puts what a list of targets says into the stream: what differs, coalesced.
+type Publisher struct {
+	opt  PublisherOptions
+	wake chan struct{}
+
+	mu    sync.Mutex
+	want  map[string]listing.Entry // by id
+	whole bool                     // a whole list has come
+	dirty map[string]bool
+	bad   map[string]listing.Entry // that can't be put, until they change
+}
+
+// NewPublisher returns a publisher that has heard of no list yet.
+func NewPublisher(opt PublisherOptions) *Publisher {
+	return &Publisher{opt: opt, wake: make(chan struct{}, 1), want: map[string]listing.Entry{}, dirty: map[string]bool{}, bad: map[string]listing.Entry{}}
+}
+
+// Tell takes a list, or a change of it, as discovery has it.
+func (p *Publisher) Tell(l *listing.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.Full && !p.replace(l) || !l.Full && !p.whole {
+		return
+	}
+	for _, e := range l.Servers {
+		if e.State == "DELETED" {
+			delete(p.want, e.ID)
+		} else {
+			p.want[e.ID] = e
+		}
+		p.dirty[e.ID] = true
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// replace has a whole list take the place of what was told before; false where that would take away too much.
+func (p *Publisher) replace(l *listing.List) bool {
+	named := make(map[string]bool, len(l.Servers))
+	for _, e := range l.Servers {
+		named[e.ID] = e.State != "DELETED"
+	}
+	gone := 0
+	for id := range p.want {
+		if !named[id] {
+			gone++
+		}
+	}
+	if len(p.want) >= fewTargets && 2*gone > len(p.want) && !p.opt.Shed {
+		p.opt.Log.Warn("whole list not published", slog.String("reason", "FEED_LIST_SHRINKS"), slog.Int("targets", len(p.want)), slog.Int("gone", gone))
+		return false
+	}
+	for id := range p.want {
+		if !named[id] {
+			delete(p.want, id)
+			p.dirty[id] = true
+		}
+	}
+	p.whole = true
+	return true
+}
+
+// Run puts changes until ctx ends.
+func (p *Publisher) Run(ctx context.Context) {
+	var have map[string]listing.Entry
+	for ctx.Err() == nil {
+		if !p.listed() {
+			p.wait(ctx)
+			continue
+		}
+		if have == nil {
+			var err error
+			if have, err = p.load(ctx); err != nil {
+				p.failed(ctx, err)
+				continue
+			}
+		}
+		c := p.next(have)
+		if len(c.Puts) == 0 {
+			p.wait(ctx)
+			continue
+		}
+		v, err := p.opt.Put(ctx, c)
+		if err != nil {
+			have = nil // whether it was made is seen there
+			p.failed(ctx, err)
+			continue
+		}
+		for _, put := range c.Puts {
+			if put.Gone {
+				delete(have, put.Key)
+			} else if e, err := entryOf(put.Value); err == nil {
+				have[put.Key] = e
+			}
+		}
+		p.opt.Log.Info("targets published", slog.String("reason", "FEED_PUBLISHED"), slog.Uint64("version", v), slog.Int("targets", len(c.Puts)))
+		sleep(ctx, publishEvery)
+	}
+}
+
+func (p *Publisher) listed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.whole
+}
+
+func (p *Publisher) wait(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-p.wake:
+	}
+}
+
+func (p *Publisher) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	p.opt.Log.Warn("targets not published", slog.String("reason", "FEED_UNPUBLISHED"), slog.Any("error", err))
+	sleep(ctx, publishAgain)
+}
+
+// load reads what the stream has. All of that and of the list is compared then.
+func (p *Publisher) load(ctx context.Context) (map[string]listing.Entry, error) {
+	records, err := p.opt.Have(ctx)
+	if err != nil {
+		return nil, err
+	}
+	have := make(map[string]listing.Entry, len(records))
+	for i := range records {
+		e, err := entryOf(records[i].Value)
+		if err != nil {
+			e = listing.Entry{} // which no list has: it is put anew
+		}
+		have[records[i].Key] = e
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.opt.Shed && len(have) >= fewTargets && 2*len(p.want) < len(have) {
+		return nil, errors.New("the list has less than half of the targets in the stream: is it another fleet's? --shed takes them away")
+	}
+	for id := range have {
+		p.dirty[id] = true
+	}
+	for id := range p.want {
+		p.dirty[id] = true
+	}
+	return have, nil
+}
+
+func entryOf(value []byte) (e listing.Entry, err error) {
+	return e, format.Unmarshal(value, &e)
+}
+
+func same(a, b listing.Entry) bool {
+	if (a.Cell == nil) != (b.Cell == nil) || a.Cell != nil && *a.Cell != *b.Cell {
+		return false
+	}
+	a.Cell, b.Cell = nil, nil
+	return a == b
+}
+
+// next is the next change of what differs.
+func (p *Publisher) next(have map[string]listing.Entry) feed.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := feed.Change{Fleet: p.opt.Fleet}
+	for id := range p.dirty {
+		if len(c.Puts) >= mostTogether {
+			break
+		}
+		delete(p.dirty, id)
+		put := feed.Put{Kind: feed.Targets, Key: id}
+		is, there := have[id]
+		e, wanted := p.want[id]
+		switch {
+		case !wanted && !there, wanted && there && same(is, e):
+			continue
+		case !wanted:
+			put.Gone = true
+		default:
+			var err error
+			if put.Value, err = format.Marshal(e); err == nil {
+				one := feed.Change{Fleet: p.opt.Fleet, Puts: []feed.Put{put}}
+				err = one.Check()
+			}
+			if err != nil {
+				if !same(p.bad[id], e) {
+					p.bad[id] = e
+					p.opt.Log.Warn("target not published", slog.String("reason", "FEED_BAD_TARGET"), slog.String("target", id), slog.Any("error", err))
+				}
+				continue
+			}
+			delete(p.bad, id)
+		}
+		c.Puts = append(c.Puts, put)
+	}
+	return c
+}
--- a/internal/feed/relay.go
+++ b/internal/feed/relay.go
@@ -17,6 +17,7 @@
 
 const (
 	reportEvery = time.Second
+	reportIn    = 2 * time.Second // what it tells is older by then than the next would be
 	headIn      = 5 * time.Second // for a reader to send its question
 	leaveIn     = time.Second
 	moreConns   = 64 // beside one for each reader: those that move, and operators
@@ -112,7 +113,9 @@
 	for sleep(ctx, reportEvery) {
 		var rep feed.Report
 		r.Do(func(now time.Duration, s *feed.Source) { rep = s.Report(now, r.opt.ID, r.opt.Region) })
-		answer, err := r.opt.Report(ctx, rep)
+		within, done := context.WithTimeout(ctx, reportIn)
+		answer, err := r.opt.Report(within, rep)
+		done()
 		if err != nil {
 			if r.reports.failed.Add(1); !failing && ctx.Err() == nil {
 				r.log.Warn("feed report failed", slog.String("reason", "FEED_UNREPORTED"), slog.Any("error", err))
