--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
-	"net/url"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -390,58 +387,3 @@
 	}
 	return page
 }
-
-// PutChange has a change of the feed made, once, and returns its version. A *Refusal says that it was not made.
-func (c *Client) PutChange(ctx context.Context, ch feed.Change) (uint64, error) {
-	text, err := json.Marshal(ch)
-	if err != nil {
-		return 0, err
-	}
-	p, err := bring[Put](ctx, c, call{method: http.MethodPost, path: "/v1/feed/changes", id: rand.Text(), body: text})
-	return p.Version, err
-}
-
-// Report brings the leader a relay's report.
-func (c *Client) Report(ctx context.Context, rep feed.Report) (feed.ReportAnswer, error) {
-	return send[feed.ReportAnswer](ctx, c, http.MethodPost, "/v1/feed/report", rep)
-}
-
-// InForce tells who has a version; 0: the newest. Where there is no leader it is how far some agent's log goes: Leads is false then.
-func (c *Client) InForce(ctx context.Context, version uint64) (InForce, error) {
-	at := "/v1/feed/versions/" + latest
-	if version > 0 {
-		at = "/v1/feed/versions/" + strconv.FormatUint(version, 10)
-	}
-	fresh, done := context.WithTimeout(ctx, callWithin/2)
-	v, err := decode[InForce](c.do(fresh, call{method: http.MethodGet, path: at}))
-	done()
-	if answered(err) {
-		return v, err
-	}
-	ctx, done = context.WithTimeout(ctx, callWithin/2)
-	defer done()
-	return decode[InForce](c.do(ctx, call{method: http.MethodGet, path: at + "?stale"}))
-}
-
-// Records are the live ones of a kind, or the one with that key, as the leader has them, in order of version.
-func (c *Client) Records(ctx context.Context, k feed.Kind, key string) (all []feed.Record, err error) {
-	ctx, done := bounded(ctx)
-	defer done()
-	after := uint64(0)
-	for {
-		at := "/v1/feed/records?kind=" + k.String() + "&key=" + url.QueryEscape(key) + "&after=" + strconv.FormatUint(after, 10)
-		page, err := decode[[]feed.Record](c.do(ctx, call{method: http.MethodGet, path: at}))
-		if err != nil {
-			return nil, err
-		}
-		again := make(map[string]bool, len(page))
-		for i := range page {
-			again[page[i].Key] = true
-		}
-		all = append(slices.DeleteFunc(all, func(r feed.Record) bool { return again[r.Key] }), page...)
-		if len(page) < mostPage {
-			return all, nil
-		}
-		after = page[len(page)-1].Version
-	}
-}
--- a/internal/feed/disk.go
+++ b/internal/feed/disk.go
@@ -6,12 +6,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/renameio/v2"
+
+	"spindlehitch/internal/fleet/feed"
+	"spindlehitch/internal/monotone"
 )
 
 // The copy is one file: a mark, the length and the checksum (xxhash) of what follows, and that. It is replaced as a whole, so that what
@@ -79,3 +83,103 @@
 	}
 	return text, nil
 }
+
+// kept is what the copy on disk holds.
+type kept struct {
+	Turn  uint64     `json:"turn"`
+	Scope feed.Scope `json:"scope"` // another one is owed other layers
+	Copy  feed.Copy  `json:"copy"`
+}
+
+// manyTurns are more than a life has between two copies on disk.
+const manyTurns = 1 << 20
+
+// load begins with the copy on disk. One that is torn, of another fleet or of another scope is passed over: the follower starts from nothing.
+func (f *Follower) load() {
+	if f.opt.Dir == "" {
+		return
+	}
+	if err := os.MkdirAll(f.opt.Dir, 0o700); err != nil {
+		f.spoilt(err)
+		return
+	}
+	text, err := readCopy(f.opt.Dir)
+	if err != nil {
+		f.spoilt(err)
+		return
+	}
+	if text == nil {
+		return
+	}
+	var k kept
+	if err = decode.Unmarshal(text, &k); err == nil {
+		err = f.restore(&k)
+	}
+	if err != nil {
+		f.spoilt(err)
+		return
+	}
+}
+
+// begin has what the copy on disk had applied.
+func (f *Follower) begin() {
+	f.mu.Lock()
+	mark := f.replica.Whole()
+	records := append(f.replica.Records(feed.Targets), f.replica.Records(feed.Config)...)
+	f.mu.Unlock()
+	if mark.Epoch == "" {
+		return
+	}
+	f.log.Info("feed copy", slog.String("reason", "FEED_COPY"), slog.Int("records", len(records)), slog.Uint64("targets", mark.Targets),
+		slog.Uint64("config", mark.Config))
+	f.apply(Change{Records: records, Whole: true, Position: mark.Position}, mark)
+}
+
+// restore takes a copy, before there is anyone else.
+func (f *Follower) restore(k *kept) error {
+	if k.Scope != f.replica.Scope() {
+		return fmt.Errorf("the copy is for %+v, and this is %+v", k.Scope, f.replica.Scope())
+	}
+	turn := f.replica.Turn()
+	if turn <= k.Turn {
+		turn = k.Turn + manyTurns // the machine's clock was set back
+	}
+	r := feed.NewReplica(f.opt.Fleet, f.replica.Scope(), turn, feed.Limits{})
+	if err := r.Restore(k.Copy); err != nil {
+		return err
+	}
+	f.replica = r
+	return nil
+}
+
+func (f *Follower) spoilt(err error) {
+	f.state.Torn++
+	f.log.Warn("feed copy passed over", slog.String("reason", "FEED_COPY_BAD"), slog.String("dir", f.opt.Dir), slog.Any("error", err))
+}
+
+// save replaces the copy on disk, now and then or at the end. One whose records are all there is good for long: what is behind in position
+// alone is brought up by a delta of nothing.
+func (f *Follower) save(last bool) {
+	now := monotone.Now()
+	due := f.dirty && now >= f.due || f.moved && now-f.saved >= saveMoved || last && (f.dirty || f.moved)
+	if f.opt.Dir == "" || !due {
+		return
+	}
+	f.mu.Lock()
+	k := kept{Turn: f.replica.Turn(), Scope: f.replica.Scope(), Copy: f.replica.Store().Copy()}
+	f.mu.Unlock()
+	text, err := encode.Marshal(&k)
+	if err == nil {
+		err = saveCopy(f.opt.Dir, text)
+	}
+	took := monotone.Now() - now
+	f.saved, f.due = now, now+max(saveEvery, saveShare*took)
+	if err != nil {
+		f.log.Warn("feed copy not written", slog.String("reason", "FEED_COPY_FAILED"), slog.String("dir", f.opt.Dir), slog.Any("error", err))
+		return
+	}
+	f.dirty, f.moved = false, false
+	f.mu.Lock()
+	f.state.Saved++
+	f.mu.Unlock()
+}
