--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -13,7 +13,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -26,9 +25,11 @@
 
 const (
 	dialIn    = time.Second
-	silentIn  = 2 * time.Second // beyond the poll's wait: then the source is silent
+	silentIn  = 1500 * time.Millisecond // beyond the poll's wait: then the source is silent
 	idleFor   = 30 * time.Second
-	saveEvery = 10 * time.Second // the copy on disk is so old at most, while something changes
+	saveEvery = 10 * time.Second // between two copies on disk, while something changes; or
+	saveShare = 200              // times as long as the last one took
+	saveMoved = 10 * time.Minute // where nothing has changed but the position
 	hurried   = 100 * time.Millisecond
 	connBytes = 2 << 10 // of buffers, each way
 )
@@ -97,9 +98,10 @@
 	state   State
 
 	told  feed.Position // of Run alone, as what follows
-	dirty bool
-	saved time.Duration
-	ever  bool // saved
+	dirty bool          // records have changed since the copy on disk
+	moved bool          // the position has
+	due   time.Duration // the next copy
+	saved time.Duration // the last one
 }
 
 // NewFollower checks the options and reads the copy on disk; it asks for nothing yet.
@@ -298,7 +300,7 @@
 	close(f.changed)
 	f.changed = make(chan struct{})
 	f.mu.Unlock()
-	f.dirty = true
+	f.dirty, f.moved = f.dirty || len(records) > 0, true
 	f.heard(relay, time.Duration(max(0, d.AgeMs))*time.Millisecond)
 	f.apply(Change{Records: records, Position: mark.Position}, mark)
 	return feed.Answered, 0
@@ -363,100 +365,3 @@
 	defer f.mu.Unlock()
 	return f.replica.Records(k)
 }
-
-// kept is what the copy on disk holds.
-type kept struct {
-	Turn  uint64     `json:"turn"`
-	Scope feed.Scope `json:"scope"` // another one is owed other layers
-	Copy  feed.Copy  `json:"copy"`
-}
-
-// manyTurns are more than a life has between two copies on disk.
-const manyTurns = 1 << 20
-
-// load begins with the copy on disk. One that is torn, of another fleet or of another scope is passed over: the follower starts from nothing.
-func (f *Follower) load() {
-	if f.opt.Dir == "" {
-		return
-	}
-	if err := os.MkdirAll(f.opt.Dir, 0o700); err != nil {
-		f.spoilt(err)
-		return
-	}
-	text, err := readCopy(f.opt.Dir)
-	if err != nil {
-		f.spoilt(err)
-		return
-	}
-	if text == nil {
-		return
-	}
-	var k kept
-	if err = format.Unmarshal(text, &k); err == nil {
-		err = f.restore(&k)
-	}
-	if err != nil {
-		f.spoilt(err)
-		return
-	}
-}
-
-// begin has what the copy on disk had applied.
-func (f *Follower) begin() {
-	f.mu.Lock()
-	mark := f.replica.Whole()
-	records := append(f.replica.Records(feed.Targets), f.replica.Records(feed.Config)...)
-	f.mu.Unlock()
-	if mark.Epoch == "" {
-		return
-	}
-	f.log.Info("feed copy", slog.String("reason", "FEED_COPY"), slog.Int("records", len(records)), slog.Uint64("targets", mark.Targets),
-		slog.Uint64("config", mark.Config))
-	f.apply(Change{Records: records, Whole: true, Position: mark.Position}, mark)
-}
-
-// restore takes a copy, before there is anyone else.
-func (f *Follower) restore(k *kept) error {
-	if k.Scope != f.replica.Scope() {
-		return fmt.Errorf("the copy is for %+v, and this is %+v", k.Scope, f.replica.Scope())
-	}
-	turn := f.replica.Turn()
-	if turn <= k.Turn {
-		turn = k.Turn + manyTurns // the machine's clock was set back
-	}
-	r := feed.NewReplica(f.opt.Fleet, f.replica.Scope(), turn, feed.Limits{})
-	if err := r.Restore(k.Copy); err != nil {
-		return err
-	}
-	f.replica = r
-	return nil
-}
-
-func (f *Follower) spoilt(err error) {
-	f.state.Torn++
-	f.log.Warn("feed copy passed over", slog.String("reason", "FEED_COPY_BAD"), slog.String("dir", f.opt.Dir), slog.Any("error", err))
-}
-
-// save replaces the copy on disk where something has changed, now and then or at the end.
-func (f *Follower) save(last bool) {
-	now := monotone.Now()
-	if f.opt.Dir == "" || !f.dirty || f.ever && !last && now-f.saved < saveEvery {
-		return
-	}
-	f.mu.Lock()
-	k := kept{Turn: f.replica.Turn(), Scope: f.replica.Scope(), Copy: f.replica.Store().Copy()}
-	f.mu.Unlock()
-	text, err := format.Marshal(&k)
-	if err == nil {
-		err = saveCopy(f.opt.Dir, text)
-	}
-	f.saved, f.ever = now, true
-	if err != nil {
-		f.log.Warn("feed copy not written", slog.String("reason", "FEED_COPY_FAILED"), slog.String("dir", f.opt.Dir), slog.Any("error", err))
-		return
-	}
-	f.dirty = false
-	f.mu.Lock()
-	f.state.Saved++
-	f.mu.Unlock()
-}
