The module's work goes by what changed and what is in use, not by how many shards are listed

finder.go finds what scheduler.go decides on: nodes by shard, lanes by shard, those in which something waits in order of lanes, those with flows, nodes that may be avoided, and for new objects the first lane of least wait from a drawn place on, in a tree of minima that is made once a new object comes. No decision has moved: scheduler.go still chooses a lane's node, what is sent when, and judges a lane's wait.

Planted by hand, each found by it: lanes in order of arrival, lanes made in order of the list, holders in order of joining, a lane that comes while requests are placed anew put first, a node that moved left at its lane, a lane given its node ahead of the next list, holding, releasing, an outcome, a list or a new lane not noted in the tree, warming, closed or busy nodes taken to stand still, the last of equal waits, no round, the round first, places not renumbered, the tree not made anew after lanes went, lanes of unknown shards kept or dropped too early, nodes gone before their lanes, drains not counted down, a drained node forgotten, what is avoided in order of use, shares by up nodes alone. Not found: a trial let go by Watched not noted, since a node that is not open is looked at afresh at each time anyway; noted all the same, for two steps at one time.

TestIdleNodes bounds the bytes at 700 and looks that the lists a step goes through hold what is in use.

--- a/scheduler.go
+++ b/scheduler.go
@@ -64,12 +64,10 @@
 	atOnce   float64       // how many are there meanwhile
 	volumes  map[string]*volume
 	requests map[string]*request
-	lanes    []*lane
-	nodes    []*node
-	byID     map[string]*node
 	keys     map[string]*orderKey
 	dues     dueHeap
 	crew     crew
+	finder
 	// For the attempt budget; the next timer and what it is for, the last sweep, how long this initiator
 	// stood still before this step (0: not), when to ask for the list and how long to wait after that.
 	taken, extra                                    []time.Duration
@@ -90,8 +88,7 @@
 	s := &Scheduler{set: set.clone(), rng: rand.New(rand.NewPCG(seed, seed)), leastAim: never,
 		classes: map[string]*Class{}, plans: map[string]*Plan{}, turned: map[ask]*request{},
 		volumes: map[string]*volume{}, requests: map[string]*request{},
-		byID: map[string]*node{}, keys: map[string]*orderKey{},
-		timerAt: never, askAt: never, born: never, askWait: time.Second,
+		finder: newFinder(), keys: map[string]*orderKey{}, timerAt: never, askAt: never, born: never, askWait: time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
 	if s.index = set.Index - 1; s.index < 0 {
@@ -155,7 +152,7 @@
 	if !idle {
 		s.answerDue()
 		s.replace()
-		for _, l := range s.lanes {
+		for l := range s.waiting() {
 			s.releaseLane(l)
 		}
 		s.answerDue() // what has lapsed
@@ -446,6 +443,7 @@
 	r.out, r.outAt = n, s.now
 	n.out = append(n.out, r)
 	n.wide = max(n.wide, len(n.out))
+	s.use(n)
 	wait, within := min(s.patience(n, r), max(r.due-s.now, s.set.Tick)), time.Duration(0)
 	if r.mayRun && r.class.Effect == Keyed {
 		within = max(s.repeatBy(r)-s.now, 1) // it may wait for a connection yet
@@ -470,28 +468,32 @@
 		named[x.ID] = true
 		n := s.byID[x.ID]
 		if n == nil {
-			n = &node{Node: Node{ID: x.ID}, window: 2, heard: s.now, load: -1}
-			s.byID[x.ID] = n
-			s.nodes = append(s.nodes, n)
+			n = &node{Node: Node{ID: x.ID, Shard: x.Shard}, window: 2, heard: s.now, load: -1}
+			s.enter(n)
 		}
 		if x.Started != n.Started && s.now-x.Started < s.set.Rules.WarmWithin {
 			n.share = s.share(x.Shard) // by what was sent before
 			n.window, n.streak, n.latency, n.load, n.served = 1, 0, 0, -1, nil
 		}
-		n.Node = x
+		s.listed(n, x)
 	}
-	for _, n := range s.nodes {
-		if e.Whole && !named[n.ID] {
-			n.State = Removed
+	if e.Whole {
+		for _, n := range s.nodes {
+			if x := n.Node; !named[n.ID] {
+				x.State = Removed
+				s.listed(n, x)
+			}
 		}
+	}
+	for _, n := range s.changed() {
 		if n.State == Up && n.Shard >= 0 {
 			s.laneOf(n.Shard)
 		}
 	}
-	for _, l := range s.lanes {
+	for _, l := range s.unsettled() {
 		l.node = nil
-		for _, n := range s.nodes {
-			if n.Shard == l.shard && n.State == Up && (l.node == nil || n.Started > l.node.Started) {
+		for _, n := range s.holders(l.shard) {
+			if n.State == Up && (l.node == nil || n.Started > l.node.Started) {
 				l.node = n
 			}
 		}
@@ -675,6 +677,7 @@
 		return
 	}
 	n := r.out
+	s.use(n)
 	s.learn(n, r, e)
 	s.onLoad(n, e.Load)
 	n.out = without(n.out, r)
@@ -795,10 +798,8 @@
 	if len(s.dues) > 0 {
 		next = min(next, s.dues[0].by)
 	}
-	for _, l := range s.lanes {
-		if len(l.held) > 0 {
-			next = min(next, l.wake)
-		}
+	for l := range s.waiting() {
+		next = min(next, l.wake)
 	}
 	s.wakeAt, next = next, min(next, s.now+s.leastAim/beatParts)
 	if next < s.timerAt {
@@ -899,8 +900,8 @@
 		return 1
 	}
 	rate := max(1, s.atOnce) / s.service
-	for _, n := range s.nodes {
-		if n.Shard == shard && n.latency > 0 {
+	for _, n := range s.holders(shard) {
+		if n.latency > 0 {
 			rate = max(rate, n.atOnce/n.latency)
 		}
 	}
@@ -961,15 +962,7 @@
 	if r.Shard >= 0 || len(s.lanes) == 0 {
 		return s.laneOf(max(r.Shard, 0))
 	}
-	var best *lane
-	least, from := math.Inf(1), s.rng.IntN(len(s.lanes))
-	for i := range s.lanes {
-		l := s.lanes[(from+i)%len(s.lanes)]
-		if w := s.wait(l); best == nil || w < least {
-			best, least = l, w
-		}
-	}
-	return best
+	return s.leastFrom(s.rng.IntN(len(s.lanes))) // the first of those whose wait is least
 }
 
 // wait estimates how long a request newly put in the lane would take.
@@ -990,7 +983,7 @@
 
 // replace moves held new objects away from lanes that have become much worse than the best.
 func (s *Scheduler) replace() {
-	for _, l := range s.lanes {
+	for l := range s.waiting() {
 		for i := 0; i < len(l.held); i++ {
 			r := l.held[i]
 			if r.Shard >= 0 || r.mayRun || r.At != "" {
--- a/state.go
+++ b/state.go
@@ -93,6 +93,11 @@
 	byVol map[*volume]*flow
 	wake  time.Duration
 	sent  pace
+
+	in *finder
+	at int // place among the lanes
+	// Which lists of the finder it is on.
+	waits, flowing, bare, stale, touched, moving bool
 }
 
 // node is one server process.
@@ -115,6 +120,9 @@
 	run     int           // how often in a row
 	recent  []draw        // units sent within the fall window that no answer stood for
 	served  []draw        // units answered that nothing was sent for yet
+
+	serial              uint32 // in order of nodes
+	news, used, removed bool   // which lists of the finder it is on
 }
 
 type draw struct {
@@ -212,7 +220,11 @@
 	f := l.byVol[v]
 	if f == nil {
 		f = &flow{vol: v}
+		if l.byVol == nil {
+			l.byVol = map[*volume]*flow{}
+		}
 		l.byVol[v] = f
+		l.in.flowing = mark(l.in.flowing, l, &l.flowing)
 		l.flows = append(l.flows, f)
 	}
 	return f
@@ -226,6 +238,8 @@
 		at--
 	}
 	l.held = slices.Insert(l.held, at, r)
+	l.in.came = mark(l.in.came, l, &l.waits)
+	l.touch()
 	l.flow(r.vol).held++
 }
 
@@ -237,6 +251,7 @@
 	l := r.lane
 	if i := slices.Index(l.held, r); i >= 0 {
 		l.held = slices.Delete(l.held, i, i+1)
+		l.touch()
 		l.flow(r.vol).held--
 	}
 }
@@ -251,7 +266,7 @@
 // are gone.
 func (s *Scheduler) sweep(since time.Duration) {
 	idle := func(v *volume) bool { return v.backlog == 0 && v.filled < since && v.ownAt < since }
-	for _, l := range s.lanes {
+	for _, l := range s.flowing {
 		l.flows = slices.DeleteFunc(l.flows, func(f *flow) bool {
 			drop := f.held == 0 && idle(f.vol)
 			if drop {
@@ -260,31 +275,11 @@
 			return drop
 		})
 	}
-	// A lane of a shard that no known node holds, and nothing waits in, is what somebody once asked for in vain.
-	s.lanes = slices.DeleteFunc(s.lanes, func(l *lane) bool {
-		return len(l.held)+len(l.flows) == 0 && !slices.ContainsFunc(s.nodes, func(n *node) bool { return n.Shard == l.shard })
-	})
 	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool { return idle(v) })
 	maps.DeleteFunc(s.keys, func(_ string, k *orderKey) bool { return len(k.line) == 0 && k.rest < since })
-	s.nodes = slices.DeleteFunc(s.nodes, func(n *node) bool {
-		gone := n.State == Removed && len(n.out) == 0 && n.heard < since
-		if gone {
-			delete(s.byID, n.ID)
-		}
-		return gone
-	})
-}
-
-// laneOf returns the lane of a shard, made at first need.
-func (s *Scheduler) laneOf(shard int) *lane {
-	for _, l := range s.lanes {
-		if l.shard == shard {
-			return l
-		}
-	}
-	l := &lane{shard: shard, byVol: map[*volume]*flow{}}
-	s.lanes = append(s.lanes, l)
-	return l
+	// A lane of a shard that no known node holds, and nothing waits in, is what somebody once asked for in vain.
+	s.drop(func(n *node) bool { return n.State == Removed && len(n.out) == 0 && n.heard < since })
+	s.inUse()
 }
 
 // trim drops the times before from.
@@ -324,8 +319,9 @@
 
 // Avoided tells how many of the listed nodes get no request, or one trial at a time.
 func (s *Scheduler) Avoided() (n int) {
-	for _, x := range s.nodes {
-		if x.State == Draining || s.avoids(x) {
+	n = s.draining
+	for _, x := range s.inUse() {
+		if s.avoids(x) {
 			n++
 		}
 	}
--- a/watch.go
+++ b/watch.go
@@ -17,7 +17,7 @@
 
 // AvoidedNodes names the nodes that are listed as up and get no request, or one trial at a time.
 func (s *Scheduler) AvoidedNodes() (ids []string) {
-	for _, n := range s.nodes {
+	for _, n := range s.inUse() {
 		if s.avoids(n) {
 			ids = append(ids, n.ID)
 		}
@@ -32,6 +32,7 @@
 	if n == nil || !s.avoids(n) || s.now-e.Ago <= n.heard {
 		return
 	}
+	s.use(n)
 	if e.Well {
 		n.openAt = min(n.openAt, s.now)
 		return
