Lists of up to 65,536 targets are read, which is what 4 MiB of usual entries are

The bound is now what the largest body that is read from discovery holds of entries that say all (64 bytes): such a list is never turned away for its number, and one of three bytes an entry still ends at the bound, with its error. Room for the entries is made at once, by the body's length. TestBombs stands as it was, 40 MiB at most.

Lines of 115 bytes: 20,000 are 2.3 MB of the 4 MiB.

--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -31,9 +32,13 @@
 // Entries are those of one list.
 type Entries []Entry
 
-// mostEntries bounds what a list costs: entries of three bytes take thirty times as much memory once they are read, and the module's work
-// with shards of their own grows with the square of their number.
-const mostEntries = 1 << 13
+// usualEntry is about the fewest bytes of an entry that says all: the room for a list's entries is made by it, at once.
+const usualEntry = 64
+
+// mostEntries bounds what a list costs, whatever its entries say: those of three bytes take thirty times as much memory once they
+// are read. It is what 4 MiB hold of usual entries, the most that is read from discovery, so that no such list is turned away
+// for its number: 5 MiB of entries, and some 40 MB in the module, which keeps 0.6 kB for each target that nothing is sent to.
+const mostEntries = 4 << 20 / usualEntry
 
 // ErrHuge says that a list has more entries than are read.
 var ErrHuge = fmt.Errorf("list: over %d entries", mostEntries)
@@ -42,7 +47,7 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (s *Entries) UnmarshalJSON(b []byte) error {
-	*s = nil
+	*s = slices.Grow(Entries(nil), min(len(b)/usualEntry, mostEntries))
 	iter := jsoniter.ParseBytes(format, b)
 	for iter.ReadArray() {
 		if len(*s) > mostEntries {
--- a/internal/listing/listing_test.go
+++ b/internal/listing/listing_test.go
@@ -91,3 +91,50 @@
 	_, err := Decode(fill(`{"version":1,"servers":[{}`, `,{}`, `]}`))
 	require.ErrorIs(t, err, ErrHuge)
 }
+
+// many is a list of so many targets.
+func many(count int) []byte {
+	entries := make([]string, count)
+	for i := range entries {
+		entries[i] = strings.Replace(one, `"id":"a"`, fmt.Sprintf(`"id":"target-%d"`, i), 1)
+	}
+	return []byte(list(1, true, entries...))
+}
+
+// TestLargeLists reads lists of as many targets as there may be, at a cost that grows with their number alone.
+func TestLargeLists(t *testing.T) {
+	var per [2]float64
+	for i, count := range []int{200, 20000} {
+		body := many(count)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		l, err := Decode(body)
+		runtime.ReadMemStats(&after)
+		require.NoError(t, err)
+		require.Len(t, l.Servers, count)
+		require.Equal(t, fmt.Sprintf("target-%d", count-1), l.Servers[count-1].ID)
+		per[i] = float64(after.TotalAlloc-before.TotalAlloc) / float64(count)
+	}
+	t.Logf("%.0f bytes an entry of 200, %.0f of 20000", per[0], per[1])
+	require.Less(t, per[1], 1.5*per[0])
+	_, err := Decode(many(mostEntries))
+	require.NoError(t, err)
+	_, err = Decode(many(mostEntries + 1))
+	require.ErrorIs(t, err, ErrHuge)
+}
+
+// BenchmarkDecode reads a whole list of so many targets.
+func BenchmarkDecode(b *testing.B) {
+	for _, count := range []int{200, 2000, 20000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			body := many(count)
+			b.SetBytes(int64(len(body)))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Decode(body); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
