--- a/cmd/spindlehitch-scale/run.go
+++ b/cmd/spindlehitch-scale/run.go
@@ -82,6 +82,29 @@
 	return cmd
 }
 
+// showCommand writes the tables of a run that was kept as JSON, and draws it.
+func showCommand() *cobra.Command {
+	var plots string
+	cmd := &cobra.Command{Use: "show RESULT.json", Short: "Print the tables of a run that was kept by --json", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return err
+		}
+		var r run.Result
+		if err := json.Unmarshal(text, &r); err != nil {
+			return fmt.Errorf("%s: %w", args[0], err)
+		}
+		if plots != "" {
+			if err := r.Plots(plots, "scale-"+r.Name); err != nil {
+				return err
+			}
+		}
+		return r.Table(cmd.OutOrStdout())
+	}}
+	cmd.Flags().StringVar(&plots, "plots", "", "draw into this folder")
+	return cmd
+}
+
 // hostCommand is a process of hollow initiators, which a run starts.
 func hostCommand() *cobra.Command {
 	return &cobra.Command{Use: "host", Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
