--- a/internal/discovery/paths_test.go
+++ b/internal/discovery/paths_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -285,3 +286,37 @@
 		require.InDelta(t, 100, f.calls, 10)
 	})
 }
+
+// TestLateSilence has the watch fall silent late and again and again, in a quarter of an hour of a watch that works, with a change right then or some time
+// after: what went before costs the next silence nothing.
+func TestLateSilence(t *testing.T) {
+	for _, c := range []struct {
+		crowd       int
+		most, again time.Duration // after the silence, and where the next call is silent too
+	}{{0, 1600 * time.Millisecond, 2100 * time.Millisecond}, {4, 2300 * time.Millisecond, 3300 * time.Millisecond}, {300, 3700 * time.Millisecond, 5900 * time.Millisecond}} {
+		t.Run(fmt.Sprint(c.crowd), func(t *testing.T) {
+			for seed := range uint64(5) {
+				synctest.Test(t, func(t *testing.T) {
+					rng := rand.New(rand.NewPCG(seed, seed))
+					f, told, log, w := bubble(t, c.crowd, seed, true)
+					go w.Run(t.Context())
+					for i := range 20 {
+						time.Sleep(13*time.Second + time.Duration(rng.IntN(60_000))*time.Millisecond)
+						f.at.Lock()
+						f.faults = many("silent", 1+i%2)
+						f.at.Unlock()
+						f.mu.Lock() // silent, and nothing new yet
+						close(f.cut)
+						f.cut = make(chan struct{})
+						f.mu.Unlock()
+						later := time.Duration(i%5) * 300 * time.Millisecond
+						time.Sleep(later)
+						f.change(false)
+						require.LessOrEqual(t, later+told(int64(6+i)), []time.Duration{c.most, c.again}[i%2], "seed %d, silence %d", seed, i)
+						require.Equal(t, i+1, strings.Count(log.String(), "LIST_FAILED"), "one line for each")
+					}
+				})
+			}
+		})
+	}
+}
