--- a/cmd/spindlehitch/drains_test.go
+++ b/cmd/spindlehitch/drains_test.go
@@ -190,6 +190,7 @@
 	var round atomic.Int64
 	var asked sync.WaitGroup
 	var over atomic.Bool
+	defer over.Store(true)
 	served := make([]atomic.Int64, 16) // by round
 	for range 6 {
 		asked.Go(func() {
@@ -305,6 +306,8 @@
 	go func() { ended <- instance.Serve(stop, cfg, op, instance.Options{Log: quiet}) }()
 	ready(t, "http://"+w.listen+"/-/ready")
 	c.held.Store(true)
+	release := sync.OnceFunc(func() { c.held.Store(false); close(c.free) })
+	defer release()
 	answer := make(chan string, 1)
 	go func() {
 		status, body := w.askAs("open")
@@ -328,8 +331,7 @@
 	p.silence()
 	p.change(map[string]string{other: "DRAINING", third: "SERVING"})
 	inForce(t, control, 3)
-	c.held.Store(false)
-	close(c.free)
+	release()
 	require.Equal(t, "200 from the target", <-answer)
 	require.Empty(t, c.at(other), "sent to a target that drains")
 	require.NotEmpty(t, append(c.at(third), c.at(at)[1:]...))
--- a/internal/upstream/terms_test.go
+++ b/internal/upstream/terms_test.go
@@ -105,3 +105,46 @@
 		}
 	}
 }
+
+// TestKilledBehindAccept has a target be killed while the machine still takes connections for it that nobody there accepts, and while one that
+// it has accepted brings a request. What was written whole may have run and ends as a reset, at once; what was not cannot have. Each attempt has
+// one result, no connection stays counted, and its successor at the same address is reached by a new one.
+func TestKilledBehindAccept(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	b := newBenchThat(addr, Options{MostConn: 8, MostAll: 8})
+	sent := make(chan bool, 8)
+	b.Apply(nil, true)
+	b.opt.Sent = func() { sent <- true }
+	b.Apply([]Target{{ID: "n", Addr: addr}}, true)
+	for range 4 {
+		b.send(20 * time.Second)
+		<-sent // the machine has it
+	}
+	c, err := l.Accept()
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 10)) // with the rest unread its close is a reset
+	require.NoError(t, err)
+	began := time.Now()
+	l.Close()
+	c.Close()
+	for range 4 {
+		require.Equal(t, spindlehitch.Reset, b.result(t).Code)
+	}
+	require.Less(t, time.Since(began), 10*time.Second, "waited for until its time was over")
+	b.send(20 * time.Second)
+	require.Equal(t, spindlehitch.NoConnection, b.result(t).Code)
+	require.Eventually(t, func() bool { return b.pool.conns.Load() == 0 }, 20*time.Second, time.Millisecond)
+	l, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer l.Close()
+	b.send(20 * time.Second)
+	c, err = l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	<-sent
+	say(c, "200 OK", "")
+	require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+	require.Empty(t, b.results)
+}
