--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -462,3 +462,35 @@
 		})
 	}
 }
+
+// TestAttemptsLastWithinWhatIsLeft has attempt after attempt of a request end, however late the core hears of it: each next one may last no longer
+// than its client still waits, less the margin for the answer.
+func TestAttemptsLastWithinWhatIsLeft(t *testing.T) {
+	for _, code := range []spindlehitch.Code{spindlehitch.Full, spindlehitch.NoConnection, spindlehitch.Reset, spindlehitch.Moot} {
+		for _, behind := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond} {
+			h := newHand(t)
+			var answers []Answer
+			arrived := h.now
+			h.now = h.now.Add(behind)
+			h.step(h.now, []any{submitted{job("get", arrived, &answers)}})
+			for tries := 1; len(answers) == 0; {
+				a := h.up.sent[len(h.up.sent)-1]
+				if until := arrived.Add(2*time.Second - 10*time.Millisecond); a.Until.After(until) {
+					t.Fatalf("code %v, %v behind: attempt %d may last %v too long", code, behind, tries, a.Until.Sub(until))
+				}
+				h.later(20 * time.Millisecond)
+				h.now = h.now.Add(behind)
+				h.step(h.now, []any{h.ends(code)})
+				for tries == len(h.up.sent) && len(answers) == 0 {
+					h.later(5 * time.Millisecond)
+				}
+				if tries = len(h.up.sent); tries > 100 {
+					t.Fatal("it is tried without end")
+				}
+			}
+			if len(h.up.sent) < 2 {
+				t.Errorf("code %v, %v behind: no further attempt", code, behind)
+			}
+		}
+	}
+}
--- a/internal/upstream/terms_test.go
+++ b/internal/upstream/terms_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -148,3 +149,28 @@
 	require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
 	require.Empty(t, b.results)
 }
+
+// TestToldTime has connections come up late under first and further attempts: the time that a target is told is what is left of the attempt's
+// then, not what there was as it was decided.
+func TestToldTime(t *testing.T) {
+	told := make(chan string, 1)
+	s := newStandIn(t, func(_ int32, r *http.Request, c net.Conn) bool {
+		told <- r.Header.Get("Request-Timeout-Ms")
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") // each attempt has a connection of its own
+		return false
+	})
+	b, h := newHeld(s.Addr().String(), Options{MostConn: 4, MostAll: 4})
+	for number := range 3 {
+		until := time.Now().Add(10 * time.Second)
+		b.Send(core.Attempt{Request: "r", Number: number, Node: "n", Until: until, Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}})
+		d := h.next(t)
+		time.Sleep(30 * time.Millisecond)
+		up := time.Now()
+		close(d.up)
+		ms, err := strconv.Atoi(<-told)
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Duration(ms)*time.Millisecond, until.Sub(up))
+		require.Positive(t, ms)
+		require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+	}
+}
