A target has an actor once it is used, and none wakes up while its connections rest

Seen while reading for processes that are idle: each listed target had a goroutine with a ticker, eight times in its connections' rest (target.go, run), whatever was sent there, and each change of the list went through all targets twice (registry.go, Apply).

An actor now starts with its target's first attempt or body; its look at idle connections is due when the oldest of them is too old. What decides about a connection (the look as it is taken, first byte, drain) is as it was.

--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -69,9 +69,7 @@
 func (g *Registry) Apply(list []Target, whole bool) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	named := make(map[string]bool, len(list))
 	for _, x := range list {
-		named[x.ID] = true
 		t := g.targets[x.ID]
 		if t == nil {
 			if x.State == spindlehitch.Removed {
@@ -79,27 +77,52 @@
 			}
 			t = newTarget(x.ID, g.opt, &g.pool, g.report)
 			g.targets[x.ID] = t
-			go func() {
-				t.run()
-				g.ended(t)
-			}()
 		}
-		t.set(x.Addr, x.State)
+		g.set(t, x.Addr, x.State)
 	}
-	for id, t := range g.targets {
-		if whole && !named[id] {
-			t.set("", spindlehitch.Removed)
+	if whole {
+		named := make(map[string]bool, len(list))
+		for _, x := range list {
+			named[x.ID] = true
 		}
-		// An actor of a target that is gone ends once nothing is out at it.
-		if t.state.Load() == int32(spindlehitch.Removed) {
-			delete(g.targets, id)
-			g.leaving[t] = true
-			t.box.Put(retire{})
+		for id, t := range g.targets {
+			if !named[id] {
+				g.set(t, "", spindlehitch.Removed)
+			}
 		}
 	}
 	return len(g.targets)
 }
 
+// set takes over what the list says of a target: at once for attempts about to write, in turn for its pool. An actor of a target that is
+// gone ends once nothing is out at it.
+func (g *Registry) set(t *target, addr string, state spindlehitch.NodeState) {
+	t.set(addr, state)
+	if t.started {
+		t.box.Put(moved{})
+	}
+	if state != spindlehitch.Removed {
+		return
+	}
+	delete(g.targets, t.id)
+	if t.started {
+		g.leaving[t] = true
+		t.box.Put(retire{})
+	}
+}
+
+// tell gives a message to a target's actor, which starts with its first: of the targets that are listed an initiator may use few.
+func (g *Registry) tell(t *target, message any) {
+	if !t.started {
+		t.started = true
+		go func() {
+			t.run()
+			g.ended(t)
+		}()
+	}
+	t.box.Put(message)
+}
+
 // Send starts an attempt; one result follows.
 func (g *Registry) Send(a core.Attempt) {
 	g.mu.Lock()
@@ -110,7 +133,7 @@
 		}
 	}
 	if t != nil {
-		t.box.Put(a)
+		g.tell(t, a)
 	}
 	g.mu.Unlock()
 	if t == nil {
@@ -140,7 +163,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, t := range g.targets {
-		t.box.Put(moved{})
+		if t.started {
+			t.box.Put(moved{})
+		}
 	}
 }
 
@@ -152,7 +177,7 @@
 func (g *Registry) Cancel(node, request string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t := g.targets[node]; t != nil {
+	if t := g.targets[node]; t != nil && t.started {
 		t.box.Put(cancel{request})
 	}
 	for t := range g.leaving {
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -28,12 +28,13 @@
 // target is the actor of one target. Only its goroutine touches idle, busy and conns; state and addr are
 // written by the list and read by every attempt at its first byte.
 type target struct {
-	id     string
-	opt    Options
-	report func(core.Result)
-	box    *mailbox.Box[any]
-	state  atomic.Int32
-	addr   atomic.Pointer[string]
+	id      string
+	opt     Options
+	report  func(core.Result)
+	box     *mailbox.Box[any]
+	started bool // the registry's alone
+	state   atomic.Int32
+	addr    atomic.Pointer[string]
 
 	idle    []*conn
 	busy    map[string]*try
@@ -93,24 +94,29 @@
 	return &target{id: id, opt: opt, pool: all, report: report, box: mailbox.New[any](), busy: map[string]*try{}}
 }
 
-// set takes over what the list says; at once for attempts about to write, in turn for the pool.
+// set takes over what the list says, at once for attempts about to write.
 func (t *target) set(addr string, state spindlehitch.NodeState) {
 	if addr != "" {
 		t.addr.Store(&addr)
 	}
 	t.state.Store(int32(state))
-	t.box.Put(moved{})
 }
 
 func (t *target) run() {
 	var spare []any
-	tick := time.NewTicker(max(t.opt.Idle/8, 50*time.Millisecond))
-	defer tick.Stop()
+	old := time.NewTimer(0) // when the connection that is idle for longest is too old
+	defer old.Stop()
 	retired := false
 	for !retired || len(t.busy)+t.uploads > 0 {
+		// A target that nothing was sent to has nothing to look after: an initiator may know thousands of them.
+		if len(t.idle) > 0 {
+			old.Reset(max(time.Until(t.idle[0].idleAt.Add(t.opt.Idle)), time.Millisecond))
+		} else {
+			old.Stop()
+		}
 		select {
 		case <-t.box.Wake():
-		case <-tick.C:
+		case <-old.C:
 			t.prune()
 			continue
 		}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -54,7 +54,7 @@
 	u := &Upload{msg: m, length: length, wait: wait, ctx: ctx, ready: make(chan struct{})}
 	g.mu.Lock()
 	if u.t = g.targets[node]; u.t != nil {
-		u.t.box.Put(ahead{u})
+		g.tell(u.t, ahead{u})
 	}
 	g.mu.Unlock()
 	if u.t == nil {
