--- /dev/null
+++ b/internal/scale/slope/size.go
@@ -0,0 +1,95 @@
+package slope
+
+import "fmt"
+
+// Size is the fleet that decides the design: what its operators expect within two years.
+type Size struct {
+	Initiators     float64 `json:"initiators"`
+	Targets        float64 `json:"targets"`
+	Clients        float64 `json:"client_connections"`
+	Requests       float64 `json:"requests_s"` // of all, a second
+	Primaries      float64 `json:"primary_changes_day"`
+	PrimaryWithin  float64 `json:"primary_change_s"` // each is over within
+	Regions        float64 `json:"regions"`
+	Zones          float64 `json:"zones"`
+	Changes        float64 `json:"configuration_changes_day"`
+	Failures       float64 `json:"failures_day"` // of machines
+	Restarts       float64 `json:"restarts_day"` // of machines that are restarted or replaced
+	InitiatorsBack float64 `json:"initiator_restarts_day"`
+	Burst          float64 `json:"burst_changes_s"` // the worst minute's changes of configuration
+	Entries        float64 `json:"entries_each"`    // of the list, for a machine that goes and comes: it drains, is gone, another is up
+	Config         float64 `json:"configuration_bytes"`
+	Volumes        float64 `json:"volumes_each"` // that an initiator keeps accounts of: the bound's default
+	Shards         float64 `json:"task_shards"`  // of tasks that are done once for the fleet
+}
+
+const (
+	day    = 86_400.0
+	minute = 60.0
+	hour   = 3600.0
+)
+
+// ListRate is how many entries of the list change a second on an ordinary day.
+func (s Size) ListRate() float64 { return (s.Entries*(s.Failures+s.Restarts) + 2*s.Primaries) / day }
+
+// ChangeRate is how many changes of configuration there are a second on an ordinary day.
+func (s Size) ChangeRate() float64 { return s.Changes / day }
+
+// RequestsEach is how many requests an initiator has a second.
+func (s Size) RequestsEach() float64 { return s.Requests / s.Initiators }
+
+// Limits are what an initiator may spend on control, what is set aside for it, and until when a change is in force.
+type Limits struct {
+	Core      float64 `json:"initiator_core"`    // part of a core
+	Memory    float64 `json:"initiator_bytes"`   //
+	Wire      float64 `json:"initiator_bytes_s"` // both ways
+	Machines  float64 `json:"control_machines"`
+	MachineOf float64 `json:"control_machine_cores"`
+	InForce   float64 `json:"change_in_force_s"`
+	Call      float64 `json:"discovery_call_s"` // what one service that all initiators share takes for a call, and for a line of its answer: docs/standing.md
+	Line      float64 `json:"discovery_line_s"`
+	Rack      float64 `json:"rack_targets"`    // what goes with one
+	Back      float64 `json:"restarts_back_s"` // all of a day's restarts of initiators may come at once, and are over by then
+}
+
+// field is one of a number of numbers that have to be over 0.
+type field struct {
+	name  string
+	value float64
+}
+
+func positive(fields ...field) error {
+	for _, f := range fields {
+		if !(f.value > 0 && f.value < 1e15) {
+			return fmt.Errorf("%s: %v is not over 0", f.name, f.value)
+		}
+	}
+	return nil
+}
+
+// Check names the first field that can't be used.
+func (s Size) Check() error {
+	return positive(field{"initiators", s.Initiators}, field{"targets", s.Targets}, field{"client_connections", s.Clients}, field{"requests_s", s.Requests},
+		field{"primary_changes_day", s.Primaries}, field{"primary_change_s", s.PrimaryWithin}, field{"regions", s.Regions}, field{"zones", s.Zones},
+		field{"configuration_changes_day", s.Changes}, field{"failures_day", s.Failures}, field{"restarts_day", s.Restarts},
+		field{"initiator_restarts_day", s.InitiatorsBack}, field{"burst_changes_s", s.Burst}, field{"entries_each", s.Entries},
+		field{"configuration_bytes", s.Config}, field{"volumes_each", s.Volumes}, field{"task_shards", s.Shards})
+}
+
+// Check names the first field that can't be used.
+func (l Limits) Check() error {
+	return positive(field{"initiator_core", l.Core}, field{"initiator_bytes", l.Memory}, field{"initiator_bytes_s", l.Wire}, field{"control_machines", l.Machines},
+		field{"control_machine_cores", l.MachineOf}, field{"change_in_force_s", l.InForce}, field{"discovery_call_s", l.Call}, field{"discovery_line_s", l.Line},
+		field{"rack_targets", l.Rack}, field{"restarts_back_s", l.Back})
+}
+
+// Of is the size of a fleet with so many initiators and the same proportions: targets, requests, changes and failures go with it, what regions and
+// zones there are does not.
+func (s Size) Of(initiators float64) Size {
+	by := initiators / s.Initiators
+	s.Initiators = initiators
+	for _, f := range []*float64{&s.Targets, &s.Clients, &s.Requests, &s.Primaries, &s.Changes, &s.Failures, &s.Restarts, &s.InitiatorsBack, &s.Burst} {
+		*f *= by
+	}
+	return s
+}
--- a/internal/upstream/terms_test.go
+++ b/internal/upstream/terms_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -105,3 +106,71 @@
 		}
 	}
 }
+
+// TestKilledBehindAccept has a target be killed while the machine still takes connections for it that nobody there accepts, and while one that
+// it has accepted brings a request. What was written whole may have run and ends as a reset, at once; what was not cannot have. Each attempt has
+// one result, no connection stays counted, and its successor at the same address is reached by a new one.
+func TestKilledBehindAccept(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	b := newBenchThat(addr, Options{MostConn: 8, MostAll: 8})
+	sent := make(chan bool, 8)
+	b.Apply(nil, true)
+	b.opt.Sent = func() { sent <- true }
+	b.Apply([]Target{{ID: "n", Addr: addr}}, true)
+	for range 4 {
+		b.send(20 * time.Second)
+		<-sent // the machine has it
+	}
+	c, err := l.Accept()
+	require.NoError(t, err)
+	_, err = c.Read(make([]byte, 10)) // with the rest unread its close is a reset
+	require.NoError(t, err)
+	began := time.Now()
+	l.Close()
+	c.Close()
+	for range 4 {
+		require.Equal(t, spindlehitch.Reset, b.result(t).Code)
+	}
+	require.Less(t, time.Since(began), 10*time.Second, "waited for until its time was over")
+	b.send(20 * time.Second)
+	require.Equal(t, spindlehitch.NoConnection, b.result(t).Code)
+	require.Eventually(t, func() bool { return b.pool.conns.Load() == 0 }, 20*time.Second, time.Millisecond)
+	l, err = net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer l.Close()
+	b.send(20 * time.Second)
+	c, err = l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	<-sent
+	say(c, "200 OK", "")
+	require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+	require.Empty(t, b.results)
+}
+
+// TestToldTime has connections come up late under first and further attempts: the time that a target is told is what is left of the attempt's
+// then, not what there was as it was decided.
+func TestToldTime(t *testing.T) {
+	told := make(chan string, 1)
+	s := newStandIn(t, func(_ int32, r *http.Request, c net.Conn) bool {
+		told <- r.Header.Get("Request-Timeout-Ms")
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n") // each attempt has a connection of its own
+		return false
+	})
+	b, h := newHeld(s.Addr().String(), Options{MostConn: 4, MostAll: 4})
+	for number := range 3 {
+		until := time.Now().Add(10 * time.Second)
+		b.Send(core.Attempt{Request: "r", Number: number, Node: "n", Until: until, Payload: &Message{Method: "GET", URI: "/r/1", ID: "id"}})
+		d := h.next(t)
+		time.Sleep(30 * time.Millisecond)
+		up := time.Now()
+		close(d.up)
+		ms, err := strconv.Atoi(<-told)
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Duration(ms)*time.Millisecond, until.Sub(up))
+		require.Positive(t, ms)
+		require.Equal(t, spindlehitch.Delivered, b.result(t).Code)
+	}
+}
