Feed: readers of a relay that stands still are elsewhere within some 4 s, a cut is over sooner

A poll waited for 2 s before it could be overdue, 25 readers a second were taken in by the relay that the 180 of another one came to, and a relay whose agents were gone waited for up to 10 s between calls (twice Moves.Most). A poll waits 1 s, 100 readers a second are taken in, waits are 4 s at most and 2 s for relays.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -26,6 +26,7 @@
 const (
 	dialIn    = time.Second
 	silentIn  = 1500 * time.Millisecond // beyond the poll's wait: then the source is silent
+	relayMost = time.Second             // between calls of a relay, of which there are few and which have many behind them
 	idleFor   = 30 * time.Second
 	saveEvery = 10 * time.Second // between two copies on disk, while something changes; or
 	saveShare = 200              // times as long as the last one took
@@ -132,7 +133,11 @@
 	turn := cmp.Or(opt.Turn, uint64(time.Now().UnixMilli()))
 	f.replica = feed.NewReplica(opt.Fleet, scope, turn, feed.Limits{})
 	f.load()
-	f.mover = feed.NewMover(opt.Relays, opt.Region, opt.Name, opt.Seed, feed.MoverOptions{})
+	waits := feed.MoverOptions{}
+	if opt.All {
+		waits.Most = relayMost
+	}
+	f.mover = feed.NewMover(opt.Relays, opt.Region, opt.Name, opt.Seed, waits)
 	return f, nil
 }
 
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -18,7 +18,7 @@
 var format = jsoniter.ConfigCompatibleWithStandardLibrary
 
 const (
-	mostWait   = 2 * time.Second // a poll lasts
+	mostWait   = time.Second     // a poll lasts
 	answerIn   = 5 * time.Second // for a reader to take its answer; a slower one is cut off
 	deafFor    = 200 * time.Millisecond
 	retryIn    = time.Second // for readers of a source that has nothing yet
--- a/internal/fleet/feed/mover.go
+++ b/internal/fleet/feed/mover.go
@@ -61,7 +61,7 @@
 }
 
 // Moves is the usual waits.
-var Moves = MoverOptions{Least: 100 * time.Millisecond, Most: 5 * time.Second, HomeLeast: 10 * time.Second, HomeMost: 30 * time.Second, Patience: 1}
+var Moves = MoverOptions{Least: 100 * time.Millisecond, Most: 2 * time.Second, HomeLeast: 10 * time.Second, HomeMost: 30 * time.Second, Patience: 1}
 
 // Mover decides which relay a reader calls, and when.
 type Mover struct {
--- a/internal/fleet/feed/source.go
+++ b/internal/fleet/feed/source.go
@@ -21,7 +21,7 @@
 }
 
 // Fair is what a relay of 200 to 400 initiators goes by.
-var Fair = SourceOptions{Rate: 10_000, Burst: 64 << 10, RelayRate: 4 << 20, RelayBurst: 4 << 20, Admit: 25, AdmitBurst: 50, MaxReaders: 1024,
+var Fair = SourceOptions{Rate: 10_000, Burst: 64 << 10, RelayRate: 4 << 20, RelayBurst: 4 << 20, Admit: 100, AdmitBurst: 100, MaxReaders: 1024,
 	Forget: 10 * time.Minute, Silent: 10 * time.Second, Gather: 200 * time.Millisecond}
 
 // Source serves a store to readers. What it keeps of each is bounded, whatever the reader does; what is owed to one is never kept but
