--- a/internal/config/feed_test.go
+++ b/internal/config/feed_test.go
@@ -21,7 +21,7 @@
 		{"relay.toml", "127.0.0.1:7702", "127.0.0.1:7701", "relay.agents: "},
 		{"relay.toml", "readers = 3000", "readers = 0", "relay.readers: 0 is under 1"},
 		{"relay.toml", "rate = 10000", "rate = 0", "relay.rate: 0 is under 1000"},
-		{"relay.toml", "admit = 50", "admit = 0", "relay.admit: 0 is under 1"},
+		{"relay.toml", "admit = 100", "admit = 0", "relay.admit: 0 is under 1"},
 		{"relay.toml", "burst = 20000", "bust = 1", "relay.bust: unknown field"},
 		{"feed.toml", `region = "north"`, `region = "North"`, `feed.region: "North" is none of the regions`},
 		{"feed.toml", `zone = "north-a"`, `zone = "south-a"`, `feed.zone: "south-a" is none of the zones of north`},
