A relay asks its agents again within 2 s, and who stands still is found out after 2.5 s

The waits are those of an initiator, of which there are thousands; of relays there are sixteen: Most is 1 s for them (drawn up to 2 s). Polls wait 1 s in place of 2, so that a source that stands still costs 2.5 s in place of 3.5 s. Quiet readers ask twice as often for it.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -25,7 +25,9 @@
 
 const (
 	dialIn    = time.Second
+	pollFor   = time.Second             // a poll waits for news: a connection that fell silent looks just like none
 	silentIn  = 1500 * time.Millisecond // beyond the poll's wait: then the source is silent
+	relayMost = time.Second             // between a relay's calls of agents that fail: a few relays ask, and a region waits for each
 	idleFor   = 30 * time.Second
 	saveEvery = 10 * time.Second // between two copies on disk, while something changes; or
 	saveShare = 200              // times as long as the last one took
@@ -132,7 +134,11 @@
 	turn := cmp.Or(opt.Turn, uint64(time.Now().UnixMilli()))
 	f.replica = feed.NewReplica(opt.Fleet, scope, turn, feed.Limits{})
 	f.load()
-	f.mover = feed.NewMover(opt.Relays, opt.Region, opt.Name, opt.Seed, feed.MoverOptions{})
+	moves := feed.MoverOptions{}
+	if opt.All {
+		moves.Most = relayMost
+	}
+	f.mover = feed.NewMover(opt.Relays, opt.Region, opt.Name, opt.Seed, moves)
 	return f, nil
 }
 
@@ -193,7 +199,7 @@
 	h := f.replica.Hello()
 	f.state.Polls++
 	f.mu.Unlock()
-	h.WaitMs = mostWait.Milliseconds()
+	h.WaitMs = pollFor.Milliseconds()
 	began := monotone.Now()
 	status, age, body, err := f.ask(ctx, relay.Addr, &h)
 	switch {
@@ -235,7 +241,7 @@
 	if err != nil {
 		return 0, 0, nil, err
 	}
-	ctx, done := context.WithTimeout(ctx, mostWait+silentIn)
+	ctx, done := context.WithTimeout(ctx, pollFor+silentIn)
 	defer done()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+watchPath, bytes.NewReader(text))
 	if err != nil {
