--- a/internal/config/feed.go
+++ b/internal/config/feed.go
@@ -18,7 +18,7 @@
 	Readers *int `toml:"readers" default:"3000" validate:"gte=1,lte=20000"`       // at a time
 	Rate    *int `toml:"rate" default:"10000" validate:"gte=1000,lte=100000000"`  // bytes a second for each reader
 	Burst   *int `toml:"burst" default:"20000" validate:"gte=1000,lte=100000000"` // bytes
-	Admit   *int `toml:"admit" default:"100" validate:"gte=1,lte=10000"`           // new readers a second
+	Admit   *int `toml:"admit" default:"100" validate:"gte=1,lte=10000"`          // new readers a second
 }
 
 // Feed has an initiator take changes of targets and configuration from relays.
