--- a/cmd/spindlehitch-scale/main.go
+++ b/cmd/spindlehitch-scale/main.go
@@ -23,6 +23,6 @@
 
 func command() *cobra.Command {
 	root := &cobra.Command{Use: "spindlehitch-scale", Short: "What a fleet costs by its size", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(slopesCommand())
+	root.AddCommand(slopesCommand(), pageCommand())
 	return root
 }
--- a/cmd/spindlehitch-scale/slopes.go
+++ b/cmd/spindlehitch-scale/slopes.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -20,7 +19,7 @@
 
 // slopesCommand measures the slopes of docs/CAPACITY.md.
 func slopesCommand() *cobra.Command {
-	var asJSON, write, short bool
+	var asJSON, write, short, mended bool
 	var root string
 	cmd := &cobra.Command{Use: "slopes [NAME...]", Short: "Measure what each role costs by size", RunE: func(cmd *cobra.Command, names []string) error {
 		if short && write {
@@ -42,11 +41,14 @@
 			if short {
 				sizes = p.Short
 			}
-			list, err := slope.Measure(ctx, p, sizes, strings.Join(append([]string{"spindlehitch-scale slopes"}, names...), " "), time.Now())
+			list, err := slope.Measure(ctx, p, sizes, time.Now())
 			if err != nil {
 				return err
 			}
 			for _, s := range list {
+				if mended {
+					table.Mended(s.Name)
+				}
 				measured.Put(s)
 				table.Put(s)
 			}
@@ -74,6 +76,34 @@
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print JSON in place of a table")
 	cmd.Flags().BoolVar(&write, "write", false, "put what was measured into the repository's table")
 	cmd.Flags().BoolVar(&short, "short", false, "small sizes, for a check")
+	cmd.Flags().BoolVar(&mended, "mended", false, "keep the figures so far as those from before what they measure was mended")
+	cmd.Flags().StringVar(&root, "root", ".", "the repository")
+	return cmd
+}
+
+// pageCommand writes the tables of docs/CAPACITY.md from the table of slopes.
+func pageCommand() *cobra.Command {
+	var root string
+	cmd := &cobra.Command{Use: "page", Short: "Write the tables of " + slope.PageFile, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		text, err := os.ReadFile(filepath.Join(root, slope.File))
+		if err != nil {
+			return err
+		}
+		table, err := slope.Read(slope.File, text)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(root, slope.PageFile)
+		old, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		page, err := table.Page(old)
+		if err != nil {
+			return err
+		}
+		return os.WriteFile(path, page, 0o644)
+	}}
 	cmd.Flags().StringVar(&root, "root", ".", "the repository")
 	return cmd
 }
--- a/internal/scale/slope/agent.go
+++ b/internal/scale/slope/agent.go
@@ -30,11 +30,11 @@
 	quiet := slog.New(slog.DiscardHandler)
 	return []Probe{{
 		About: "internal/agent: a group of three, each a process; configurations of 2,000 bytes put 16 at a time, each of another instance",
-		Gives: []Gives{{Name: "agent.change.time", Unit: "us", Of: "changes, 16 at a time", Per: "change"},
-			{Name: "agent.change.cpu", Unit: "us", Of: "the leader", Per: "change"},
-			{Name: "agent.change.follower", Unit: "us", Of: "a follower", Per: "change"},
-			{Name: "agent.change.disk", Unit: "B", Of: "an agent's folder", Per: "change"},
-			{Name: "agent.memory", Unit: "B", Of: "a follower's heap", Per: "instance"}},
+		Gives: []Gives{{Name: "agent.change.time", Unit: "us", Of: "changes, 16 at a time", Per: "change", Rough: true},
+			{Name: "agent.change.cpu", Unit: "us", Of: "the leader", Per: "change", Rough: true},
+			{Name: "agent.change.follower", Unit: "us", Of: "a follower", Per: "change", Rough: true},
+			{Name: "agent.change.disk", Unit: "B", Of: "an agent's folder", Per: "change", Rough: true},
+			{Name: "agent.memory", Unit: "B", Of: "a follower's heap", Per: "instance", Rough: true}},
 		Sizes: []float64{100, 200, 400, 800, 1600}, Short: []float64{20, 40, 80, 160},
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			g, err := newGroup(ctx)
@@ -105,12 +105,12 @@
 		},
 	}, {
 		About: "internal/agent: instances that follow their configurations at one agent of three, each agent a process: 4 s without a change, then 20 changes of another instance's",
-		Gives: []Gives{{Name: "agent.follow.wire", Unit: "B/s", Of: "watches without a change, both ways", Per: "instance"},
-			{Name: "agent.follow.cpu", Unit: "us/s", Of: "the agent, watches without a change", Per: "instance"},
-			{Name: "agent.follow.memory", Unit: "B", Of: "the agent's heap", Per: "instance"},
-			{Name: "agent.wake.cpu", Unit: "us", Of: "the agent, a change that concerns none of them", Per: "instance"},
-			{Name: "follower.cpu", Unit: "us/s", Of: "the instances, watches without a change", Per: "instance"},
-			{Name: "agent.follow.connections", Unit: "connections", Of: "watches, at the agent named first", Per: "instance"}},
+		Gives: []Gives{{Name: "agent.follow.wire", Unit: "B/s", Of: "watches without a change, both ways", Per: "instance", Rough: true},
+			{Name: "agent.follow.cpu", Unit: "us/s", Of: "the agent, watches without a change", Per: "instance", Rough: true},
+			{Name: "agent.follow.memory", Unit: "B", Of: "the agent's heap", Per: "instance", Rough: true},
+			{Name: "agent.wake.cpu", Unit: "us", Of: "the agent, a change that concerns none of them", Per: "instance", Rough: true},
+			{Name: "follower.cpu", Unit: "us/s", Of: "the instances, watches without a change", Per: "instance", Rough: true},
+			{Name: "agent.follow.connections", Unit: "connections", Of: "watches, at the agent named first", Per: "instance", Rough: true}},
 		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32},
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			g, err := newGroup(ctx)
@@ -172,12 +172,12 @@
 		},
 	}, {
 		About: "internal/agent: members that renew once a second with four budgets and connections to eight targets each, at a group of three processes, for 4 s, after their joins",
-		Gives: []Gives{{Name: "leader.cpu", Unit: "us/s", Of: "the leader", Per: "member"},
-			{Name: "leader.wire", Unit: "B/s", Of: "renewals and answers at the leader, both ways", Per: "member"},
-			{Name: "leader.follower", Unit: "us/s", Of: "a follower", Per: "member"},
-			{Name: "renewer.cpu", Unit: "us/s", Of: "the members, their loops and HTTP", Per: "member"},
-			{Name: "leader.join", Unit: "us", Of: "the leader, joins", Per: "member"},
-			{Name: "leader.joins", Unit: "us", Of: "joins, 16 at a time", Per: "member"}},
+		Gives: []Gives{{Name: "leader.cpu", Unit: "us/s", Of: "the leader", Per: "member", Rough: true},
+			{Name: "leader.wire", Unit: "B/s", Of: "renewals and answers at the leader, both ways", Per: "member", Rough: true},
+			{Name: "leader.follower", Unit: "us/s", Of: "a follower", Per: "member", Rough: true},
+			{Name: "renewer.cpu", Unit: "us/s", Of: "the members, their loops and HTTP", Per: "member", Rough: true},
+			{Name: "leader.join", Unit: "us", Of: "the leader, joins", Per: "member", Rough: true},
+			{Name: "leader.joins", Unit: "us", Of: "joins, 16 at a time", Per: "member", Rough: true}},
 		Sizes: []float64{50, 100, 200, 400, 800}, Short: []float64{4, 8, 16, 32},
 		Run: renewals,
 	}}
--- /dev/null
+++ b/internal/scale/slope/check.go
@@ -0,0 +1,63 @@
+package slope
+
+import (
+	"errors"
+	"fmt"
+)
+
+// half is how much steeper a slope may have become before a check fails.
+const half = 1.5
+
+// hardly is the part of a cost that may pass for noise of what hardly grows.
+const hardly = 0.1
+
+// Steeper holds what a short run measured against the table: an error where it has become half as steep again. Counts and bytes are compared as they are. Times depend on
+// the machine and on what else it does: of them only the ratio is, of the largest size to the smallest of one run.
+func (t *Table) Steeper(now Slope) error {
+	then := t.At(now.Name)
+	if !then.Known() {
+		return fmt.Errorf("%s: the table has no such slope", now.Name)
+	}
+	lo, hi := now.Measured[0], now.Measured[len(now.Measured)-1]
+	if !now.Exact {
+		was, is := then.At(hi.Size)/then.At(lo.Size), hi.Cost/lo.Cost
+		if was > 0 && is > half*max(1, was) {
+			return fmt.Errorf("%s: %v times as much at a size of %v as at %v, where the table has %v times", now.Name, number(is), hi.Size, lo.Size, number(was))
+		}
+		return nil
+	}
+	was, is := then.At(hi.Size)-then.At(lo.Size), hi.Cost-lo.Cost
+	if is > half*max(0, was)+hardly*then.At(hi.Size) {
+		return fmt.Errorf("%s: from a size of %v to %v it grows by %s, where the table has %s", now.Name, lo.Size, hi.Size, amount(is, now.Unit), amount(was, now.Unit))
+	}
+	if is, was := hi.Cost, then.At(hi.Size); is > half*was {
+		return fmt.Errorf("%s: %s at a size of %v, where the table has %s", now.Name, amount(is, now.Unit), hi.Size, amount(was, now.Unit))
+	}
+	return nil
+}
+
+// Against holds a short run of probes against the table. What is compared by counts is measured once; a time that seems steeper is measured again, since whatever else the
+// machine does can only add.
+func (t *Table) Against(again int, measure func(Probe) ([]Slope, error), probes ...Probe) error {
+	var all []error
+	for _, p := range probes {
+		var steeper error
+		for range again {
+			list, err := measure(p)
+			if err != nil {
+				return err
+			}
+			steeper = nil
+			for i, s := range list {
+				if !p.Gives[i].Rough {
+					steeper = errors.Join(steeper, t.Steeper(s))
+				}
+			}
+			if steeper == nil {
+				break
+			}
+		}
+		all = append(all, steeper)
+	}
+	return errors.Join(all...)
+}
--- a/internal/scale/slope/edge.go
+++ b/internal/scale/slope/edge.go
@@ -192,11 +192,11 @@
 	return []Probe{{
 		About: "internal/discovery: watchers of one service that answers at once, over loopback, both ends in one process: 4 s without a change, then 20 changes of one entry; HTTP's bytes, without TCP's",
 		Gives: []Gives{{Name: "discovery.calls", Unit: "calls/s", Of: "watches without a change", Per: "initiator"},
-			{Name: "discovery.wire", Unit: "B/s", Of: "watches without a change, both ways", Per: "initiator"},
-			{Name: "discovery.cpu", Unit: "us/s", Of: "watches without a change, both ends", Per: "initiator"},
-			{Name: "discovery.change.wire", Unit: "B", Of: "a change of one entry, told to all, both ways", Per: "initiator"},
-			{Name: "discovery.change.cpu", Unit: "us", Of: "a change of one entry, told to all, both ends", Per: "initiator"},
-			{Name: "discovery.connections", Unit: "connections", Of: "watches", Per: "initiator"}},
+			{Name: "discovery.wire", Unit: "B/s", Of: "watches without a change, both ways", Per: "initiator", Exact: true},
+			{Name: "discovery.cpu", Unit: "us/s", Of: "watches without a change, both ends", Per: "initiator", Rough: true},
+			{Name: "discovery.change.wire", Unit: "B", Of: "a change of one entry, told to all, both ways", Per: "initiator", Exact: true},
+			{Name: "discovery.change.cpu", Unit: "us", Of: "a change of one entry, told to all, both ends", Per: "initiator", Rough: true},
+			{Name: "discovery.connections", Unit: "connections", Of: "watches", Per: "initiator", Exact: true}},
 		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32},
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			s, end, err := newService()
@@ -236,8 +236,8 @@
 		},
 	}, {
 		About: "internal/discovery: watchers of one service that all share, 50 ms for a call and 2.3 ms for a line as docs/standing.md has it: until the last has a change; and with all watches fallen silent",
-		Gives: []Gives{{Name: "discovery.told", Unit: "s", Of: "a change told to all, the last of them", Per: "initiator"},
-			{Name: "discovery.silent", Unit: "s", Of: "a change told to all whose watches fell silent, the last of them", Per: "initiator"}},
+		Gives: []Gives{{Name: "discovery.told", Unit: "s", Of: "a change told to all, the last of them", Per: "initiator", Rough: true},
+			{Name: "discovery.silent", Unit: "s", Of: "a change told to all whose watches fell silent, the last of them", Per: "initiator", Rough: true}},
 		Sizes: []float64{15, 30, 60, 120, 240}, Short: []float64{2, 4, 6, 8},
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			s, end, err := newShared()
--- a/internal/scale/slope/fleet.go
+++ b/internal/scale/slope/fleet.go
@@ -52,7 +52,7 @@
 		About: "internal/fleet/giver: renewals of members with four budgets and connections to eight targets each; the join of one more; its heap",
 		Gives: []Gives{{Name: "giver.renew", Unit: "us", Of: "one renewal", Per: "member"},
 			{Name: "giver.join", Unit: "us", Of: "one join", Per: "member"},
-			{Name: "giver.memory", Unit: "B", Of: "the giver's book", Per: "member"},
+			{Name: "giver.memory", Unit: "B", Of: "the giver's book", Per: "member", Rough: true},
 			{Name: "giver.renewals.wire", Unit: "B", Of: "a renewal of each and its answer, as JSON", Per: "member", Exact: true}},
 		Sizes: memberSizes, Short: []float64{50, 100, 200, 400},
 		Run: func(_ context.Context, size int) ([]float64, error) {
@@ -190,7 +190,7 @@
 		},
 	}, {
 		About: "internal/accounts: what an instance tells of a window, as JSON, with so many volumes used",
-		Gives: []Gives{{Name: "accounts.report", Unit: "B", Of: "an instance's accounts of a window", Per: "volume", Exact: true}, {Name: "accounts.memory", Unit: "B", Of: "an instance's book", Per: "volume"}},
+		Gives: []Gives{{Name: "accounts.report", Unit: "B", Of: "an instance's accounts of a window", Per: "volume", Exact: true}, {Name: "accounts.memory", Unit: "B", Of: "an instance's book", Per: "volume", Rough: true}},
 		Sizes: []float64{64, 256, 1024, 4096}, Short: []float64{32, 64, 128, 256},
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			before := heap()
--- a/internal/scale/slope/list.go
+++ b/internal/scale/slope/list.go
@@ -64,7 +64,7 @@
 		},
 	}, {
 		About: "internal/upstream: a registry with an actor for each target and no connection; a change of one entry",
-		Gives: []Gives{{Name: "upstream.memory", Unit: "B", Of: "heap and stacks of the targets' actors", Per: "target"},
+		Gives: []Gives{{Name: "upstream.memory", Unit: "B", Of: "heap and stacks of the targets' actors", Per: "target", Rough: true},
 			{Name: "upstream.change", Unit: "us", Of: "a change of one entry", Per: "target"}},
 		Sizes: targetSizes, Short: []float64{100, 200, 400, 800},
 		Run: func(_ context.Context, size int) ([]float64, error) {
--- a/internal/scale/slope/members.go
+++ b/internal/scale/slope/members.go
@@ -25,7 +25,7 @@
 	return []Probe{{
 		About: "internal/model/mesh: members that all know all, 8 zones, 2 ms a message, without trouble, for 20 s of virtual time",
 		Gives: []Gives{{Name: "members.wire", Unit: "B/s", Of: "what a member sends", Per: "member", Exact: true}, {Name: "members.messages", Unit: "messages/s", Of: "what a member sends", Per: "member", Exact: true},
-			{Name: "members.cpu", Unit: "us/s", Of: "a member's machine, its network's model included", Per: "member"}, {Name: "members.memory", Unit: "B", Of: "a member's machine", Per: "member"}},
+			{Name: "members.cpu", Unit: "us/s", Of: "a member's machine, its network's model included", Per: "member", Rough: true}, {Name: "members.memory", Unit: "B", Of: "a member's machine", Per: "member", Rough: true}},
 		Sizes: []float64{100, 200, 400, 800, 1600}, Short: []float64{25, 50, 100, 200},
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			before := heap()
--- a/internal/scale/slope/module.go
+++ b/internal/scale/slope/module.go
@@ -79,10 +79,10 @@
 		About: "root package, each target a shard of its own: a list of one entry that drains or is up again; a request with its answer; a timer; a whole list as after a start; its heap",
 		Gives: []Gives{{Name: "module.change", Unit: "us", Of: "a change of one entry", Per: "target"},
 			{Name: "module.request", Unit: "us", Of: "a request and its answer", Per: "target"},
-			{Name: "module.timer", Unit: "us", Of: "a timer with nothing open", Per: "target"},
+			{Name: "module.timer", Unit: "us", Of: "a timer with nothing open", Per: "target", Rough: true},
 			{Name: "module.whole", Unit: "us", Of: "a whole list, with nothing known", Per: "target"},
 			{Name: "module.memory", Unit: "B", Of: "heap of a module", Per: "target", Exact: true}},
-		Sizes: targetSizes, Short: []float64{50, 100, 200, 400},
+		Sizes: targetSizes, Short: []float64{200, 400, 800, 1600},
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			var err error
 			var m *module
--- /dev/null
+++ b/internal/scale/slope/page.go
@@ -0,0 +1,189 @@
+package slope
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// PageFile is where the page stands, from the top of the repository.
+const PageFile = "docs/CAPACITY.md"
+
+var marked = regexp.MustCompile(`(?s)<!-- table: ([a-z ]+) -->\n.*?<!-- end -->`)
+
+// Page returns the page with each of its tables as the figures give it. The page has every table once.
+func (t *Table) Page(old []byte) ([]byte, error) {
+	tables := t.tables()
+	seen := map[string]bool{}
+	var err error
+	page := marked.ReplaceAllFunc(old, func(b []byte) []byte {
+		name := string(marked.FindSubmatch(b)[1])
+		text, there := tables[name]
+		switch {
+		case !there:
+			err = fmt.Errorf("%s: there is no table %q", PageFile, name)
+		case seen[name]:
+			err = fmt.Errorf("%s: the table %q is there twice", PageFile, name)
+		}
+		seen[name] = true
+		return fmt.Appendf(nil, "<!-- table: %s -->\n%s<!-- end -->", name, text)
+	})
+	for name := range tables {
+		if !seen[name] && err == nil {
+			err = fmt.Errorf("%s: the table %q is missing", PageFile, name)
+		}
+	}
+	if n := bytes.Count(page, []byte("<!-- table:")); n != len(seen) && err == nil {
+		err = fmt.Errorf("%s: a table has no end", PageFile)
+	}
+	return page, err
+}
+
+// rows writes a table of the page.
+func rows(head []string, lines [][]string) string {
+	var b strings.Builder
+	line := func(cells []string) { b.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+	line(head)
+	line(slices.Repeat([]string{"---"}, len(head)))
+	for _, l := range lines {
+		line(l)
+	}
+	return b.String()
+}
+
+// number tells a figure in three digits.
+func number(x float64) string {
+	switch a := math.Abs(x); {
+	case a == 0:
+		return "0"
+	case a >= 1e15 || a < 1e-4:
+		return fmt.Sprintf("%.3g", x)
+	case a >= 1000:
+		whole := fmt.Sprintf("%.0f", x)
+		if a >= 10_000 {
+			by := math.Pow(10, math.Floor(math.Log10(a))-2)
+			whole = fmt.Sprintf("%.0f", math.Round(x/by)*by)
+		}
+		for i := len(whole) - 3; i > 0 && whole[i-1] != '-'; i -= 3 {
+			whole = whole[:i] + "," + whole[i:]
+		}
+		return whole
+	}
+	return strings.TrimSuffix(fmt.Sprintf("%.3g", x), ".0")
+}
+
+// amount tells a figure with its unit, in a size that can be read.
+func amount(x float64, unit string) string {
+	base, per := strings.CutSuffix(unit, "/s")
+	scale := func(names []string, by float64) string {
+		i := 0
+		for ; i < len(names)-1 && math.Abs(x) >= by; i++ {
+			x /= by
+		}
+		unit = names[i]
+		if per {
+			unit += "/s"
+		}
+		return number(x) + " " + unit
+	}
+	switch {
+	case base == "B":
+		return scale([]string{"B", "KB", "MB", "GB", "TB"}, 1000)
+	case base == "us" && !per:
+		return scale([]string{"us", "ms", "s"}, 1000)
+	case unit == "core" && x > 1:
+		return number(x) + " cores"
+	case unit == "core":
+		return number(x) + " of a core"
+	}
+	return number(x) + " " + unit
+}
+
+// verdict tells it in plain words.
+func (j *Judged) verdict() string {
+	switch {
+	case j.Verdict == Holds:
+		return "*holds*, " + number(1/j.Factor) + " times over"
+	case j.Verdict == Lacks:
+		return "*lacks by a factor of " + number(j.Factor) + "*"
+	case j.Untold != "" && j.Factor > 1:
+		return "*not known*: " + j.Untold + "; as it stands here it would lack by a factor of " + number(j.Factor)
+	case j.Untold != "":
+		return "*not known*: " + j.Untold
+	}
+	return "*not known*: not measured"
+}
+
+func (t *Table) tables() map[string]string {
+	tables := map[string]string{"size": t.sizeTable(), "state": t.stateTable(), "messages": t.messageTable(), "events": t.eventTable(), "ranking": t.rankTable(),
+		"slopes": t.slopeTable(), "connections": t.connectionTable(), "before": t.beforeTable()}
+	for _, role := range []string{"initiator", "discovery", "agent", "target"} {
+		tables[role] = t.roleTable(role)
+	}
+	return tables
+}
+
+func (t *Table) roleTable(role string) string {
+	var lines [][]string
+	for _, j := range t.Judge() {
+		if j.Role != role && !strings.HasPrefix(j.Role, role+",") {
+			continue
+		}
+		limit := "not told"
+		if j.Limit > 0 {
+			limit = amount(j.Limit, j.Unit)
+		}
+		value := amount(j.Value, j.Unit)
+		if len(j.Beyond) > 0 {
+			value += " (beyond what was measured)"
+		}
+		_, which, _ := strings.Cut(j.Role, ", ")
+		if which != "" {
+			which = "the " + which + "; "
+		}
+		lines = append(lines, []string{which + j.Of, j.When, strings.Join(j.Names, ", "), value, limit, j.verdict()})
+	}
+	return rows([]string{"what", "when", "slopes", "at the size", "limit", "verdict"}, lines)
+}
+
+func (t *Table) rankTable() string {
+	var lines [][]string
+	for i, j := range t.Rank() {
+		lines = append(lines, []string{fmt.Sprint(i + 1), number(j.Breaks), j.Role, j.Of, j.When, number(j.Factor), j.Mechanism})
+	}
+	return rows([]string{"", "breaks at so many initiators", "role", "what", "when", "at the size it lacks by", "mechanism that carries it"}, lines)
+}
+
+func (t *Table) slopeTable() string {
+	var lines [][]string
+	for _, s := range t.Slopes {
+		per := s.Per
+		switch {
+		case s.Power == 2:
+			per += ", squared"
+		case s.Power != 1:
+			per += ", to the power of " + number(s.Power)
+		}
+		lines = append(lines, []string{s.Name, s.Of, number(s.Value) + " " + s.Unit + " ± " + number(s.Error), per, number(s.Base), number(s.Least) + " to " + number(s.Most),
+			fmt.Sprintf("%+.0f %%", 100*s.Off), "`" + s.Command + "`, " + s.Date})
+	}
+	return rows([]string{"slope", "of", "value", "for each", "at a size of 0", "sizes", "largest, foretold", "measured by"}, lines)
+}
+
+// beforeTable has what was mended, at each size measured then and now.
+func (t *Table) beforeTable() string {
+	var lines [][]string
+	for _, b := range t.Before {
+		now := t.At(b.Name)
+		for _, p := range b.Measured {
+			if now.Known() && p.Size <= now.Most {
+				lines = append(lines, []string{b.Name, b.Of, number(p.Size) + " x " + b.Per, amount(p.Cost, b.Unit), amount(now.At(p.Size), now.Unit),
+					number(p.Cost/now.At(p.Size)) + " times"})
+			}
+		}
+	}
+	return rows([]string{"slope", "of", "at", "before", "now", "less by"}, lines)
+}
--- /dev/null
+++ b/internal/scale/slope/parts.go
@@ -0,0 +1,152 @@
+package slope
+
+import (
+	"fmt"
+	"strings"
+)
+
+func (t *Table) sizeTable() string {
+	s, l := t.Size, t.Limits
+	n := number
+	return rows([]string{"what", "size"}, [][]string{
+		{"initiators; targets", n(s.Initiators) + "; " + n(s.Targets)},
+		{"client connections; requests a second", n(s.Clients) + "; " + n(s.Requests)},
+		{"at one initiator", n(s.Clients/s.Initiators) + " connections; " + n(s.RequestsEach()) + " requests a second, " + n(1e6/s.RequestsEach()) + " us for each"},
+		{"changes of primary", n(s.Primaries) + " a day, each over within " + n(s.PrimaryWithin) + " s"},
+		{"regions; zones", n(s.Regions) + "; " + n(s.Zones)},
+		{"changes of configuration", n(s.Changes) + " a day, " + n(s.ChangeRate()) + " a second; in the worst minute " + n(s.Burst) + " a second; in force everywhere within " + n(l.InForce) + " s"},
+		{"machines that fail; are restarted or replaced", n(s.Failures) + "; " + n(s.Restarts) + " a day: with " + n(s.Entries) + " entries each and two for a primary, " +
+			n(s.ListRate()*day) + " changes of the list"},
+		{"restarts of initiators", n(s.InitiatorsBack) + " a day, or all within " + n(l.Back) + " s"},
+		{"a rack (taken)", n(l.Rack) + " targets"},
+		{"an initiator's control", n(l.Core) + " of a core, " + amount(l.Memory, "B") + ", " + amount(l.Wire, "B/s")},
+		{"set aside for control", n(l.Machines) + " machines (taken: of " + n(l.MachineOf) + " cores each)"},
+		{"one discovery that all share", n(l.Call*1000) + " ms for a call, " + n(l.Line*1000) + " ms for a line of its answer (docs/standing.md)"},
+		{"a configuration; accounts; shards of tasks (taken)", n(s.Config) + " bytes; " + n(s.Volumes) + " volumes at an initiator; " + n(s.Shards)},
+	})
+}
+
+// kept is a kind of state.
+type keeps struct {
+	role, what, key, slope string
+	many                   func(Size) float64
+	bound                  string
+}
+
+func (t *Table) stateTable() string {
+	targets, initiators := func(s Size) float64 { return s.Targets }, func(s Size) float64 { return s.Initiators }
+	var lines [][]string
+	for _, k := range []keeps{
+		{"initiator", "nodes, lanes and what was learned of them (root package)", "target's id, shard", "module.memory", targets, "the list"},
+		{"initiator", "the list as last had (internal/discovery, internal/listing)", "target's id", "list.memory", targets, "entries that are read of a list; 4 MB of its text"},
+		{"initiator", "an actor for each target, without connections (internal/upstream)", "target's id", "upstream.memory", targets, "the list"},
+		{"initiator", "the view of all members (internal/fleet/members)", "a life", "members.memory", initiators, "those that live, and 1,024 that ended"},
+		{"initiator", "accounts (internal/accounts)", "volume", "accounts.memory", func(s Size) float64 { return s.Volumes }, "`[accounts] volumes`, the longest unused goes"},
+		{"agent", "configurations (internal/agent)", "instance", "agent.memory", initiators, "none on their number; 4 MB each"},
+		{"agent", "watches that wait (internal/agent)", "connection", "agent.follow.memory", initiators, "none"},
+		{"agent", "seats, as text of a snapshot (internal/fleet/register)", "member's id", "register.text", initiators, "`seats`, 16,384 at most"},
+		{"agent, leader", "the book, with eight targets each (internal/fleet/giver)", "budget, key, member", "giver.memory", initiators, "seats; 1,024 keys of a member"},
+	} {
+		x := t.At(k.slope)
+		each, sum := "*not known*", "*not known*"
+		if x.Known() {
+			n := k.many(t.Size)
+			each, sum = amount(costs{t: t}.each(k.slope), x.Unit), amount(x.At(n), x.Unit)+" for "+number(n)
+			if n > x.Most {
+				sum += " (beyond what was measured)"
+			}
+		}
+		lines = append(lines, []string{k.role, k.what, k.key, each, sum, k.bound})
+	}
+	lines = append(lines, []string{"agent", "the log of changes, on disk (internal/agent)", "index", amount(t.At("agent.entry").At(t.Size.Config), "B") + " with a configuration of " + number(t.Size.Config),
+		amount(t.Size.ChangeRate()*t.Size.Initiators*day*t.At("agent.entry").At(t.Size.Config), "B") + " a day", "the Raft library's snapshots"},
+		[]string{"discovery", "the list; whose watch has what", "the operators'", "*not known*", "*not known*", "*not known*"},
+		[]string{"target", "a connection from each initiator that uses it", "connection", "*not known*", number(t.Size.Initiators) + " connections, if all use it",
+			"`[[budget]]` of kind stock, where there is one"})
+	return rows([]string{"role", "what is kept", "key", "for each", "at the size", "bounded by"}, lines)
+}
+
+// message is one kind: its bytes, both ways, and how many a second there are on an ordinary day, at the worst minute, in the minute after a zone came back, and
+// in that after a region was cut for an hour.
+type message struct {
+	way, what string
+	bytes     func(c costs, s Size) float64
+	slopes    string
+	rates     func(c costs, s Size, l Limits) [4]float64
+	mechanism string
+}
+
+func always4(x float64) [4]float64 { return [4]float64{x, x, x, x} }
+
+func (t *Table) messageTable() string {
+	var lines [][]string
+	for _, m := range []message{
+		{"discovery and each initiator", "a watch with nothing new", func(c costs, _ Size) float64 { return c.each("discovery.wire") / c.each("discovery.calls") }, "discovery.wire",
+			func(c costs, _ Size, _ Limits) [4]float64 { return always4(c.each("discovery.calls")) }, "internal/discovery"},
+		{"discovery to each initiator", "an entry that changed", func(c costs, _ Size) float64 { return c.each("discovery.change.wire") }, "discovery.change.wire",
+			func(_ costs, s Size, l Limits) [4]float64 {
+				return [4]float64{s.ListRate(), s.ListRate() + l.Rack/minute, s.Targets / s.Zones / minute, s.ListRate() * hour / minute}
+			}, "internal/discovery"},
+		{"discovery to initiators that start, in all", "a whole list", func(c costs, s Size) float64 { return c.at("list.line", s.Targets) }, "list.line",
+			func(_ costs, s Size, l Limits) [4]float64 {
+				return [4]float64{s.InitiatorsBack / day, s.InitiatorsBack / l.Back, s.Initiators / s.Zones / minute, 0}
+			}, "internal/discovery, internal/listing"},
+		{"an agent and each initiator", "a watch with nothing new", func(c costs, _ Size) float64 { return c.each("agent.follow.wire") }, "agent.follow.wire",
+			func(costs, Size, Limits) [4]float64 { return always4(1) }, "internal/agent"},
+		{"an agent to each initiator", "its configuration, whole", func(c costs, s Size) float64 { return c.at("agent.answer", s.Config) }, "agent.answer",
+			func(_ costs, s Size, _ Limits) [4]float64 {
+				return [4]float64{s.ChangeRate(), s.Burst, s.ChangeRate(), 1 / minute}
+			}, "internal/agent"},
+		{"the leader to each follower", "an entry of the log", func(c costs, s Size) float64 { return c.at("agent.entry", s.Config) }, "agent.entry",
+			func(_ costs, s Size, _ Limits) [4]float64 {
+				e := s.ChangeRate() * s.Initiators
+				return [4]float64{e, s.Burst * s.Initiators, e, e * hour / minute}
+			}, "internal/agent"},
+		{"each initiator and the leader", "a renewal and its answer", func(c costs, _ Size) float64 { return c.each("leader.wire") }, "leader.wire",
+			func(costs, Size, Limits) [4]float64 { return always4(1) }, "internal/ration, internal/fleet/giver"},
+		{"initiators and the leader, in all", "a join", nil, "", func(_ costs, s Size, l Limits) [4]float64 {
+			return [4]float64{s.InitiatorsBack / day, s.InitiatorsBack / l.Back, s.Initiators / s.Zones / minute, s.Initiators / s.Regions / minute}
+		}, "internal/ration, internal/fleet/giver"},
+		{"each initiator to others", "ping, ack, confirm, comparison", func(c costs, s Size) float64 {
+			return c.at("members.wire", s.Initiators) / c.at("members.messages", s.Initiators)
+		}, "members.wire, members.messages", func(c costs, s Size, _ Limits) [4]float64 { return always4(c.at("members.messages", s.Initiators)) },
+			"internal/peers, internal/fleet/members"},
+	} {
+		c := costs{t: t}
+		size := "*not known*"
+		rates := m.rates(c, t.Size, t.Limits)
+		cells := []string{m.way, m.what, size}
+		if m.bytes != nil && m.bytes(c, t.Size) > 0 {
+			cells[2] = amount(m.bytes(c, t.Size), "B")
+		}
+		for _, r := range rates {
+			if cells[2] == size || r == 0 {
+				cells = append(cells, number(r)+"/s")
+				continue
+			}
+			cells = append(cells, fmt.Sprintf("%s/s, %s", number(r), amount(r*m.bytes(c, t.Size), "B/s")))
+		}
+		lines = append(lines, append(cells, strings.TrimSpace(m.mechanism)))
+	}
+	return rows([]string{"between", "message", "bytes, both ways", ordinary, worst, "the minute after a zone came back", "the minute after a region was cut for an hour", "package"}, lines)
+}
+
+func (t *Table) connectionTable() string {
+	n, s := number, t.Size
+	watches := "*not known*"
+	if x := t.At("agent.follow.connections"); x.Known() {
+		watches = n(x.At(s.Initiators))
+	}
+	return rows([]string{"role", "with whom", "connections at the size, each a descriptor", "bounded by"}, [][]string{
+		{"initiator", "clients", n(s.Clients / s.Initiators), "what the process may open, less what control, discovery and targets take"},
+		{"initiator", "targets (one for each in use at least)", n(s.Targets) + ", if its clients use all", "`limits`, a pool's bound for one and for all, stocks"},
+		{"initiator", "discovery", "1, 5 while calls are overdue", "mostOpen in internal/discovery"},
+		{"initiator", "agents: configuration, renewals, leases", "3", ""},
+		{"initiator", "other members", "a socket for datagrams, a listener, 48 streams at most", "internal/peers"},
+		{"agent", "instances' watches, where all name the same agent first", watches + " (" + n(t.At("agent.follow.connections").Most) + " measured)", "none"},
+		{"agent, leader", "members' renewals", n(s.Initiators), "none"},
+		{"agent", "other agents", "3 to each for Raft, 4 for questions", "its pools"},
+		{"discovery", "initiators' watches", n(t.At("discovery.connections").Value * s.Initiators), "*not known*"},
+		{"target", "initiators that use it", n(s.Initiators) + ", if all do, with " + n(s.Requests/s.Targets/s.Initiators) + " requests a second on each", "stocks, where there are some"},
+	})
+}
--- a/internal/scale/slope/probe.go
+++ b/internal/scale/slope/probe.go
@@ -14,6 +14,7 @@
 type Gives struct {
 	Name, Unit, Of, Per string
 	Exact               bool // a count or bytes: the same in every run
+	Rough               bool // it depends on what else the machine does, so that no short run is held against it
 }
 
 // Probe measures what something costs at several sizes.
@@ -35,7 +36,7 @@
 }
 
 // Measure runs a probe at so many sizes and fits what came.
-func Measure(ctx context.Context, p Probe, sizes []float64, command string, now time.Time) ([]Slope, error) {
+func Measure(ctx context.Context, p Probe, sizes []float64, now time.Time) ([]Slope, error) {
 	began := time.Now()
 	all := make([][]Point, len(p.Gives))
 	for _, size := range sizes {
@@ -61,7 +62,7 @@
 			return nil, fmt.Errorf("%s: %w", g.Name, err)
 		}
 		slopes = append(slopes, Slope{Name: g.Name, Unit: g.Unit, Of: g.Of, Per: g.Per, Value: round(l.Rise), Error: round(l.Error), Base: round(l.Base), Power: l.Power,
-			Least: l.Least, Most: l.Most, Off: round(l.Off), Noise: round(l.Noise), Command: command, Date: now.Format(time.DateOnly), Cores: runtime.NumCPU(),
+			Least: l.Least, Most: l.Most, Off: round(l.Off), Noise: round(l.Noise), Command: "spindlehitch-scale slopes " + p.Gives[0].Name, Date: now.Format(time.DateOnly), Cores: runtime.NumCPU(),
 			Lasts: math.Ceil(lasted), Measured: all[i], Exact: g.Exact, About: p.About})
 	}
 	return slopes, nil
