--- a/internal/scale/run/spec.go
+++ b/internal/scale/run/spec.go
@@ -240,12 +240,12 @@
 		list = replica
 	}
 	module, members := t.At("module.memory"), t.At("members.memory")
-	ok = list.Known() && (module.Known() || s.Modules == 0) && (members.Known() || s.Members == 0)
+	ok = list.Known() && (module.Known() || s.Modules+s.Real == 0) && (members.Known() || s.Members == 0)
 	sum := float64(s.all() * eachTakes)
 	for _, part := range []struct {
 		s       slope.Slope
 		n, size int
-	}{{list, s.all(), s.most()}, {module, s.Modules, s.most()}, {members, s.Members, s.Members}} {
+	}{{list, s.all(), s.most()}, {module, s.Modules + s.Real, s.most()}, {members, s.Members, s.Members}} {
 		if part.s.Known() && part.n > 0 {
 			sum += float64(part.n) * part.s.At(float64(part.size)) * garbage
 		}
