--- a/internal/scale/run/run_test.go
+++ b/internal/scale/run/run_test.go
@@ -73,6 +73,14 @@
 		}
 	}
 	require.Equal(t, 200, n)
+	f := &fleet{spec: &Spec{Mechanism: "feed", Initiators: []int{2900}, Real: 20, Disk: 200, Members: 200}}
+	of := map[kind]int{}
+	for i := range 2900 {
+		of[f.kindOf(i)]++
+	}
+	require.Equal(t, 20, of[whole])
+	require.InDelta(t, 200, of[onDisk], 3)
+	require.InDelta(t, 200, of[member], 3)
 }
 
 // TestService holds the stand-in against what docs/standing.md says of the service: one call at a time, what an answer costs, and a watch that goes on.
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -193,6 +193,9 @@
 // mostSeeds is how many members others are told of at their start.
 const mostSeeds = 8
 
+// beside keeps those with a copy on disk from being the members, where there are as many of both.
+const beside = 7
+
 // kindOf is that of the initiator of a number: kinds are spread evenly, so that each size has its share.
 func (f *fleet) kindOf(i int) kind {
 	switch {
@@ -202,7 +205,7 @@
 		return deciding
 	case every(i, f.spec.Members, f.spec.all()):
 		return member
-	case f.byFeed() && every(i, f.spec.Disk, f.spec.all()):
+	case f.byFeed() && every(i+beside, f.spec.Disk, f.spec.all()):
 		return onDisk
 	}
 	return plain
