Lanes in which something waits are merged in order, not sorted anew

Planted and found: what came before the lane at hand not counted, put behind, or not in order, the flag of a lane that left not cleared. A lane that is never dropped from the walk changes no decision; TestIdleNodes, which now has two hundred other shards used long before, finds it, and nodes that stay in use for ever.

--- a/finder.go
+++ b/finder.go
@@ -26,6 +26,7 @@
 	// What is in use; the lists may also hold some that no longer are, until they are next gone through.
 	held     []*lane // something waits there, in order of lanes
 	came     []*lane // the same, not yet in order
+	left     bool    // nothing waits any more in some of them
 	flowing  []*lane // have flows
 	bare     []*lane // of a shard that no known node holds
 	used     []*node // may be avoided: something is out there, or ended badly
@@ -206,29 +207,49 @@
 			if !yield(l) {
 				return
 			}
-			for _, o := range x.came {
-				at, _ := slices.BinarySearchFunc(x.held, o, byPlace)
-				x.held = slices.Insert(x.held, at, o)
-				if at <= i {
-					i++
-				}
+			if len(x.came) > 0 {
+				i += x.merge(l)
 			}
-			x.came = x.came[:0]
 		}
 	}
 }
 
 // settle puts the lanes in which something waits in order, and drops those in which nothing does.
 func (x *finder) settle() {
-	x.held = slices.DeleteFunc(x.held, func(l *lane) bool {
-		l.waits = len(l.held) > 0
-		return !l.waits
-	})
+	if x.left {
+		x.left = false
+		x.held = slices.DeleteFunc(x.held, func(l *lane) bool {
+			l.waits = len(l.held) > 0
+			return !l.waits
+		})
+	}
 	if len(x.came) > 0 {
-		x.held = append(x.held, x.came...)
-		x.came = x.came[:0]
-		slices.SortFunc(x.held, byPlace)
+		x.merge(nil)
+	}
+}
+
+// merge puts the lanes that came among those that are in order, and tells how many are now before the given one.
+func (x *finder) merge(of *lane) (before int) {
+	for _, o := range x.came {
+		if of != nil && o.at < of.at {
+			before++
+		}
+	}
+	slices.SortFunc(x.came, byPlace)
+	from, came := len(x.held)-1, len(x.came)-1
+	x.held = append(x.held, x.came...)
+	for to := len(x.held) - 1; came >= 0; to-- {
+		if from >= 0 && x.held[from].at > x.came[came].at {
+			x.held[to] = x.held[from]
+			from--
+		} else {
+			x.held[to] = x.came[came]
+			came--
+		}
 	}
+	clear(x.came)
+	x.came = x.came[:0]
+	return before
 }
 
 // drop takes out nodes that are gone as told, and lanes of shards that no known node holds, and nothing waits in or has flows.
--- a/scale_test.go
+++ b/scale_test.go
@@ -110,6 +110,14 @@
 	if t.Logf("%.0f bytes", per); per > most {
 		t.Errorf("%.0f bytes for each idle node, want %d at most", per, most)
 	}
+	for i := range 200 { // others were in use once
+		now += 4 * ms
+		serve(s, now, fmt.Sprint("old", i), 1000+i)
+	}
+	for range 2 {
+		now += time.Minute
+		s.Step(now, []Event{Timer{}})
+	}
 	for i := range 200 {
 		now += 4 * ms
 		if !serve(s, now, fmt.Sprint(i), i%10) {
--- a/state.go
+++ b/state.go
@@ -251,6 +251,7 @@
 	l := r.lane
 	if i := slices.Index(l.held, r); i >= 0 {
 		l.held = slices.Delete(l.held, i, i+1)
+		l.in.left = l.in.left || len(l.held) == 0
 		l.touch()
 		l.flow(r.vol).held--
 	}
