--- a/internal/fleet/feed/next.go
+++ b/internal/fleet/feed/next.go
@@ -32,8 +32,7 @@
 	case r.ever && now-r.served < s.opt.Gather:
 		return nil, s.opt.Gather - (now - r.served)
 	}
-	r.own.fill(now)
-	r.both.fill(now)
+	r.fill(now)
 	d = &Delta{Fleet: st.fleet, Epoch: st.epoch, Replaces: slices.Clone(st.replaces), For: r.hello.Scope, From: have, To: have, Head: head,
 		AgeMs: s.Age(now).Milliseconds()}
 	if have.Targets < st.floor { // 6
@@ -139,6 +138,16 @@
 	return list, d.Head.Config, 0
 }
 
+// fill lets time go on. What targets owe is paid by what either may have, too.
+func (r *reader) fill(now time.Duration) {
+	r.own.fill(now)
+	r.both.fill(now)
+	if pays := min(-r.own.tokens, r.both.tokens); pays > 0 {
+		r.own.tokens += pays
+		r.both.tokens -= pays
+	}
+}
+
 // targets is how many bytes of targets may go now: what configuration owes doesn't count, what targets owe does.
 func (r *reader) targets() float64 { return r.own.tokens + max(0, r.both.tokens) }
 
--- a/internal/fleet/feed/print.go
+++ b/internal/fleet/feed/print.go
@@ -36,8 +36,7 @@
 	fmt.Fprintf(w, "%.2f %v %d %d", s.admit.tokens, max(0, s.booked-now).Round(time.Millisecond), s.base, s.changes)
 	for _, name := range slices.Sorted(maps.Keys(s.readers)) {
 		r := s.readers[name]
-		r.own.fill(now)
-		r.both.fill(now)
+		r.fill(now)
 		h := r.hello
 		fmt.Fprintf(w, " %s %s%v%v%v%d.%d %v %v %t%t %.0f %.0f %d %v", name, h.Epoch, h.Have, h.Seen, h.InForce, h.Turn, said(name)-h.Seq, h.Refused, h.Digest,
 			r.waits, r.silent, r.own.tokens, r.both.tokens, r.change, min(now-r.heard, s.opt.Silent).Round(10*time.Millisecond))
