--- a/internal/fleet/feed/bad_test.go
+++ b/internal/fleet/feed/bad_test.go
@@ -109,7 +109,13 @@
 		{Disorder, func(d *Delta) { d.Buckets = []Bucket{{N: 1}} }},
 		{Disorder, func(d *Delta) { d.Records, d.To, d.Span = nil, Position{2, 1}, &Span{2, 0, Usual.Buckets + 1} }},
 		{Disorder, func(d *Delta) {
-			d.Records, d.To, d.Span, d.Buckets = nil, Position{1, 1}, &Span{2, 0, 1}, []Bucket{{0, []Record{{Key: "a", Version: 1, Value: []byte(`{}`)}}}}
+			d.Records, d.To, d.Span, d.Buckets = nil, Position{1, 1}, &Span{2, 0, 1}, []Bucket{{0, 0, nil, []Record{{Key: "a", Version: 1, Value: []byte(`{}`)}}}}
+		}},
+		{Disorder, func(d *Delta) {
+			d.Records, d.To, d.Span, d.Buckets = nil, Position{1, 1}, &Span{2, 0, 1}, []Bucket{{N: 0, Sum: 7}}
+		}},
+		{Disorder, func(d *Delta) {
+			d.Records, d.To, d.Span, d.Buckets = nil, Position{1, 1}, &Span{2, 0, 1}, []Bucket{{N: 0, Held: []string{"nobody"}}}
 		}},
 		{Gap, func(d *Delta) { d.Records, d.To, d.Span = nil, Position{2, 1}, &Span{2, 5, Usual.Buckets} }},
 		{OutOf, func(d *Delta) { d.Records[1].Key = "zone/z2" }},
--- a/internal/fleet/feed/message.go
+++ b/internal/fleet/feed/message.go
@@ -82,12 +82,24 @@
 // MostReason bounds the reason of one who turned something down, in bytes.
 const MostReason = 512
 
-// Bucket is the live targets of one bucket, all of them: a target of it that is not named is gone.
+// Bucket is the live targets of one bucket, all of them: a target of it that is not named is gone. Held are those that the reader has as they
+// are, since they changed last before its position. Sum is the bucket's sum with all of that.
 type Bucket struct {
 	N       int      `json:"n"`
+	Sum     uint64   `json:"sum"`
+	Held    []string `json:"held,omitempty"`
 	Records []Record `json:"records,omitempty"`
 }
 
+// Size is the bytes that a bucket takes in a delta, at most.
+func (b *Bucket) Size() int {
+	n := 64
+	for _, key := range b.Held {
+		n += len(key) + 3
+	}
+	return n + size(b.Records)
+}
+
 // Span is which buckets a delta by digests covers, From to before To: those that it doesn't bring are alike. Start is where plain deltas
 // go on from once all are covered.
 type Span struct {
@@ -118,11 +130,8 @@
 	for i := range d.Records {
 		n += d.Records[i].Size()
 	}
-	for _, b := range d.Buckets {
-		n += 32
-		for i := range b.Records {
-			n += b.Records[i].Size()
-		}
+	for i := range d.Buckets {
+		n += d.Buckets[i].Size()
 	}
 	return n
 }
--- a/internal/fleet/feed/next.go
+++ b/internal/fleet/feed/next.go
@@ -199,12 +199,16 @@
 		if cut = total > 0 && float64(total) >= most; cut {
 			break
 		}
-		b := Bucket{N: to}
+		b := Bucket{N: to, Sum: st.sums[to]}
 		for _, x := range st.buckets[to] {
-			b.Records = append(b.Records, *x)
+			if x.Version <= d.From.Targets { // 2: the reader has it so
+				b.Held = append(b.Held, x.Key)
+			} else {
+				b.Records = append(b.Records, *x)
+			}
 		}
 		d.Buckets = append(d.Buckets, b)
-		total += 32 + size(b.Records)
+		total += b.Size()
 	}
 	if wait = r.crumbs(may, cut, total > 0, Targets); wait > 0 {
 		return wait
--- a/internal/fleet/feed/rules_test.go
+++ b/internal/fleet/feed/rules_test.go
@@ -271,7 +271,7 @@
 	require.NoError(t, json.Unmarshal(b, &h2))
 	require.Equal(t, h, h2)
 	d := Delta{Fleet: "f", Epoch: "e", Replaces: []string{"x"}, For: h.Scope, To: Position{1, 2}, Head: Position{3, 4}, Records: []Record{{Kind: Config, Key: "shared", Version: 2, Value: []byte(`{}`)}},
-		Span: &Span{1, 2, 3}, Buckets: []Bucket{{2, []Record{{Key: "a", Version: 1, Value: []byte(`{}`)}}}}, AgeMs: 4}
+		Span: &Span{1, 2, 3}, Buckets: []Bucket{{2, 1 << 63, []string{"b"}, []Record{{Key: "a", Version: 1, Value: []byte(`{}`)}}}}, AgeMs: 4}
 	var d2 Delta
 	b, err = json.Marshal(d)
 	require.NoError(t, err)
--- a/internal/fleet/feed/take.go
+++ b/internal/fleet/feed/take.go
@@ -161,6 +161,15 @@
 			return refuse(Disorder, "buckets[%d]: %d is not within %d and %d", i, b.N, next, p.To)
 		}
 		next = b.N + 1
+		sum := uint64(0)
+		for j, key := range b.Held {
+			old := s.lanes[Targets].keys[key]
+			if old == nil || old.Gone || s.bucket(key) != b.N || seen[key] {
+				return refuse(Disorder, "buckets[%d].held[%d]: %q isn't held there", i, j, key)
+			}
+			seen[key] = true
+			sum += old.hash()
+		}
 		for j := range b.Records {
 			x := &b.Records[j]
 			if err := r.checkRecord(s, x); err != nil {
@@ -170,6 +179,10 @@
 				return refuse(Disorder, "buckets[%d].records[%d]: %s %q doesn't belong there", i, j, x.Kind, x.Key)
 			}
 			seen[x.Key] = true
+			sum += x.hash()
+		}
+		if sum != b.Sum {
+			return refuse(Disorder, "buckets[%d]: what it names doesn't have the sum that it has at the source", i)
 		}
 	}
 	return nil
@@ -198,7 +211,10 @@
 // held, and the floor rises, since when it went is not known (step 6).
 func (s *Store) takeBuckets(d *Delta) (changed []Record) {
 	for _, b := range d.Buckets {
-		named := make(map[string]bool, len(b.Records))
+		named := make(map[string]bool, len(b.Records)+len(b.Held))
+		for _, key := range b.Held {
+			named[key] = true
+		}
 		for _, x := range b.Records {
 			named[x.Key] = true
 		}
--- a/internal/fleet/proof/feed/check.go
+++ b/internal/fleet/proof/feed/check.go
@@ -160,7 +160,7 @@
 	}
 	a.configs = max(a.configs, configs)
 	for _, b := range d.Buckets {
-		n := 32 + size(b.Records)
+		n := float64(b.Size())
 		a.n, a.target = a.n+n, max(a.target, n)
 	}
 	if most := burst + rate*(w.now-a.since).Seconds() + a.target + a.configs; rate > 0 && a.n > most {
--- a/internal/fleet/proof/feed/wrong_test.go
+++ b/internal/fleet/proof/feed/wrong_test.go
@@ -35,6 +35,7 @@
 	{"what another history doesn't have kept", take, "if is := now.lanes[k].keys[x.Key]; !x.Gone && (is == nil || is.Gone) {", "if is := now.lanes[k].keys[x.Key]; !x.Gone && is != nil && is.Gone {", ""},
 	{"whole after a part", take, "		if *d.To.of(k) == *s.seen.of(k) {\n", "		if s.epoch != \"\" {\n", ""},
 	{"what a bucket doesn't name kept", take, "			if !named[old.Key] {\n", "			if false {\n", ""},
+	{"a bucket told as held that has changed", next + and + take, "			if x.Version <= d.From.Targets { // 2: the reader has it so\n" + and + "		if sum != b.Sum {\n", "			if r.run.sums != nil && r.run.sums[to] != 0 {\n" + and + "		if false {\n", ""},
 	{"a part of a run by digests skipped", take, "	case progress != Progress{p.Start, p.From}:\n", "	case false:\n", ""},
 	{"over its size taken", take, "	case d.Size() > MostDelta:\n", "	case false:\n", ""},
 	{"a version outside what the delta covers taken", take, "		case x.Version <= *d.From.of(x.Kind) || x.Version > *d.To.of(x.Kind):\n", "		case false:\n", ""},
