--- a/internal/faults/judge.go
+++ b/internal/faults/judge.go
@@ -38,6 +38,7 @@
 	Judge     *Judge
 	All       []*Target
 	Discovery string
+	Reached   func(t *Target, request string) // told of each request that reaches a target; nil: nobody asks. Set before any comes
 	mu        sync.Mutex
 	version   int
 	changed   chan struct{}
@@ -123,6 +124,11 @@
 // Restarted has the list tell that a target has started at that moment: it is cold.
 func (g *Targets) Restarted(t *Target) {
 	t.Started.Store(time.Now().UnixMilli())
+	g.Tell()
+}
+
+// Tell has the list told again, as it is.
+func (g *Targets) Tell() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.version++
@@ -140,6 +146,9 @@
 		return
 	}
 	t.all.Add(1)
+	if g.Reached != nil {
+		g.Reached(t, q.Header.Get("Request-Id"))
+	}
 	cold := t.Started.Load() > 0
 	j.mu.Lock()
 	id := q.Header.Get("Request-Id")
