--- a/internal/fleet/feed/sent.go
+++ b/internal/fleet/feed/sent.go
@@ -9,8 +9,8 @@
 		return
 	}
 	reckoned := size(d.Records)
-	for _, b := range d.Buckets {
-		reckoned += 32 + size(b.Records)
+	for i := range d.Buckets {
+		reckoned += d.Buckets[i].Size()
 	}
 	if bytes > reckoned {
 		r.spend(bytes - reckoned)
