--- a/internal/faults/feed_test.go
+++ b/internal/faults/feed_test.go
@@ -231,10 +231,10 @@
 	}
 	version = f.Put(f.entry(f.targets.All[0], map[bool]string{true: "DRAINING", false: "SERVING"}[f.drained["t0"]]))
 	took := f.until("all have the last version in force after quiet", version, f.all)
-	var counts100 feed.Status
+	var known feed.Status
 	told := f.Until("the fleet's answer is that all have it", func() bool {
 		s, ok := f.status(fmt.Sprint(version))
-		counts100 = s
+		known = s
 		return ok && s.Have == initiators
 	})
 	time.Sleep(sentBefore + time.Second) // the drains of now are judged for a while after all have them
@@ -249,7 +249,7 @@
 	held := f.judge.Held
 	f.judge.mu.Unlock()
 	t.Logf("seed %d, %v: %v; %d changes; all at version %d after %v, known after %v more: %+v; %d times a drain was held against an initiator; %d answers on who has what held; %d served, %d asked of a process that was dead or stood still",
-		seed, length, counts, changes, version, took.Round(time.Millisecond), told.Round(time.Millisecond), counts100, held, counted, served, lost)
+		seed, length, counts, changes, version, took.Round(time.Millisecond), told.Round(time.Millisecond), known, held, counted, served, lost)
 	mu.Lock()
 	defer mu.Unlock()
 	require.Empty(t, f.judge.Broken(), "no first byte goes to a target whose drain is in force")
--- a/internal/instance/feed_test.go
+++ b/internal/instance/feed_test.go
@@ -203,6 +203,19 @@
 	require.Empty(t, *offered)
 }
 
+// TestFollowFeedRefused starts with what cannot be followed: one message that names it, and nothing runs.
+func TestFollowFeedRefused(t *testing.T) {
+	none := filepath.Join(t.TempDir(), "none.toml")
+	require.NoError(t, os.WriteFile(none, nil, 0o600))
+	for _, c := range []struct{ name, operator, want string }{
+		{"", "../../deploy/feed.toml", "PROXY_NAME"}, {"n1", "", "--operator"}, {"n1", none, "feed"}, {"n1", "../../deploy/nowhere.toml", "nowhere.toml"},
+	} {
+		err := FollowFeed(t.Context(), func(string) string { return c.name }, c.operator, quiet)
+		require.ErrorContains(t, err, c.want)
+		require.NotContains(t, err.Error(), "\n")
+	}
+}
+
 // TestFeedFallsBack has an instance whose relays are nowhere: it goes by discovery, as without the feed, and says how far the feed is.
 func TestFeedFallsBack(t *testing.T) {
 	s := newSite(t)
--- a/internal/instance/followfeed.go
+++ b/internal/instance/followfeed.go
@@ -32,6 +32,9 @@
 	if name == "" {
 		return config.Missing("PROXY_NAME")
 	}
+	if operator == "" {
+		return config.Missing("--operator")
+	}
 	f, err := config.ReadFeed(operator)
 	if err != nil {
 		return err
