--- a/cmd/spindlehitch-scale/slopes.go
+++ b/cmd/spindlehitch-scale/slopes.go
@@ -32,6 +32,9 @@
 		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 		defer stop()
 		table, err := slope.Load()
+		if write { // it may have changed since this program was built
+			table, err = read(root)
+		}
 		if err != nil {
 			return err
 		}
@@ -85,11 +88,7 @@
 func pageCommand() *cobra.Command {
 	var root string
 	cmd := &cobra.Command{Use: "page", Short: "Write the tables of " + slope.PageFile, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		text, err := os.ReadFile(filepath.Join(root, slope.File))
-		if err != nil {
-			return err
-		}
-		table, err := slope.Read(slope.File, text)
+		table, err := read(root)
 		if err != nil {
 			return err
 		}
@@ -108,6 +107,14 @@
 	return cmd
 }
 
+func read(root string) (*slope.Table, error) {
+	text, err := os.ReadFile(filepath.Join(root, slope.File))
+	if err != nil {
+		return nil, err
+	}
+	return slope.Read(slope.File, text)
+}
+
 func print(to io.Writer, all []slope.Slope) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "SLOPE\tVALUE\tERROR\tUNIT\tPER\tBASE\tRANGE\tLARGEST FORETOLD, OFF BY\tOF")
--- a/internal/scale/slope/agent.go
+++ b/internal/scale/slope/agent.go
@@ -35,7 +35,7 @@
 			{Name: "agent.change.follower", Unit: "us", Of: "a follower", Per: "change", Rough: true},
 			{Name: "agent.change.disk", Unit: "B", Of: "an agent's folder", Per: "change", Rough: true},
 			{Name: "agent.memory", Unit: "B", Of: "a follower's heap", Per: "instance", Rough: true}},
-		Sizes: []float64{100, 200, 400, 800, 1600}, Short: []float64{20, 40, 80, 160},
+		Sizes: []float64{200, 400, 800, 1600, 3200}, Short: []float64{20, 40, 80, 160},
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			g, err := newGroup(ctx)
 			if err != nil {
@@ -104,14 +104,14 @@
 			return []float64{entry / changes, (after[leader].Out - before[leader].Out) / changes}, err
 		},
 	}, {
-		About: "internal/agent: instances that follow their configurations at one agent of three, each agent a process: 4 s without a change, then 20 changes of another instance's",
+		About: "internal/agent: instances that follow their configurations at one agent of three, each agent a process: 4 s without a change, then 60 changes of another instance's",
 		Gives: []Gives{{Name: "agent.follow.wire", Unit: "B/s", Of: "watches without a change, both ways", Per: "instance", Rough: true},
 			{Name: "agent.follow.cpu", Unit: "us/s", Of: "the agent, watches without a change", Per: "instance", Rough: true},
 			{Name: "agent.follow.memory", Unit: "B", Of: "the agent's heap", Per: "instance", Rough: true},
 			{Name: "agent.wake.cpu", Unit: "us", Of: "the agent, a change that concerns none of them", Per: "instance", Rough: true},
 			{Name: "follower.cpu", Unit: "us/s", Of: "the instances, watches without a change", Per: "instance", Rough: true},
 			{Name: "agent.follow.connections", Unit: "connections", Of: "watches, at the agent named first", Per: "instance", Rough: true}},
-		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32},
+		Sizes: []float64{50, 100, 200, 400, 800}, Short: []float64{4, 8, 16, 32},
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			g, err := newGroup(ctx)
 			if err != nil {
@@ -155,7 +155,7 @@
 			}
 			lasted, mine := time.Since(began).Seconds(), float64((cpu() - own).Microseconds())
 			idle := (to[0].CPU - from[0].CPU) / lasted
-			const changes = 20
+			const changes = 60
 			began = time.Now()
 			for range changes {
 				if _, err := g.Put(ctx, "another", configuration("another", usual), ""); err != nil {
--- a/internal/scale/slope/event.go
+++ b/internal/scale/slope/event.go
@@ -1,12 +1,14 @@
 package slope
 
-// Event is something of the operators' list, and how long it takes until it is in force everywhere.
+import "spindlehitch/internal/fleet/feed"
+
+// Event is something of the operators' list, and how long it takes until it is in force everywhere: at one discovery that all share, and by the feed.
 type Event struct {
 	Name, Seen, Told, Sent string
-	Figure
+	Off, On                Figure
 }
 
-// Events is all of them, as they are carried today.
+// Events is all of them.
 func Events() []Event {
 	// told is how long one service that all share takes to tell so many initiators so many entries.
 	told := func(c costs, l Limits, initiators, entries float64) float64 {
@@ -16,51 +18,71 @@
 		return (c.at("module.change", s.Targets) + c.at("upstream.change", s.Targets)) / 1e6
 	}
 	force := func(_ costs, _ Size, l Limits) float64 { return l.InForce }
-	names := []string{"discovery.told", "module.change", "upstream.change"}
-	const list = "discovery, to each initiator's watch"
-	event := func(name, seen, told, sent string, names []string, value, limit func(costs, Size, Limits) float64, untold string) Event {
-		return Event{name, seen, told, sent, Figure{Of: name, Unit: "s", Names: names, Value: value, Limit: limit, Untold: untold, Mechanism: howLists}}
+	primary := func(_ costs, s Size, _ Limits) float64 { return s.PrimaryWithin }
+	back := func(_ costs, _ Size, l Limits) float64 { return l.Back }
+	off := []string{"discovery.told", "module.change", "upstream.change"}
+	on := []string{"feed.told", "feed.owed.time", "agent.change.time", "module.change", "upstream.change"}
+	// fed is how long the feed takes for so many entries, which discovery tells `spindlehitch publish` alone: a change through the log, the ways, what the reader's
+	// bytes a second take beyond its burst.
+	fed := func(c costs, s Size, l Limits, entries float64) float64 {
+		return l.Call + entries*l.Line + c.each("agent.change.time")/1e6 + reach(c, s, l) + c.at("feed.owed.time", entries) + change(c, s)
+	}
+	list := "discovery, to each initiator's watch; by the feed to `spindlehitch publish` alone, then agents and relays"
+	each := func(of string, names []string, value, limit func(costs, Size, Limits) float64, untold string) Figure {
+		return Figure{Of: of, Unit: "s", Names: names, Value: value, Limit: limit, Untold: untold}
+	}
+	entries := func(name, seen, sent string, entries func(Size, Limits) float64, limit func(costs, Size, Limits) float64) Event {
+		return Event{name, seen, list, sent,
+			each(name, off, func(c costs, s Size, l Limits) float64 { return told(c, l, s.Initiators, entries(s, l)) + change(c, s) }, limit, ""),
+			each(name, on, func(c costs, s Size, l Limits) float64 { return fed(c, s, l, entries(s, l)) }, limit, "")}
+	}
+	start := func(c costs, s Size) float64 {
+		return (c.at("module.whole", s.Targets) + s.Targets*c.each("list.decode")) / 1e6
 	}
 	return []Event{
-		event("a change of primary", "the operators' discovery; an initiator only by errors of its own requests", list,
-			"two entries as soon as discovery has them: the old one drains or is gone, the new one is up", names,
-			func(c costs, s Size, l Limits) float64 { return told(c, l, s.Initiators, 2) + change(c, s) },
-			func(_ costs, s Size, _ Limits) float64 { return s.PrimaryWithin }, ""),
-		event("a machine fails, or is replaced", "discovery; initiators avoid it by their own errors before that", list, "an entry as it drains or is gone, one as another is up", names,
-			func(c costs, s Size, l Limits) float64 { return told(c, l, s.Initiators, 1) + change(c, s) }, force, ""),
-		event("a rack or a switch goes", "discovery; initiators by their own errors; members, of initiators in it", list, "its entries in one answer, where they change together", names,
-			func(c costs, s Size, l Limits) float64 { return told(c, l, s.Initiators, l.Rack) + change(c, s) }, force, ""),
-		event("a zone goes, or is back", "discovery; members, of initiators in it", list, "its entries in one answer, where they change together", names,
-			func(c costs, s Size, l Limits) float64 {
-				return told(c, l, s.Initiators, s.Targets/s.Zones) + change(c, s)
-			}, force, ""),
-		event("a region was cut for an hour", "members (halves bury each other); agents, by their leader", "discovery, to each watch of the region as it reaches it again",
-			"the hour's entries to each of its initiators; its configuration as it is now", append([]string{"list.line"}, names...),
-			func(c costs, s Size, l Limits) float64 {
+		entries("a change of primary", "the operators' discovery; an initiator only by errors of its own requests",
+			"two entries as soon as discovery has them: the old one drains or is gone, the new one is up", func(Size, Limits) float64 { return 2 }, primary),
+		entries("a machine fails, or is replaced", "discovery; initiators avoid it by their own errors before that", "an entry as it drains or is gone, one as another is up",
+			func(Size, Limits) float64 { return 1 }, force),
+		entries("a rack or a switch goes", "discovery; initiators by their own errors; members, of initiators in it", "its entries, in one answer where they change together",
+			func(_ Size, l Limits) float64 { return l.Rack }, force),
+		entries("a zone goes, or is back", "discovery; members, of initiators in it", "its entries, in one answer where they change together",
+			func(s Size, _ Limits) float64 { return s.Targets / s.Zones }, force),
+		{"a region was cut for an hour, and is back", "members (halves bury each other); agents, by their leader; by the feed `change status`, which names who lags",
+			"discovery, to each watch of the region as it reaches it again; by the feed the region's relays, as they reach an agent",
+			"the hour's entries to each of its initiators; its configuration as it is now",
+			each("region", append([]string{"list.line"}, off...), func(c costs, s Size, l Limits) float64 {
 				return told(c, l, s.Initiators/s.Regions, s.ListRate()*hour) + s.ListRate()*hour*c.each("list.line")/l.Wire + change(c, s)
 			}, force, ""),
-		event("one initiator restarts", "members; the leader, by its join", "discovery, to its first call", "the whole list, where it has none; what came since the version that it knows, where it has one",
-			[]string{"module.whole", "list.decode"},
-			func(c costs, s Size, l Limits) float64 {
-				return l.Call + s.Targets*l.Line + (c.at("module.whole", s.Targets)+s.Targets*c.each("list.decode"))/1e6
-			}, nil, "how long one start may take"),
-		event("a day's restarts of initiators, all within ten minutes", "members; the leader, by their joins", "discovery, to their first calls", "the whole list to each that has none; joins through the log",
-			[]string{"module.whole", "list.decode", "leader.joins"},
-			func(c costs, s Size, l Limits) float64 {
-				return s.InitiatorsBack*(l.Call+s.Targets*l.Line) + (c.at("module.whole", s.Targets)+s.Targets*c.each("list.decode")+s.InitiatorsBack*c.each("leader.joins"))/1e6
-			}, func(_ costs, _ Size, l Limits) float64 { return l.Back }, ""),
+			each("region", on, func(c costs, s Size, l Limits) float64 {
+				return feed.Moves.Most.Seconds() + reach(c, s, l) + c.at("feed.owed.time", s.ListRate()*hour) + change(c, s)
+			}, force, "")},
+		{"one initiator restarts", "members; the leader, by its join", "discovery, to its first call; by the feed its relay",
+			"all targets, where it has none; what came since what it has, where it has a list or a copy on disk",
+			each("start", []string{"module.whole", "list.decode"}, func(c costs, s Size, l Limits) float64 { return l.Call + s.Targets*l.Line + start(c, s) }, nil,
+				"how long one start may take"),
+			each("start", []string{"module.whole", "list.decode", "feed.whole.time"}, func(c costs, s Size, _ Limits) float64 { return c.at("feed.whole.time", s.Targets) + start(c, s) },
+				nil, "how long one start may take")},
+		{"a day's restarts of initiators, all within ten minutes", "members; the leader, by their joins", "discovery, to their first calls; by the feed their relays, which let so many in a second",
+			"all targets to each that has none; joins through the log",
+			each("starts", []string{"module.whole", "list.decode", "leader.joins"}, func(c costs, s Size, l Limits) float64 {
+				return s.InitiatorsBack*(l.Call+s.Targets*l.Line) + start(c, s) + s.InitiatorsBack*c.each("leader.joins")/1e6
+			}, back, ""),
+			each("starts", []string{"module.whole", "list.decode", "leader.joins", "feed.whole.time"}, func(c costs, s Size, l Limits) float64 {
+				return s.InitiatorsBack/relays(l)/feed.Fair.Admit + c.at("feed.whole.time", s.Targets) + start(c, s) + s.InitiatorsBack*c.each("leader.joins")/1e6
+			}, back, "")},
 	}
 }
 
 func (t *Table) eventTable() string {
 	var lines [][]string
 	for _, e := range Events() {
-		j := t.judge(e.Figure)
+		off, on := t.judge(e.Off), t.judge(e.On)
 		limit := "not told"
-		if j.Limit > 0 {
-			limit = amount(j.Limit, j.Unit)
+		if off.Limit > 0 {
+			limit = amount(off.Limit, off.Unit)
 		}
-		lines = append(lines, []string{e.Name, e.Seen, e.Told, e.Sent, amount(j.Value, j.Unit), limit, j.verdict()})
+		lines = append(lines, []string{e.Name, e.Seen, e.Told, e.Sent, limit, amount(off.Value, off.Unit) + ", " + off.verdict(), amount(on.Value, on.Unit) + ", " + on.verdict()})
 	}
-	return rows([]string{"event", "who sees it", "who tells it", "what is sent when", "until all have it, one service that all share", "limit", "verdict"}, lines)
+	return rows([]string{"event", "who sees it", "who tells it", "what is sent when", "limit", "until all have it, one discovery that all share", "by the feed"}, lines)
 }
--- a/internal/scale/slope/figure.go
+++ b/internal/scale/slope/figure.go
@@ -1,9 +1,9 @@
 package slope
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"strings"
 )
 
 // Figure is one cost of a role at a size, held against its limit.
@@ -15,8 +15,18 @@
 	Limit          func(c costs, s Size, l Limits) float64 // nil: none is told
 	Mechanism      string
 	Untold         string // what has to be known for a verdict and was not told
+	Feed           Feed   // whether it is so without the feed, by it, or either way
 }
 
+// Feed says by what changes get to all.
+type Feed string
+
+const (
+	Either  Feed = ""    // it does not matter
+	Without Feed = "off" // discovery and the agents' configurations of each instance
+	By      Feed = "on"  // the feed of changes, internal/feed
+)
+
 // costs is what a figure is reckoned from.
 type costs struct {
 	t      *Table
@@ -35,7 +45,7 @@
 // each is what one more costs, where the base is the fleet's own or the other end's.
 func (c costs) each(name string) float64 {
 	x := c.t.At(name)
-	if x.Power != 1 {
+	if x.Power != 1 || x.Value <= x.Error {
 		return x.At(x.Most) / x.Most
 	}
 	return x.Value
@@ -110,12 +120,15 @@
 		s, c := t.Size.Of(n), costs{t: t}
 		return f.Value(c, s, t.Limits) > f.Limit(c, s, t.Limits)
 	}
-	// The first of ever larger fleets, and then between it and the one before.
+	// The first of ever larger fleets, the size itself among them, and then between it and the one before.
 	lo, hi := 0.0, 1.0
-	for ; !passed(hi); lo, hi = hi, hi*1.25 {
+	for !passed(hi) {
 		if hi > mostTimes*t.Size.Initiators {
 			return 0
 		}
+		if lo, hi = hi, hi*1.1; lo < t.Size.Initiators && hi > t.Size.Initiators {
+			hi = t.Size.Initiators
+		}
 	}
 	for range 40 {
 		if mid := (lo + hi) / 2; passed(mid) {
@@ -127,17 +140,17 @@
 	return math.Ceil(hi)
 }
 
-// Rank is what the fleet's size does not bear, the first to break first.
-func (t *Table) Rank() []Judged {
-	all := slices.DeleteFunc(t.Judge(), func(j Judged) bool { return j.Verdict != Lacks })
-	slices.SortStableFunc(all, func(a, b Judged) int { return int(a.Breaks - b.Breaks) })
+// Rank is what the fleet's size does not bear without the feed or by it, the first to break first.
+func (t *Table) Rank(by Feed) []Judged {
+	all := slices.DeleteFunc(t.Judge(), func(j Judged) bool { return j.Verdict != Lacks || j.Feed != Either && j.Feed != by })
+	slices.SortStableFunc(all, func(a, b Judged) int { return cmp.Compare(a.Breaks, b.Breaks) })
 	return all
 }
 
 // Missing is the mechanisms that are not there for the size, the one that breaks first first, each with the figure that breaks first.
-func (t *Table) Missing() (all []Judged) {
-	for _, j := range t.Rank() {
-		if !slices.ContainsFunc(all, func(x Judged) bool { return strings.EqualFold(x.Mechanism, j.Mechanism) }) {
+func (t *Table) Missing(by Feed) (all []Judged) {
+	for _, j := range t.Rank(by) {
+		if !slices.ContainsFunc(all, func(x Judged) bool { return x.Mechanism == j.Mechanism }) {
 			all = append(all, j)
 		}
 	}
--- a/internal/scale/slope/figures.go
+++ b/internal/scale/slope/figures.go
@@ -1,6 +1,9 @@
 package slope
 
-import "spindlehitch/internal/fleet"
+import (
+	"spindlehitch/internal/fleet"
+	"spindlehitch/internal/fleet/feed"
+)
 
 // When something is looked at.
 const (
@@ -14,16 +17,18 @@
 
 // Mechanisms, as the ranking tells them apart.
 const (
-	howLists   = "how changes of the list get to all: internal/discovery"
-	howConfigs = "how configurations get to all: internal/agent"
-	howModule  = "what a change costs the module: root package"
-	howTurn    = "what a request costs the module: root package"
-	howLine    = "how a list is read: internal/listing"
-	howGiver   = "fleet-wide budgets: internal/ration, internal/fleet/giver"
-	howLeases  = "leases: internal/fleet/keeper"
-	howMembers = "members: internal/peers, internal/fleet/members"
-	howTargets = "targets' actors: internal/upstream"
-	howKept    = "what an initiator keeps"
+	howLists      = "how changes of the list get to all: internal/discovery"
+	howConfigs    = "how configurations get to all: internal/agent"
+	howSuccessors = "how a changed configuration comes into force: internal/instance"
+	howFeed       = "the feed: internal/feed, internal/fleet/feed"
+	howModule     = "what a change costs the module: root package"
+	howTurn       = "what a request costs the module: root package"
+	howLine       = "how a list is read: internal/listing"
+	howGiver      = "fleet-wide budgets: internal/ration, internal/fleet/giver"
+	howLeases     = "leases: internal/fleet/keeper"
+	howMembers    = "members: internal/peers, internal/fleet/members"
+	howTargets    = "targets' actors: internal/upstream"
+	howKept       = "what an initiator keeps"
 )
 
 // room is how much Go's collector lets the heap grow, of what lives there.
@@ -41,23 +46,28 @@
 	change := func(c costs, s Size) float64 {
 		return c.at("module.change", s.Targets) + c.at("upstream.change", s.Targets) + c.each("list.decode")
 	}
-	// successor is what a configuration that has changed costs: a module and targets' actors from the beginning.
-	successor := func(c costs, s Size) float64 { return c.at("module.whole", s.Targets) }
+	// successor is what a configuration that has changed costs: an instance from the beginning.
+	successor := func(c costs, s Size) float64 { return c.at("successor.cpu", s.Targets) }
 	taken := func(c costs, _ Size, _ Limits) float64 { return 1e6 / c.each("agent.change.time") }
 	entries := func(s Size) float64 { return s.ChangeRate() * s.Initiators }
-	return []Figure{
+	return append(feedFigures(), []Figure{
 		// The initiator.
 		{Role: "initiator", Of: "processor: changes of the list", When: ordinary, Unit: "core", Names: []string{"module.change", "upstream.change", "list.decode"}, Mechanism: howModule,
 			Value: func(c costs, s Size, _ Limits) float64 { return s.ListRate() * change(c, s) / 1e6 }, Limit: core},
 		{Role: "initiator", Of: "processor: changes of the list, one by one", When: zoneBack, Unit: "core", Names: []string{"module.change", "upstream.change", "list.decode"},
 			Mechanism: howModule,
 			Value:     func(c costs, s Size, _ Limits) float64 { return s.Targets / s.Zones / minute * change(c, s) / 1e6 }, Limit: core},
-		{Role: "initiator", Of: "processor: each configuration starts a successor", When: ordinary, Unit: "core", Names: []string{"module.whole"}, Mechanism: howConfigs,
+		{Role: "initiator", Of: "processor: each configuration starts a successor", When: ordinary, Unit: "core", Names: []string{"successor.cpu"}, Mechanism: howSuccessors,
 			Value: func(c costs, s Size, _ Limits) float64 { return s.ChangeRate() * successor(c, s) / 1e6 }, Limit: core},
-		{Role: "initiator", Of: "processor: each configuration starts a successor", When: worst, Unit: "core", Names: []string{"module.whole"}, Mechanism: howConfigs,
+		{Role: "initiator", Of: "processor: each configuration starts a successor", When: worst, Unit: "core", Names: []string{"successor.cpu"}, Mechanism: howSuccessors, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return s.Burst * successor(c, s) / 1e6 }, Limit: core},
+		{Role: "initiator", Of: "processor: each configuration starts a successor, those gathered at the relay as one", When: worst, Unit: "core", Names: []string{"successor.cpu"},
+			Mechanism: howSuccessors, Feed: By,
+			Value: func(c costs, s Size, _ Limits) float64 {
+				return min(s.Burst, 1/feed.Fair.Gather.Seconds()) * successor(c, s) / 1e6
+			}, Limit: core},
 		{Role: "initiator", Of: "processor: watches, renewals, members and timers, with nothing new", When: always, Unit: "core",
-			Names: []string{"discovery.cpu", "follower.cpu", "renewer.cpu", "members.cpu", "module.timer"}, Mechanism: howKept,
+			Names: []string{"discovery.cpu", "follower.cpu", "renewer.cpu", "members.cpu", "module.timer"}, Mechanism: howKept, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return (c.each("discovery.cpu") + c.each("follower.cpu") + c.each("renewer.cpu") + c.at("members.cpu", s.Initiators) +
 					timers*c.at("module.timer", s.Targets)) / 1e6
@@ -65,54 +75,54 @@
 		{Role: "initiator", Of: "time of the module for a request, of what there is for each", When: always, Unit: "us", Names: []string{"module.request"}, Mechanism: howTurn,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("module.request", s.Targets) }, Limit: func(_ costs, s Size, _ Limits) float64 { return 1e6 / s.RequestsEach() }},
 		{Role: "initiator", Of: "memory: module, list, targets' actors, members, accounts, with the collector's room", When: always, Unit: "B",
-			Names: []string{"module.memory", "list.memory", "upstream.memory", "members.memory", "accounts.memory"}, Mechanism: howKept,
+			Names: []string{"module.memory", "list.memory", "upstream.memory", "members.memory", "accounts.memory"}, Mechanism: howKept, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return room * (c.at("module.memory", s.Targets) + c.at("list.memory", s.Targets) + c.at("upstream.memory", s.Targets) + c.at("members.memory", s.Initiators) +
 					c.at("accounts.memory", s.Volumes))
 			}, Limit: func(_ costs, _ Size, l Limits) float64 { return l.Memory }},
-		{Role: "initiator", Of: "wire: watches, renewals with eight targets, members both ways", When: always, Unit: "B/s", Mechanism: howKept,
+		{Role: "initiator", Of: "wire: watches, renewals with eight targets, members both ways", When: always, Unit: "B/s", Mechanism: howKept, Feed: Without,
 			Names: []string{"discovery.wire", "agent.follow.wire", "leader.wire", "members.wire"},
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return c.each("discovery.wire") + c.each("agent.follow.wire") + c.each("leader.wire") + 2*c.at("members.wire", s.Initiators)
 			}, Limit: wire},
-		{Role: "initiator", Of: "wire: changes of the list, one by one", When: ordinary, Unit: "B/s", Names: []string{"discovery.change.wire"}, Mechanism: howLists,
+		{Role: "initiator", Of: "wire: changes of the list, one by one", When: ordinary, Unit: "B/s", Names: []string{"discovery.change.wire"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return s.ListRate() * c.each("discovery.change.wire") }, Limit: wire},
-		{Role: "initiator", Of: "wire: changes of the list, one by one", When: zoneBack, Unit: "B/s", Names: []string{"discovery.change.wire"}, Mechanism: howLists,
+		{Role: "initiator", Of: "wire: changes of the list, one by one", When: zoneBack, Unit: "B/s", Names: []string{"discovery.change.wire"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return s.Targets / s.Zones / minute * c.each("discovery.change.wire")
 			}, Limit: wire},
-		{Role: "initiator", Of: "time of what an hour's changes of the list take at its bytes a second", When: cutOver, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists,
+		{Role: "initiator", Of: "time of what an hour's changes of the list take at its bytes a second", When: cutOver, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, l Limits) float64 {
 				return s.ListRate() * hour * c.each("list.line") / l.Wire
 			}, Limit: force},
-		{Role: "initiator", Of: "wire: its configuration, whole, at each change", When: ordinary, Unit: "B/s", Names: []string{"agent.answer"}, Mechanism: howConfigs,
+		{Role: "initiator", Of: "wire: its configuration, whole, at each change", When: ordinary, Unit: "B/s", Names: []string{"agent.answer"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return s.ChangeRate() * c.at("agent.answer", s.Config) }, Limit: wire},
-		{Role: "initiator", Of: "wire: its configuration, whole, at each change", When: worst, Unit: "B/s", Names: []string{"agent.answer"}, Mechanism: howConfigs,
+		{Role: "initiator", Of: "wire: its configuration, whole, at each change", When: worst, Unit: "B/s", Names: []string{"agent.answer"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return s.Burst * c.at("agent.answer", s.Config) }, Limit: wire},
 		{Role: "initiator", Of: "wire: renewals, with connections to every target", When: always, Unit: "B/s", Names: []string{"renewal.wire"}, Mechanism: howGiver,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("renewal.wire", min(s.Targets, fleet.MostKeys)) }, Limit: wire,
 			Untold: "how many targets an initiator's clients use"},
 		{Role: "initiator", Of: "entries of a list that is read", When: always, Unit: "entries", Names: []string{"list.line"}, Mechanism: howLine,
 			Value: func(_ costs, s Size, _ Limits) float64 { return s.Targets }, Limit: func(c costs, _ Size, _ Limits) float64 { return c.most("list.line") }},
-		{Role: "initiator", Of: "time of a whole list at its bytes a second", When: starting, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists,
+		{Role: "initiator", Of: "time of a whole list at its bytes a second", When: starting, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, l Limits) float64 { return c.at("list.line", s.Targets) / l.Wire }, Limit: func(_ costs, _ Size, l Limits) float64 { return l.Back }},
 		{Role: "initiator", Of: "descriptors: clients, a connection to each target, control", When: always, Unit: "descriptors", Names: []string{"discovery.connections"}, Mechanism: howKept,
 			Value: func(_ costs, s Size, _ Limits) float64 { return s.Clients/s.Initiators + s.Targets + 6 }, Untold: "the limit of a process"},
 		// Discovery.
-		{Role: "discovery", Of: "time until all have heard of a change, at one service that all share", When: always, Unit: "s", Names: []string{"discovery.told"}, Mechanism: howLists,
+		{Role: "discovery", Of: "time until all have heard of a change, at one service that all share", When: always, Unit: "s", Names: []string{"discovery.told"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("discovery.told", s.Initiators) }, Limit: force},
-		{Role: "discovery", Of: "time until all have heard after all watches fell silent", When: worst, Unit: "s", Names: []string{"discovery.silent"}, Mechanism: howLists,
+		{Role: "discovery", Of: "time until all have heard after all watches fell silent", When: worst, Unit: "s", Names: []string{"discovery.silent"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("discovery.silent", s.Initiators) }, Limit: force},
-		{Role: "discovery", Of: "time for the whole lists of all that restart within ten minutes, at one service", When: starting, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists,
+		{Role: "discovery", Of: "time for the whole lists of all that restart within ten minutes, at one service", When: starting, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists, Feed: Without,
 			Value: func(_ costs, s Size, l Limits) float64 { return s.InitiatorsBack * (l.Call + s.Targets*l.Line) }, Limit: func(_ costs, _ Size, l Limits) float64 { return l.Back }},
-		{Role: "discovery", Of: "processor: watches with nothing new, where it pushes, both ends", When: always, Unit: "core", Names: []string{"discovery.cpu"}, Mechanism: howLists,
+		{Role: "discovery", Of: "processor: watches with nothing new, where it pushes, both ends", When: always, Unit: "core", Names: []string{"discovery.cpu"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("discovery.cpu", s.Initiators) / 1e6 }, Limit: machine},
 		// Agents.
-		{Role: "agent, leader", Of: "entries a second, of what a group of three takes", When: ordinary, Unit: "entries/s", Names: []string{"agent.change.time"}, Mechanism: howConfigs,
+		{Role: "agent, leader", Of: "entries a second, of what a group of three takes", When: ordinary, Unit: "entries/s", Names: []string{"agent.change.time"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(_ costs, s Size, _ Limits) float64 { return entries(s) }, Limit: taken},
-		{Role: "agent, leader", Of: "entries a second, of what a group of three takes", When: worst, Unit: "entries/s", Names: []string{"agent.change.time"}, Mechanism: howConfigs,
+		{Role: "agent, leader", Of: "entries a second, of what a group of three takes", When: worst, Unit: "entries/s", Names: []string{"agent.change.time"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(_ costs, s Size, _ Limits) float64 { return s.Burst * s.Initiators }, Limit: taken},
-		{Role: "agent, leader", Of: "processor: entries", When: ordinary, Unit: "core", Names: []string{"agent.change.cpu"}, Mechanism: howConfigs,
+		{Role: "agent, leader", Of: "processor: entries", When: ordinary, Unit: "core", Names: []string{"agent.change.cpu"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return entries(s) * c.each("agent.change.cpu") / 1e6 }, Limit: machine},
 		{Role: "agent, leader", Of: "processor: renewals", When: always, Unit: "core", Names: []string{"leader.cpu"}, Mechanism: howGiver,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("leader.cpu", s.Initiators) / 1e6 }, Limit: machine},
@@ -126,26 +136,26 @@
 			Value: func(c costs, s Size, _ Limits) float64 { return s.InitiatorsBack * c.each("leader.joins") / 1e6 }, Limit: func(_ costs, _ Size, l Limits) float64 { return l.Back }},
 		{Role: "agent, leader", Of: "seats, with a predecessor of each that restarts", When: starting, Unit: "seats", Names: []string{"leader.joins"}, Mechanism: howGiver,
 			Value: func(_ costs, s Size, _ Limits) float64 { return s.Initiators + s.InitiatorsBack }, Limit: func(costs, Size, Limits) float64 { return fleet.MostSeats }},
-		{Role: "agent", Of: "processor: watches with nothing new, all at the agent named first", When: always, Unit: "core", Names: []string{"agent.follow.cpu"}, Mechanism: howConfigs,
+		{Role: "agent", Of: "processor: watches with nothing new, all at the agent named first", When: always, Unit: "core", Names: []string{"agent.follow.cpu"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("agent.follow.cpu", s.Initiators) / 1e6 }, Limit: machine},
-		{Role: "agent", Of: "processor: each entry wakes every watch", When: ordinary, Unit: "core", Names: []string{"agent.wake.cpu"}, Mechanism: howConfigs,
+		{Role: "agent", Of: "processor: each entry wakes every watch", When: ordinary, Unit: "core", Names: []string{"agent.wake.cpu"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return entries(s) * c.at("agent.wake.cpu", s.Initiators) / 1e6
 			}, Limit: machine},
-		{Role: "agent, follower", Of: "processor: entries", When: ordinary, Unit: "core", Names: []string{"agent.change.follower"}, Mechanism: howConfigs,
+		{Role: "agent, follower", Of: "processor: entries", When: ordinary, Unit: "core", Names: []string{"agent.change.follower"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return entries(s) * c.each("agent.change.follower") / 1e6
 			}, Limit: machine},
 		{Role: "agent, follower", Of: "processor: renewals, the leader's questions for its term", When: always, Unit: "core", Names: []string{"leader.follower"}, Mechanism: howGiver,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("leader.follower", s.Initiators) / 1e6 }, Limit: machine},
-		{Role: "agent", Of: "memory: configurations and watches", When: always, Unit: "B", Names: []string{"agent.memory", "agent.follow.memory"}, Mechanism: howConfigs,
+		{Role: "agent", Of: "memory: configurations and watches", When: always, Unit: "B", Names: []string{"agent.memory", "agent.follow.memory"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
 				return room * (c.at("agent.memory", s.Initiators) + c.at("agent.follow.memory", s.Initiators))
 			}, Untold: "a control machine's memory"},
-		{Role: "agent", Of: "disk: the log of a day", When: ordinary, Unit: "B", Names: []string{"agent.entry"}, Mechanism: howConfigs,
+		{Role: "agent", Of: "disk: the log of a day", When: ordinary, Unit: "B", Names: []string{"agent.entry"}, Mechanism: howConfigs, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 { return entries(s) * day * c.at("agent.entry", s.Config) }, Untold: "a control machine's disk"},
 		// Targets.
 		{Role: "target", Of: "connections, with one from each initiator", When: always, Unit: "connections", Names: []string{"discovery.connections"}, Mechanism: howTargets,
 			Value: func(_ costs, s Size, _ Limits) float64 { return s.Initiators }, Untold: "how many a target bears, and how many targets an initiator's clients use"},
-	}
+	}...)
 }
--- a/internal/scale/slope/list.go
+++ b/internal/scale/slope/list.go
@@ -8,16 +8,19 @@
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"spindlehitch"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/listing"
 	"spindlehitch/internal/upstream"
 )
 
-// line is an entry as discovery writes it, with names of the length that operators use.
+// line is an entry as discovery writes it, with names of the length that operators use. Addresses and starts follow no order, or packing would make nothing of them.
 func line(i int, state string) string {
+	h := xxhash.Sum64String(target(i))
 	return fmt.Sprintf(`{"id":%q,"addr":"10.%d.%d.%d:7000","zone":"zone-%d","kind":"data","cell":%d,"state":%q,"weight":1.0,"started_ms":%d}`,
-		target(i), i>>16, i>>8&255, i&255, i%30, i, state, 1_000_000+i)
+		target(i), byte(h), byte(h>>8), byte(h>>16), i%30, i, state, (h>>24)%1_000_000_000)
 }
 
 // text is a list with so many entries.
--- a/internal/scale/slope/page.go
+++ b/internal/scale/slope/page.go
@@ -118,9 +118,9 @@
 }
 
 func (t *Table) tables() map[string]string {
-	tables := map[string]string{"size": t.sizeTable(), "state": t.stateTable(), "messages": t.messageTable(), "events": t.eventTable(), "ranking": t.rankTable(),
+	tables := map[string]string{"size": t.sizeTable(), "state": t.stateTable(), "messages": t.messageTable(), "events": t.eventTable(), "ranking": t.rankTable(Without), "ranking by the feed": t.rankTable(By),
 		"slopes": t.slopeTable(), "connections": t.connectionTable(), "before": t.beforeTable()}
-	for _, role := range []string{"initiator", "discovery", "agent", "target"} {
+	for _, role := range []string{"initiator", "discovery", "agent", "relay", "target"} {
 		tables[role] = t.roleTable(role)
 	}
 	return tables
@@ -144,14 +144,18 @@
 		if which != "" {
 			which = "the " + which + "; "
 		}
-		lines = append(lines, []string{which + j.Of, j.When, strings.Join(j.Names, ", "), value, limit, j.verdict()})
+		carried := "either"
+		if j.Feed != Either {
+			carried = string(j.Feed)
+		}
+		lines = append(lines, []string{which + j.Of, j.When, carried, strings.Join(j.Names, ", "), value, limit, j.verdict()})
 	}
-	return rows([]string{"what", "when", "slopes", "at the size", "limit", "verdict"}, lines)
+	return rows([]string{"what", "when", "feed", "slopes", "at the size", "limit", "verdict"}, lines)
 }
 
-func (t *Table) rankTable() string {
+func (t *Table) rankTable(by Feed) string {
 	var lines [][]string
-	for i, j := range t.Rank() {
+	for i, j := range t.Rank(by) {
 		lines = append(lines, []string{fmt.Sprint(i + 1), number(j.Breaks), j.Role, j.Of, j.When, number(j.Factor), j.Mechanism})
 	}
 	return rows([]string{"", "breaks at so many initiators", "role", "what", "when", "at the size it lacks by", "mechanism that carries it"}, lines)
--- a/internal/scale/slope/probe.go
+++ b/internal/scale/slope/probe.go
@@ -32,7 +32,7 @@
 
 // Probes is all of them.
 func Probes() []Probe {
-	return slices.Concat(moduleProbes(), listProbes(), fleetProbes(), memberProbes(), edgeProbes(), agentProbes())
+	return slices.Concat(moduleProbes(), listProbes(), fleetProbes(), memberProbes(), edgeProbes(), agentProbes(), feedProbes(), successorProbes())
 }
 
 // Measure runs a probe at so many sizes and fits what came.
--- a/internal/scale/slope/slope.go
+++ b/internal/scale/slope/slope.go
@@ -52,7 +52,7 @@
 	case there:
 		return s.Measured[i].Cost
 	case i == 0 || i == len(s.Measured):
-		return s.Base + s.Value*math.Pow(size, s.Power)
+		return max(0, s.Base+s.Value*math.Pow(size, s.Power)) // a fit may go through 0 below the sizes measured
 	}
 	a, b := s.Measured[i-1], s.Measured[i]
 	if a.Cost <= 0 || b.Cost <= 0 || a.Size <= 0 {
