--- a/cmd/spindlehitch-scale/slopes.go
+++ b/cmd/spindlehitch-scale/slopes.go
@@ -40,11 +40,12 @@
 		}
 		measured := &slope.Table{Size: table.Size, Limits: table.Limits}
 		for _, p := range probes {
-			sizes := p.Sizes
+			var list []slope.Slope
 			if short {
-				sizes = p.Short
+				list, err = slope.Short(ctx, p, time.Now())
+			} else {
+				list, err = slope.Measure(ctx, p, p.Sizes, time.Now())
 			}
-			list, err := slope.Measure(ctx, p, sizes, time.Now())
 			if err != nil {
 				return err
 			}
--- a/internal/scale/slope/agent.go
+++ b/internal/scale/slope/agent.go
@@ -70,7 +70,7 @@
 		About: "internal/agent: one change of a configuration of that size, in the log of the group and at whoever asks for it",
 		Gives: []Gives{{Name: "agent.entry", Unit: "B", Of: "an entry of the log", Per: "byte of configuration", Exact: true},
 			{Name: "agent.answer", Unit: "B", Of: "an answer to an instance, HTTP's head included", Per: "byte of configuration", Exact: true}},
-		Sizes: []float64{500, 1000, 2000, 8000, 32_000}, Short: []float64{500, 1000, 2000, 4000},
+		Sizes: []float64{500, 1000, 2000, 8000, 32_000}, Short: []float64{500, 1000, 2000, 4000}, Beside: true,
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			g, err := newGroup(ctx)
 			if err != nil {
--- a/internal/scale/slope/edge.go
+++ b/internal/scale/slope/edge.go
@@ -197,7 +197,7 @@
 			{Name: "discovery.change.wire", Unit: "B", Of: "a change of one entry, told to all, both ways", Per: "initiator", Exact: true},
 			{Name: "discovery.change.cpu", Unit: "us", Of: "a change of one entry, told to all, both ends", Per: "initiator", Rough: true},
 			{Name: "discovery.connections", Unit: "connections", Of: "watches", Per: "initiator", Exact: true}},
-		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32},
+		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32}, Beside: true,
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			s, end, err := newService()
 			if err != nil {
--- a/internal/scale/slope/feed.go
+++ b/internal/scale/slope/feed.go
@@ -142,7 +142,7 @@
 			{Name: "feed.layer.wire", Unit: "B", Of: "a change of a shared layer of 2,000 bytes, told to all, both ways", Per: "reader", Exact: true},
 			{Name: "feed.burst.wire", Unit: "B/s", Of: "20 changes a second of that layer, both ways", Per: "reader", Rough: true},
 			{Name: "feed.connections", Unit: "connections", Of: "polls", Per: "reader", Exact: true}},
-		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32},
+		Sizes: []float64{25, 50, 100, 200, 400}, Short: []float64{4, 8, 16, 32}, Beside: true,
 		Run: readers,
 	}, {
 		About: "internal/fleet/feed: an initiator's replica of so many targets, read from a copy; how long a reader that has nothing is brought up at 10 KB/s, in virtual time",
--- a/internal/scale/slope/figures.go
+++ b/internal/scale/slope/figures.go
@@ -102,7 +102,7 @@
 		{Role: "initiator", Of: "wire: renewals, with connections to every target", When: always, Unit: "B/s", Names: []string{"renewal.wire"}, Mechanism: howGiver,
 			Value: func(c costs, s Size, _ Limits) float64 { return c.at("renewal.wire", min(s.Targets, fleet.MostKeys)) }, Limit: wire,
 			Untold: "how many targets an initiator's clients use"},
-		{Role: "initiator", Of: "entries of a list that is read", When: always, Unit: "entries", Names: []string{"list.line"}, Mechanism: howLine,
+		{Role: "initiator", Of: "entries of a list, of as many as the probe had read", When: always, Unit: "entries", Names: []string{"list.line"}, Mechanism: howLine,
 			Value: func(_ costs, s Size, _ Limits) float64 { return s.Targets }, Limit: func(c costs, _ Size, _ Limits) float64 { return c.most("list.line") }},
 		{Role: "initiator", Of: "time of a whole list at its bytes a second", When: starting, Unit: "s", Names: []string{"list.line"}, Mechanism: howLists, Feed: Without,
 			Value: func(c costs, s Size, l Limits) float64 { return c.at("list.line", s.Targets) / l.Wire }, Limit: func(_ costs, _ Size, l Limits) float64 { return l.Back }},
--- a/internal/scale/slope/page.go
+++ b/internal/scale/slope/page.go
@@ -177,17 +177,23 @@
 	return rows([]string{"slope", "of", "value", "for each", "at a size of 0", "sizes", "largest, foretold", "measured by"}, lines)
 }
 
-// beforeTable has what was mended, at each size measured then and now.
+// beforeTable has what was mended at least by half, at the sizes measured then and now.
 func (t *Table) beforeTable() string {
 	var lines [][]string
 	for _, b := range t.Before {
 		now := t.At(b.Name)
+		var sizes, then, since []string
+		mended := false
 		for _, p := range b.Measured {
-			if now.Known() && p.Size <= now.Most {
-				lines = append(lines, []string{b.Name, b.Of, number(p.Size) + " x " + b.Per, amount(p.Cost, b.Unit), amount(now.At(p.Size), now.Unit),
-					number(p.Cost/now.At(p.Size)) + " times"})
+			if !now.Within(p.Size) {
+				continue
 			}
+			sizes, then, since = append(sizes, number(p.Size)), append(then, amount(p.Cost, b.Unit)), append(since, amount(now.At(p.Size), now.Unit))
+			mended = mended || now.At(p.Size) < p.Cost/2
+		}
+		if mended {
+			lines = append(lines, []string{b.Name, b.Of, strings.Join(sizes, "; ") + " x " + b.Per, strings.Join(then, "; "), strings.Join(since, "; ")})
 		}
 	}
-	return rows([]string{"slope", "of", "at", "before", "now", "less by"}, lines)
+	return rows([]string{"slope", "of", "at", "before", "now"}, lines)
 }
--- a/internal/scale/slope/probe.go
+++ b/internal/scale/slope/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"runtime"
@@ -23,35 +24,57 @@
 	Gives []Gives
 	Sizes []float64 // the largest is foretold from the rest
 	Short []float64 // of them, or smaller ones: for a short run
+	// Beside says that a short run may measure all sizes at once: what is held against the table is each one's own, and most of the time is waiting.
+	Beside bool
 	// Run measures at one size, a cost for each of Gives. Where the program can't be given that size it returns ErrBeyond: the size is left out.
 	Run func(ctx context.Context, size int) ([]float64, error)
 }
 
 // ErrBeyond says that the program refuses a size.
-var ErrBeyond = fmt.Errorf("a size that the program refuses")
+var ErrBeyond = errors.New("a size that the program refuses")
 
 // Probes is all of them.
 func Probes() []Probe {
 	return slices.Concat(moduleProbes(), listProbes(), fleetProbes(), memberProbes(), edgeProbes(), agentProbes(), feedProbes(), successorProbes())
 }
 
-// Measure runs a probe at so many sizes and fits what came.
+// Measure runs a probe at so many sizes, one after another, and fits what came.
 func Measure(ctx context.Context, p Probe, sizes []float64, now time.Time) ([]Slope, error) {
+	return measure(ctx, p, sizes, now, 1)
+}
+
+// Short runs a probe at its small sizes.
+func Short(ctx context.Context, p Probe, now time.Time) ([]Slope, error) {
+	most := 1
+	if p.Beside {
+		most = len(p.Short)
+	}
+	return measure(ctx, p, p.Short, now, most)
+}
+
+func measure(ctx context.Context, p Probe, sizes []float64, now time.Time, most int) ([]Slope, error) {
 	began := time.Now()
-	all := make([][]Point, len(p.Gives))
-	for _, size := range sizes {
+	costs := make([][]float64, len(sizes))
+	if err := atOnce(len(sizes), most, func(i int) error {
 		if err := ctx.Err(); err != nil {
-			return nil, err
+			return err
 		}
-		costs, err := p.Run(ctx, int(size))
-		if err == ErrBeyond {
-			continue
+		c, err := p.Run(ctx, int(sizes[i]))
+		if errors.Is(err, ErrBeyond) {
+			return nil
 		}
 		if err != nil {
-			return nil, fmt.Errorf("%s at %v: %w", p.Gives[0].Name, size, err)
+			return fmt.Errorf("%s at %v: %w", p.Gives[0].Name, sizes[i], err)
 		}
-		for i, c := range costs {
-			all[i] = append(all[i], Point{size, round(c)})
+		costs[i] = c
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	all := make([][]Point, len(p.Gives))
+	for i, list := range costs {
+		for k, c := range list {
+			all[k] = append(all[k], Point{sizes[i], round(c)})
 		}
 	}
 	lasted := time.Since(began).Seconds()
--- a/internal/scale/slope/slope_test.go
+++ b/internal/scale/slope/slope_test.go
@@ -285,9 +285,8 @@
 // TestSlopes is the short run: it fails where a slope has become half as steep again. Processes' probes run beside one another once the others are through.
 func TestSlopes(t *testing.T) {
 	tab := table(t)
-	short := func(p Probe) ([]Slope, error) { return Measure(t.Context(), p, p.Short, time.Now()) }
+	short := func(p Probe) ([]Slope, error) { return Short(t.Context(), p, time.Now()) }
 	for _, p := range Probes() {
-		waits := p.Gives[0].Name == "discovery.calls" || p.Gives[0].Name == "agent.entry"
 		rough := true
 		for _, g := range p.Gives {
 			rough = rough && g.Rough
@@ -296,7 +295,7 @@
 			continue // nothing of it is held against a short run
 		}
 		t.Run(p.Gives[0].Name, func(t *testing.T) {
-			if waits {
+			if p.Beside {
 				t.Parallel()
 			}
 			require.NoError(t, tab.Against(5, short, p))
