--- a/scheduler.go
+++ b/scheduler.go
@@ -88,7 +88,8 @@
 	s := &Scheduler{set: set.clone(), rng: rand.New(rand.NewPCG(seed, seed)), leastAim: never,
 		classes: map[string]*Class{}, plans: map[string]*Plan{}, turned: map[ask]*request{},
 		volumes: map[string]*volume{}, requests: map[string]*request{},
-		finder: newFinder(), keys: map[string]*orderKey{}, timerAt: never, askAt: never, born: never, askWait: time.Second,
+		finder: newFinder(), keys: map[string]*orderKey{},
+		timerAt: never, askAt: never, born: never, askWait: time.Second,
 	}
 	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
 	if s.index = set.Index - 1; s.index < 0 {
