--- a/cmd/spindlehitch-scale/run.go
+++ b/cmd/spindlehitch-scale/run.go
@@ -23,7 +23,7 @@
 func runCommand() *cobra.Command {
 	var asJSON bool
 	var plots, program, dir string
-	cmd := &cobra.Command{Use: "run [short|full|wide|before|FILE.toml]", Short: "Run hollow and real initiators under changes and faults", Args: cobra.MaximumNArgs(1),
+	cmd := &cobra.Command{Use: "run [short|full|wide|burst|before|FILE.toml]", Short: "Run hollow and real initiators under changes and faults", Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			spec, err := run.Read(append(args, "short")[0])
 			if err != nil {
--- a/internal/scale/run/run_test.go
+++ b/internal/scale/run/run_test.go
@@ -81,6 +81,9 @@
 	require.Equal(t, 20, of[whole])
 	require.InDelta(t, 200, of[onDisk], 3)
 	require.InDelta(t, 200, of[member], 3)
+	f.hosts, f.kinds, f.counts = make([]*proc, 4), []kind{plain, onDisk, plain, whole}, []int{300, 200, 300, 20}
+	require.Equal(t, []int{280, 200, 0, 20}, f.shares(500))
+	require.Equal(t, []int{0, 30, 0, 0}, f.shares(30))
 }
 
 // TestService holds the stand-in against what docs/standing.md says of the service: one call at a time, what an answer costs, and a watch that goes on.
--- a/internal/scale/run/spec.go
+++ b/internal/scale/run/spec.go
@@ -15,7 +15,7 @@
 	"spindlehitch/internal/scale/slope"
 )
 
-//go:embed short.toml full.toml wide.toml before.toml
+//go:embed short.toml full.toml wide.toml burst.toml before.toml
 var files embed.FS
 
 // Spec is a run's file.
--- a/internal/scale/run/spec_test.go
+++ b/internal/scale/run/spec_test.go
@@ -43,7 +43,7 @@
 `
 
 func TestSpecs(t *testing.T) {
-	for _, name := range []string{"short", "full", "wide", "before"} {
+	for _, name := range []string{"short", "full", "wide", "burst", "before"} {
 		s, err := Read(name)
 		require.NoError(t, err)
 		require.Equal(t, name, s.Name)
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -256,16 +256,30 @@
 // every tells whether the i-th of all is one of so many, spread evenly.
 func every(i, some, all int) bool { return i*some/all != (i+1)*some/all }
 
+// shares shares out so many of all initiators over the hosts: those with a copy on disk first, as initiators have one.
+func (f *fleet) shares(n int) []int {
+	shares := make([]int, len(f.hosts))
+	for _, first := range []bool{true, false} {
+		for i, k := range f.kinds {
+			if (k == onDisk || k == whole) == first {
+				shares[i] = min(n, f.counts[i])
+				n -= shares[i]
+			}
+		}
+	}
+	return shares
+}
+
 // each has all hosts do something at a time and adds up their answers.
 func (f *fleet) each(o order) (sum state, err error) {
 	answers, errs := make([]state, len(f.hosts)), make([]error, len(f.hosts))
+	shares := f.shares(o.Number)
 	var all sync.WaitGroup
 	for i, p := range f.hosts {
 		mine := o
 		mine.Seed += uint64(i)
-		if o.Do == "restart" && o.Number > 0 { // shared out
-			mine.Number = o.Number/len(f.hosts) + btoi(i < o.Number%len(f.hosts))
-			if mine.Number == 0 {
+		if o.Do == "restart" && o.Number > 0 {
+			if mine.Number = shares[i]; mine.Number == 0 {
 				continue
 			}
 		}
