slopes: no cost below 0, no verdict by a slope that is not above its error; times are the least of three turns

agent.change.time had come out as -67 +- 580 us beside other work, and verdicts with it. Short runs meet the sizes that the table has.

--- a/cmd/spindlehitch-scale/slopes.go
+++ b/cmd/spindlehitch-scale/slopes.go
@@ -59,6 +59,9 @@
 			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %.0f s\n", p.Gives[0].Name, list[0].Lasts)
 		}
 		if write {
+			if err := table.Check(); err != nil {
+				return fmt.Errorf("nothing is written: %w", err)
+			}
 			text, err := table.Text()
 			if err != nil {
 				return err
--- a/internal/scale/slope/agent.go
+++ b/internal/scale/slope/agent.go
@@ -35,7 +35,7 @@
 			{Name: "agent.change.follower", Unit: "us", Of: "a follower", Per: "change", Rough: true},
 			{Name: "agent.change.disk", Unit: "B", Of: "an agent's folder", Per: "change", Rough: true},
 			{Name: "agent.memory", Unit: "B", Of: "a follower's heap", Per: "instance", Rough: true}},
-		Sizes: []float64{200, 400, 800, 1600, 3200}, Short: []float64{20, 40, 80, 160},
+		Sizes: []float64{200, 400, 800, 1600, 3200}, Short: []float64{20, 40, 80, 160}, Turns: 3,
 		Run: func(ctx context.Context, size int) ([]float64, error) {
 			g, err := newGroup(ctx)
 			if err != nil {
--- a/internal/scale/slope/feed.go
+++ b/internal/scale/slope/feed.go
@@ -202,7 +202,7 @@
 			{Name: "feed.source.memory", Unit: "B", Of: "a relay's source", Per: "reader", Rough: true},
 			{Name: "feed.tally.take", Unit: "us", Of: "a report in which all readers have news", Per: "reader"},
 			{Name: "feed.report.wire", Unit: "B", Of: "that report, as JSON", Per: "reader", Exact: true}},
-		Sizes: memberSizes, Short: []float64{50, 100, 200, 400},
+		Sizes: memberSizes, Short: []float64{100, 232, 538, 1250}, Turns: 3,
 		Run: sources,
 	}}
 }
--- a/internal/scale/slope/figure.go
+++ b/internal/scale/slope/figure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -31,6 +32,7 @@
 type costs struct {
 	t      *Table
 	beyond map[string]bool // slopes that were not measured at as large a size; nil: nobody asks
+	unsure map[string]bool // those of which one more's cost was asked for and is not above its error
 }
 
 // at is the cost at a size.
@@ -42,10 +44,13 @@
 	return x.At(size)
 }
 
-// each is what one more costs, where the base is the fleet's own or the other end's.
+// each is what one more costs, where the base is the fleet's own or the other end's. Where the slope is not above its own error that is not known.
 func (c costs) each(name string) float64 {
 	x := c.t.At(name)
-	if x.Power != 1 || x.Value <= x.Error {
+	if !x.Grows() && c.unsure != nil {
+		c.unsure[name] = true
+	}
+	if x.Power != 1 || !x.Grows() {
 		return x.At(x.Most) / x.Most
 	}
 	return x.Value
@@ -71,6 +76,7 @@
 	Verdict Verdict
 	Factor  float64  // value over limit
 	Breaks  float64  // the smallest fleet, in initiators with the same proportions, at which the limit is passed; 0: none up to ten times the size
+	Unsure  []string // slopes that are not above their error, and had to be: there is no verdict
 	Beyond  []string // slopes that were not measured at as large a size
 }
 
@@ -92,18 +98,14 @@
 			return j
 		}
 	}
-	c := costs{t, map[string]bool{}}
+	c := costs{t, map[string]bool{}, map[string]bool{}}
 	j.Value = f.Value(c, t.Size, t.Limits)
-	for n := range c.beyond {
-		j.Beyond = append(j.Beyond, n)
-	}
-	slices.Sort(j.Beyond)
-	if f.Limit == nil {
-		return j
+	if f.Limit != nil {
+		j.Limit = f.Limit(c, t.Size, t.Limits)
+		j.Factor = j.Value / j.Limit
 	}
-	j.Limit = f.Limit(c, t.Size, t.Limits)
-	j.Factor = j.Value / j.Limit
-	if f.Untold != "" {
+	j.Beyond, j.Unsure = slices.Sorted(maps.Keys(c.beyond)), slices.Sorted(maps.Keys(c.unsure))
+	if f.Limit == nil || f.Untold != "" || len(j.Unsure) > 0 {
 		return j
 	}
 	j.Verdict = Holds
--- a/internal/scale/slope/fleet.go
+++ b/internal/scale/slope/fleet.go
@@ -54,7 +54,7 @@
 			{Name: "giver.join", Unit: "us", Of: "one join", Per: "member"},
 			{Name: "giver.memory", Unit: "B", Of: "the giver's book", Per: "member", Rough: true},
 			{Name: "giver.renewals.wire", Unit: "B", Of: "a renewal of each and its answer, as JSON", Per: "member", Exact: true}},
-		Sizes: memberSizes, Short: []float64{50, 100, 200, 400},
+		Sizes: memberSizes, Short: []float64{100, 232, 538, 1250}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			doc, err := budgets(size + 1)
 			if err != nil {
@@ -141,7 +141,7 @@
 	}, {
 		About: "internal/fleet/keeper: claims of 100 members that hold all shards of up to four tasks between them; what the log is asked to change, with nothing to do",
 		Gives: []Gives{{Name: "keeper.claim", Unit: "us", Of: "one claim", Per: "shard"}, {Name: "keeper.orders", Unit: "us", Of: "a look for orders, 100 members", Per: "shard"}},
-		Sizes: []float64{100, 250, 625, 1560, 3900}, Short: []float64{64, 128, 256, 512},
+		Sizes: []float64{100, 250, 625, 1560, 3900}, Short: []float64{100, 250, 625, 1560}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			k, now, claims, err := kept(100, size)
 			if err != nil {
@@ -164,7 +164,7 @@
 	}, {
 		About: "internal/fleet/keeper: a look for orders with 1,000 shards, with nothing to do; four a second and one after each change of the log",
 		Gives: []Gives{{Name: "keeper.looks", Unit: "us", Of: "a look for orders, 1,000 shards", Per: "member"}},
-		Sizes: memberSizes, Short: []float64{50, 100, 200, 400},
+		Sizes: memberSizes, Short: []float64{100, 232, 538, 1250}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			k, now, _, err := kept(size, 1000)
 			if err != nil {
@@ -175,7 +175,7 @@
 	}, {
 		About: "internal/fleet/register: the copy of what the log says of the fleet that the leader makes after each change of the log and four times a second, with a snapshot's text",
 		Gives: []Gives{{Name: "register.copy", Unit: "us", Of: "a copy", Per: "member"}, {Name: "register.text", Unit: "B", Of: "its part of a snapshot", Per: "member", Exact: true}},
-		Sizes: memberSizes, Short: []float64{50, 100, 200, 400},
+		Sizes: memberSizes, Short: []float64{100, 232, 538, 1250}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			doc, err := budgets(size)
 			if err != nil {
--- a/internal/scale/slope/list.go
+++ b/internal/scale/slope/list.go
@@ -44,7 +44,7 @@
 			{Name: "list.decode", Unit: "us", Of: "reading a whole list", Per: "entry"},
 			{Name: "list.allocs", Unit: "allocs", Of: "reading a whole list", Per: "entry", Exact: true},
 			{Name: "list.memory", Unit: "B", Of: "a list as read", Per: "entry", Exact: true}},
-		Sizes: []float64{200, 500, 1250, 3200, 8000, 20_000}, Short: []float64{200, 400, 800, 1600},
+		Sizes: []float64{200, 500, 1250, 3200, 8000, 20_000}, Short: []float64{200, 500, 1250, 3200}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			t := text(1, size, true)
 			held, l := holds(func() *listing.List {
@@ -69,7 +69,7 @@
 		About: "internal/upstream: a registry with an actor for each target and no connection; a change of one entry",
 		Gives: []Gives{{Name: "upstream.memory", Unit: "B", Of: "heap and stacks of the targets' actors", Per: "target", Rough: true},
 			{Name: "upstream.change", Unit: "us", Of: "a change of one entry", Per: "target"}},
-		Sizes: targetSizes, Short: []float64{100, 200, 400, 800},
+		Sizes: targetSizes, Short: []float64{200, 632, 2000, 6324}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			all := make([]upstream.Target, size)
 			for i := range all {
--- a/internal/scale/slope/module.go
+++ b/internal/scale/slope/module.go
@@ -82,7 +82,7 @@
 			{Name: "module.timer", Unit: "us", Of: "a timer with nothing open", Per: "target", Rough: true},
 			{Name: "module.whole", Unit: "us", Of: "a whole list, with nothing known", Per: "target"},
 			{Name: "module.memory", Unit: "B", Of: "heap of a module", Per: "target", Exact: true}},
-		Sizes: targetSizes, Short: []float64{200, 400, 800, 1600},
+		Sizes: targetSizes, Short: []float64{200, 400, 800, 1600}, Turns: 3,
 		Run: func(_ context.Context, size int) ([]float64, error) {
 			var err error
 			var m *module
--- a/internal/scale/slope/page.go
+++ b/internal/scale/slope/page.go
@@ -105,6 +105,8 @@
 // verdict tells it in plain words.
 func (j *Judged) verdict() string {
 	switch {
+	case j.Verdict == Holds && 1/j.Factor < 1.05:
+		return "*holds*, just"
 	case j.Verdict == Holds:
 		return "*holds*, " + number(1/j.Factor) + " times over"
 	case j.Verdict == Lacks:
@@ -113,6 +115,8 @@
 		return "*not known*: " + j.Untold + "; as it stands here it would lack by a factor of " + number(j.Factor)
 	case j.Untold != "":
 		return "*not known*: " + j.Untold
+	case len(j.Unsure) > 0:
+		return "*not known*: " + strings.Join(j.Unsure, ", ") + " is not above its error"
 	}
 	return "*not known*: not measured"
 }
--- a/internal/scale/slope/probe.go
+++ b/internal/scale/slope/probe.go
@@ -24,6 +24,8 @@
 	Gives []Gives
 	Sizes []float64 // the largest is foretold from the rest
 	Short []float64 // of them, or smaller ones: for a short run
+	// Turns is over all sizes, of which the least time counts: what else the machine does meets one size in one turn and another in the next. 0: one.
+	Turns int
 	// Beside says that a short run may measure all sizes at once: what is held against the table is each one's own, and most of the time is waiting.
 	Beside bool
 	// Run measures at one size, a cost for each of Gives. Where the program can't be given that size it returns ErrBeyond: the size is left out.
@@ -55,21 +57,26 @@
 func measure(ctx context.Context, p Probe, sizes []float64, now time.Time, most int) ([]Slope, error) {
 	began := time.Now()
 	costs := make([][]float64, len(sizes))
-	if err := atOnce(len(sizes), most, func(i int) error {
-		if err := ctx.Err(); err != nil {
-			return err
-		}
-		c, err := p.Run(ctx, int(sizes[i]))
-		if errors.Is(err, ErrBeyond) {
+	for range max(1, p.Turns) {
+		if err := atOnce(len(sizes), most, func(i int) error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			c, err := p.Run(ctx, int(sizes[i]))
+			switch {
+			case errors.Is(err, ErrBeyond):
+				return nil
+			case err != nil:
+				return fmt.Errorf("%s at %v: %w", p.Gives[0].Name, sizes[i], err)
+			}
+			for k := range costs[i] {
+				c[k] = min(c[k], costs[i][k])
+			}
+			costs[i] = c
 			return nil
+		}); err != nil {
+			return nil, err
 		}
-		if err != nil {
-			return fmt.Errorf("%s at %v: %w", p.Gives[0].Name, sizes[i], err)
-		}
-		costs[i] = c
-		return nil
-	}); err != nil {
-		return nil, err
 	}
 	all := make([][]Point, len(p.Gives))
 	for i, list := range costs {
--- a/internal/scale/slope/slope.go
+++ b/internal/scale/slope/slope.go
@@ -45,14 +45,22 @@
 	About    string  `json:"about"`    // what was run, in a line
 }
 
-// At is the cost at a size. Between two sizes that were measured it lies on the power of the size that joins them; beyond all of them it is what was fitted.
+// At is the cost at a size, never below 0. Between two sizes that were measured it lies on the power of the size that joins them; beyond all of them it is what
+// was fitted, or what was measured at most where nothing shows that it grows.
 func (s Slope) At(size float64) float64 {
 	i, there := slices.BinarySearchFunc(s.Measured, size, func(p Point, size float64) int { return cmp.Compare(p.Size, size) })
+	fitted := s.Base + s.Value*math.Pow(size, s.Power)
 	switch {
 	case there:
 		return s.Measured[i].Cost
+	case len(s.Measured) == 0:
+		return max(0, fitted)
+	case i == 0 && fitted < 0: // the fit goes through 0 below the sizes measured
+		return s.Measured[0].Cost * size / s.Measured[0].Size
+	case i == len(s.Measured) && !s.Grows():
+		return slices.MaxFunc(s.Measured, func(a, b Point) int { return cmp.Compare(a.Cost, b.Cost) }).Cost
 	case i == 0 || i == len(s.Measured):
-		return max(0, s.Base+s.Value*math.Pow(size, s.Power)) // a fit may go through 0 below the sizes measured
+		return max(0, fitted)
 	}
 	a, b := s.Measured[i-1], s.Measured[i]
 	if a.Cost <= 0 || b.Cost <= 0 || a.Size <= 0 {
@@ -61,12 +69,18 @@
 	return a.Cost * math.Pow(size/a.Size, math.Log(b.Cost/a.Cost)/math.Log(b.Size/a.Size))
 }
 
+// Grows tells whether the slope is above its own error: what one more costs is not known otherwise.
+func (s Slope) Grows() bool { return s.Value > s.Error }
+
 // Known tells whether it was measured.
 func (s Slope) Known() bool { return s.Name != "" }
 
 // Within tells whether a size lies in the range that was measured.
 func (s Slope) Within(size float64) bool { return s.Known() && size >= s.Least && size <= s.Most }
 
+// falls is how many errors below 0 a slope may be: nothing costs less the more there is.
+const falls = 3
+
 // Table is all that was measured, and the size that it is held against.
 type Table struct {
 	Size   Size    `json:"size"`
@@ -181,7 +195,13 @@
 	if len(s.Measured) < fewest {
 		return fmt.Errorf("measured: %d sizes, wanted %d or more", len(s.Measured), fewest)
 	}
+	if s.Value < -falls*s.Error {
+		return fmt.Errorf("value: %v ± %v: a cost that falls as the size grows was measured wrongly", s.Value, s.Error)
+	}
 	for i, p := range s.Measured {
+		if !(p.Cost >= 0) {
+			return fmt.Errorf("measured[%d].cost: %v is below 0", i, p.Cost)
+		}
 		if i > 0 && p.Size <= s.Measured[i-1].Size {
 			return fmt.Errorf("measured[%d].size: %v is not over the one before", i, p.Size)
 		}
--- a/internal/scale/slope/slope_test.go
+++ b/internal/scale/slope/slope_test.go
@@ -123,6 +123,42 @@
 	require.InDelta(t, 10, s.At(55), 1e-9)
 }
 
+// TestNeverBelow has no cost below 0, wherever it is asked for, and no verdict by a slope that is not above its own error.
+func TestNeverBelow(t *testing.T) {
+	noise := made("noise", 1, false, 100, 200, 400, 800)
+	noise.Base, noise.Value, noise.Error = 221_100, -67, 580
+	for i, c := range []float64{260_000, 150_000, 240_000, 190_000} {
+		noise.Measured[i].Cost = c
+	}
+	require.False(t, noise.Grows())
+	for _, n := range []float64{0, 1, 50, 100, 150, 800, 1000, 1e4, 1e6} {
+		require.GreaterOrEqual(t, noise.At(n), 0.0, "at %v", n)
+	}
+	require.Equal(t, 260_000.0, noise.At(1e6), "nothing shows that it grows")
+	low := made("low", 1, true, 400, 800, 1600, 3200)
+	low.Base, low.Value = -350, 1
+	require.Equal(t, 40.0, low.At(40))
+
+	tab := table(t)
+	tab = &Table{Size: tab.Size, Limits: tab.Limits}
+	tab.Put(noise)
+	require.NoError(t, tab.Check())
+	f := Figure{Role: "r", Of: "x", Unit: "us", Names: []string{"noise"}, Value: func(costs, Size, Limits) float64 { return 1376 },
+		Limit: func(c costs, _ Size, _ Limits) float64 { return 1e6 / c.each("noise") }}
+	j := tab.judge(f)
+	require.Equal(t, Unknown, j.Verdict)
+	require.Equal(t, "*not known*: noise is not above its error", j.verdict())
+	require.Greater(t, j.Limit, 0.0)
+	require.Zero(t, j.Breaks)
+
+	noise.Error = 10
+	tab.Put(noise)
+	require.ErrorContains(t, tab.Check(), "slopes[0].value: -67 ± 10: a cost that falls")
+	noise.Error, noise.Measured[2].Cost = 580, -1
+	tab.Put(noise)
+	require.ErrorContains(t, tab.Check(), "slopes[0].measured[2].cost: -1 is below 0")
+}
+
 // TestVerdicts are holds, lacks and not known, and the smallest fleet is where the limit is passed.
 func TestVerdicts(t *testing.T) {
 	tab := &Table{Size: table(t).Size, Limits: table(t).Limits}
