--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -193,6 +193,9 @@
 // mostSeeds is how many members others are told of at their start.
 const mostSeeds = 8
 
+// beside keeps those with a copy on disk from being the members, where there are as many of both.
+const beside = 7
+
 // kindOf is that of the initiator of a number: kinds are spread evenly, so that each size has its share.
 func (f *fleet) kindOf(i int) kind {
 	switch {
@@ -202,7 +205,7 @@
 		return deciding
 	case every(i, f.spec.Members, f.spec.all()):
 		return member
-	case f.byFeed() && every(i, f.spec.Disk, f.spec.all()):
+	case f.byFeed() && every(i+beside, f.spec.Disk, f.spec.all()):
 		return onDisk
 	}
 	return plain
@@ -253,16 +256,30 @@
 // every tells whether the i-th of all is one of so many, spread evenly.
 func every(i, some, all int) bool { return i*some/all != (i+1)*some/all }
 
+// shares shares out so many of all initiators over the hosts: those with a copy on disk first, as initiators have one.
+func (f *fleet) shares(n int) []int {
+	shares := make([]int, len(f.hosts))
+	for _, first := range []bool{true, false} {
+		for i, k := range f.kinds {
+			if (k == onDisk || k == whole) == first {
+				shares[i] = min(n, f.counts[i])
+				n -= shares[i]
+			}
+		}
+	}
+	return shares
+}
+
 // each has all hosts do something at a time and adds up their answers.
 func (f *fleet) each(o order) (sum state, err error) {
 	answers, errs := make([]state, len(f.hosts)), make([]error, len(f.hosts))
+	shares := f.shares(o.Number)
 	var all sync.WaitGroup
 	for i, p := range f.hosts {
 		mine := o
 		mine.Seed += uint64(i)
-		if o.Do == "restart" && o.Number > 0 { // shared out
-			mine.Number = o.Number/len(f.hosts) + btoi(i < o.Number%len(f.hosts))
-			if mine.Number == 0 {
+		if o.Do == "restart" && o.Number > 0 {
+			if mine.Number = shares[i]; mine.Number == 0 {
 				continue
 			}
 		}
