--- a/internal/upstream/moments_test.go
+++ b/internal/upstream/moments_test.go
@@ -256,7 +256,7 @@
 		says  string
 		reset bool
 	}
-	next, passed := make(chan answer, 1), make(chan bool)
+	next, passed, closed := make(chan answer, 1), make(chan bool), make(chan bool, 8)
 	s := newStandIn(t, func(_ int32, req *http.Request, c net.Conn) bool {
 		x := <-next
 		io.WriteString(c, x.says)
@@ -266,6 +266,8 @@
 		if x.reset {
 			c.(*net.TCPConn).SetLinger(0)
 		}
+		c.Close()
+		closed <- true
 		return false
 	})
 	b := newBench(s.Addr().String())
@@ -279,6 +281,7 @@
 				next <- answer{whole[:cut], reset}
 				b.send(10 * time.Second)
 				r := b.result(t)
+				<-closed // the next must not go out on a connection whose end is still to come
 				if cut == len(whole) && whole != none {
 					require.Equal(t, spindlehitch.Delivered, r.Code)
 					require.Equal(t, "whole", string(r.Payload.([]byte)))
