--- a/scale_test.go
+++ b/scale_test.go
@@ -141,46 +141,33 @@
 
 var shardCounts = []int{200, 2000, 20000}
 
-// BenchmarkListChange is a change of one entry among so many.
-func BenchmarkListChange(b *testing.B) {
+// among does something again and again where so many nodes are listed.
+func among(b *testing.B, do func(s *Scheduler, now time.Duration, i, count int)) {
 	for _, count := range shardCounts {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			s, now := shards(b, count)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now += 4 * ms
-				change(s, now, i, i/2%count)
+				do(s, now, i, count)
 			}
 		})
 	}
 }
 
+// BenchmarkListChange is a change of one entry among so many.
+func BenchmarkListChange(b *testing.B) {
+	among(b, func(s *Scheduler, now time.Duration, i, count int) { change(s, now, i, i/2%count) })
+}
+
 // BenchmarkRequest is a request and its answer, at shards in turn.
 func BenchmarkRequest(b *testing.B) {
-	for _, count := range shardCounts {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			s, now := shards(b, count)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				now += 4 * ms
-				serve(s, now, fmt.Sprint(i), i%64)
-			}
-		})
-	}
+	among(b, func(s *Scheduler, now time.Duration, i, _ int) { serve(s, now, fmt.Sprint(i), i%64) })
 }
 
 // BenchmarkNewObject is a request for a new object, which may go to any node, and its answer.
 func BenchmarkNewObject(b *testing.B) {
-	for _, count := range shardCounts {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			s, now := shards(b, count)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				now += 4 * ms
-				serve(s, now, fmt.Sprint(i), -1)
-			}
-		})
-	}
+	among(b, func(s *Scheduler, now time.Duration, i, _ int) { serve(s, now, fmt.Sprint(i), -1) })
 }
 
 // BenchmarkWholeList is a whole list in which nothing is new.
