The module takes over other settings while requests are under way

What needs no new start is to be taken over by what runs. This is the module's part. Settings are an event now (settings.go). A request that is known ends by its class as it came; rates, limits, bounds and rules hold from the step on. Volumes are settled by the plan before, and tags ahead of now follow the rate; a limit that begins finds an empty store (it would have stood as far under as all that had been served). Checked: settings as they are, told again at random points of generated histories, leave every action equal to the module before (internal/before).

--- a/api.go
+++ b/api.go
@@ -66,7 +66,8 @@
 	BudgetSpan   time.Duration
 }
 
-// Settings is what an initiator is told at its start.
+// Settings is what an initiator is told at its start. As an event it takes the place of the settings there were, but for Ration: what was
+// learned and sent stays, and a request that is known ends by its class as it came. Settings that Check turns down change nothing.
 type Settings struct {
 	Initiators   int           // how many share the pool
 	Index        int           // this one's number among them, from 1; 0: not known
@@ -194,6 +195,7 @@
 func (Departed) event()    {}
 func (Shared) event()      {}
 func (Timer) event()       {}
+func (Settings) event()    {}
 
 // ActionKind tells the actions apart.
 type ActionKind int
--- a/internal/before/compare_test.go
+++ b/internal/before/compare_test.go
@@ -314,7 +314,14 @@
 		for range rapid.IntRange(50, 500).Draw(t, "steps") {
 			h.pass()
 			events := h.events(set)
-			want, got := old.Step(h.now, slices.Clone(events)), now.Step(h.now, events)
+			want := old.Step(h.now, slices.Clone(events))
+			// Settings as they are change nothing, but that a step is no longer one of timers alone, which may have nothing to look at.
+			beat := func(e Event) bool { _, is := e.(Timer); return is }
+			if slices.ContainsFunc(events, func(e Event) bool { return !beat(e) }) && h.chance("told again", 12) {
+				events = slices.Insert(events, h.int("told at", len(events)+1), Event(set))
+				note("told again", 1)
+			}
+			got := now.Step(h.now, events)
 			if !slices.Equal(want, got) {
 				t.Fatalf("at %v\n%+v\nactions\n%+v\nbefore\n%+v", h.now, events, got, want)
 			}
@@ -329,7 +336,7 @@
 			}
 		}
 	})
-	for what, least := range map[string]int{"kind 0": 10000, "kind 1": 10000, "kind 2": 1000, "kind 3": 10000, "kind 4": 100, "avoided": 5000, "named": 1000, "swept": 500} {
+	for what, least := range map[string]int{"kind 0": 10000, "kind 1": 10000, "kind 2": 1000, "kind 3": 10000, "kind 4": 100, "avoided": 5000, "named": 1000, "swept": 500, "told again": 1000} {
 		if seen[what] < least {
 			t.Errorf("%s: %d, want %d at least", what, seen[what], least)
 		}
--- a/invariants_test.go
+++ b/invariants_test.go
@@ -38,6 +38,20 @@
 	units float64
 }
 
+// store is what is left of a volume's limit here.
+type store struct {
+	level float64
+	at    time.Duration
+}
+
+// fill fills it up to now by a plan of which it has this part.
+func (s *store) fill(now time.Duration, p Plan, hosts float64) {
+	if p.Limit > 0 {
+		s.level = min(p.LimitBurst/hosts, s.level+(now-s.at).Seconds()*p.Limit/hosts)
+	}
+	s.at = now
+}
+
 // world plays random legal events into one scheduler and checks the seven rules by its own counting. It has
 // no service model: outcomes and their times are drawn at random.
 type world struct {
@@ -55,7 +69,7 @@
 	extra  []time.Duration
 	cold   map[string][]drawn
 	served map[string][]drawn
-	store  map[string][]drawn
+	stores map[string]*store
 	timers []time.Duration
 	faults []string
 }
@@ -290,13 +304,12 @@
 	}
 	if p := w.set.Plans[slices.IndexFunc(w.set.Plans, func(p Plan) bool { return p.Name == q.req.Plan })]; p.Limit > 0 && len(q.sends) == 0 {
 		v, hosts := q.req.Volume, float64(q.req.Initiators)
-		w.store[v] = append(w.store[v], drawn{w.now, q.req.Units})
-		level, at := p.LimitBurst/hosts, time.Duration(0)
-		for _, d := range w.store[v] {
-			level = min(p.LimitBurst/hosts, level+(d.at-at).Seconds()*p.Limit/hosts) - d.units
-			at = d.at
+		if w.stores[v] == nil {
+			w.stores[v] = &store{}
 		}
-		if level < -1e-6 {
+		w.stores[v].fill(w.now, p, hosts)
+		w.stores[v].level -= q.req.Units
+		if level := w.stores[v].level; level < -1e-6 {
 			w.fault("rule 7: volume %s is %v under its part of the limit", v, -level)
 		}
 	}
@@ -312,11 +325,62 @@
 	return sum
 }
 
-// play runs one seeded sequence and returns the rules broken and a digest of the actions.
-func play(seed uint64, mask int) (faults []string, digest string) {
+// change draws other settings: times, effects, rates, limits, bounds and spans, of the rules that there are.
+func (w *world) change(mask int) Settings {
+	set := ruleSettings(mask)
+	some := func(of ...float64) float64 { return of[w.rng.IntN(len(of))] }
+	for i := range set.Classes {
+		c := &set.Classes[i]
+		c.Aim, c.Deadline = time.Duration(some(0.5, 1, 2)*float64(c.Aim)), time.Duration(some(1, 1, 2)*float64(c.Deadline))
+		c.Worth *= some(0.1, 1, 10)
+		if c.Effect == Unsafe && w.pick(0.3) {
+			c.Effect = Pure
+		}
+		c.InOrder = c.InOrder && w.pick(0.8)
+	}
+	for i := range set.Plans {
+		p := &set.Plans[i]
+		k := some(0.2, 1, 5)
+		p.Rate, p.Reserve = p.Rate*k, p.Reserve*some(0, 1, 2)
+		if p.Limit > 0 {
+			p.Limit, p.LimitBurst = p.Limit*some(0, 0.5, 1, 2), p.LimitBurst*some(0.5, 1, 2)
+		}
+	}
+	set.MaxAttempts, set.Initiators, set.Meter = w.rng.IntN(5), 2+w.rng.IntN(4), time.Duration(some(0, 1, 3))*time.Second
+	if mask&2 != 0 {
+		set.Rules.BudgetFree, set.Rules.BudgetShare = some(0, 3, 6), some(0, 0.2, 0.5)
+	}
+	if mask&8 != 0 {
+		// Each initiator's part is a largest request at least: one over it may go from a few all the same.
+		switch ru := &set.Rules; w.rng.IntN(5) {
+		case 0:
+			set.ColdUnits = some(45, 60)
+		case 1:
+			ru.FallWithin = time.Duration(some(0.5, 3) * float64(time.Second))
+		case 2:
+			ru.WarmWithin = time.Duration(some(2, 8)) * time.Second
+		case 3:
+			ru.ColdShare, ru.WarmWithin = 0.1, 9*time.Second
+		}
+	}
+	hosts := 2.0
+	for v, s := range w.stores {
+		i := int(v[1]-'0') % 2
+		s.fill(w.now, w.set.Plans[i], hosts)
+		if w.set.Plans[i].Limit <= 0 {
+			s.level = 0
+		}
+		s.level = min(s.level, max(0, set.Plans[i].LimitBurst/hosts))
+	}
+	w.set = set
+	return set
+}
+
+// play runs one seeded sequence and returns the rules broken and a digest of the actions. With changing, other settings come now and then.
+func play(seed uint64, mask int, changing bool) (faults []string, digest string) {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), set: ruleSettings(mask), now: time.Second,
 		nodes: map[string]Node{}, barred: map[string]time.Duration{}, all: map[string]*seen{},
-		byKey: map[string][]*seen{}, cold: map[string][]drawn{}, served: map[string][]drawn{}, store: map[string][]drawn{}}
+		byKey: map[string][]*seen{}, cold: map[string][]drawn{}, served: map[string][]drawn{}, stores: map[string]*store{}}
 	w.s, _ = New(w.set, seed)
 	const length = 6000
 	for i := range length {
@@ -326,6 +390,9 @@
 		if w.pick(0.01) || i == 0 {
 			events = append(events, w.list())
 		}
+		if changing && w.pick(0.005) {
+			events = append(events, w.change(mask))
+		}
 		for i < length-1500 && w.pick(0.25) {
 			events = append(events, w.arrive())
 		}
@@ -366,23 +433,24 @@
 	return w.order[w.rng.IntN(len(w.order))]
 }
 
-// TestRulesHold checks the seven rules over random event sequences, with each rule present and absent, and
-// that the same events give the same actions.
+// TestRulesHold checks the seven rules over random event sequences, with each rule present and absent, also while settings change,
+// and that the same events give the same actions.
 func TestRulesHold(t *testing.T) {
 	for mask := range 16 {
-		for seed := range uint64(3) {
-			faults, first := play(seed, mask)
+		for seed := range uint64(8) {
+			changing := seed >= 3
+			faults, first := play(seed, mask, changing)
 			for i, f := range faults {
 				if i < 3 {
-					t.Errorf("settings %04b, seed %d: %s", mask, seed, f)
+					t.Errorf("settings %04b, seed %d, changing %v: %s", mask, seed, changing, f)
 				}
 			}
 			if len(first) < 1000 {
-				t.Errorf("settings %04b, seed %d: hardly any action", mask, seed)
+				t.Errorf("settings %04b, seed %d, changing %v: hardly any action", mask, seed, changing)
 			}
-			if seed == 0 {
-				if _, again := play(seed, mask); again != first {
-					t.Errorf("settings %04b: the same events gave other actions", mask)
+			if seed == 0 || seed == 3 {
+				if _, again := play(seed, mask, changing); again != first {
+					t.Errorf("settings %04b, changing %v: the same events gave other actions", mask, changing)
 				}
 			}
 		}
--- a/scheduler.go
+++ b/scheduler.go
@@ -7,8 +7,6 @@
 
 import (
 	"container/heap"
-	"errors"
-	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -79,36 +77,21 @@
 
 // New returns a scheduler for the given settings, or an error if they cannot be served.
 func New(set Settings, seed uint64) (*Scheduler, error) {
-	if len(set.Classes) == 0 || len(set.Plans) == 0 {
-		return nil, errors.New("settings need at least one class and one plan")
+	if err := set.Check(); err != nil {
+		return nil, err
 	}
-	if set.Initiators < 1 {
-		return nil, fmt.Errorf("settings name %d initiators", set.Initiators)
-	}
-	s := &Scheduler{set: set.clone(), rng: rand.New(rand.NewPCG(seed, seed)), leastAim: never,
-		classes: map[string]*Class{}, plans: map[string]*Plan{}, turned: map[ask]*request{},
+	s := &Scheduler{rng: rand.New(rand.NewPCG(seed, seed)), turned: map[ask]*request{},
 		volumes: map[string]*volume{}, requests: map[string]*request{},
 		finder: newFinder(), keys: map[string]*orderKey{},
 		timerAt: never, askAt: never, born: never, askWait: time.Second,
 	}
-	s.set.MeanUnits = max(set.MeanUnits, 1e-3)
+	s.name(set)
 	if s.index = set.Index - 1; s.index < 0 {
 		s.index = s.rng.IntN(set.Initiators)
 	}
 	if set.AskForList {
 		s.askAt = 0
 	}
-	for i := range s.set.Classes {
-		c := &s.set.Classes[i]
-		if c.Aim <= 0 || c.Deadline <= 0 {
-			return nil, fmt.Errorf("class %q needs an aim and a deadline", c.Name)
-		}
-		s.classes[c.Name] = c
-		s.leastAim = min(s.leastAim, c.Aim)
-	}
-	for i := range s.set.Plans {
-		s.plans[s.set.Plans[i].Name] = &s.set.Plans[i]
-	}
 	return s, nil
 }
 
@@ -146,6 +129,8 @@
 			s.crew.set(e.Parts, s.now, s.set.Rules.FallWithin)
 		case Watched:
 			s.watched(e)
+		case Settings:
+			s.adopt(e)
 		case Timer: // also one a little early: whoever drives the module may round
 			s.timerAt = never
 		}
@@ -563,7 +548,7 @@
 			n.window = 1
 		}
 		n.streak, n.openAt = 0, 0
-		if s.set.Rules.FallWithin > 0 {
+		if s.set.Rules.FallWithin > 0 && r.outAt >= s.born {
 			n.served = append(n.served, draw{s.now, r.Units})
 		}
 		took := e.Took.Seconds() / s.size(r.Units)
@@ -635,6 +620,10 @@
 		v = &volume{plan: p, hosts: float64(max(1, e.Initiators)), filled: s.now, storeAt: s.now}
 		v.tokens = s.sigma(v)
 		s.volumes[e.Volume] = v
+	} else if s.plans[v.plan.Name] != v.plan { // the settings have it no more
+		s.move(v, p)
+		s.retag()
+		v.stretch = 0
 	}
 	v.hosts = float64(max(1, e.Initiators))
 	e.Units = max(e.Units, 0)
@@ -944,15 +933,23 @@
 	if v.plan.Limit <= 0 || r.drawn {
 		return 0
 	}
-	hosts := v.hosts / s.crew.part(s.now)
-	v.store = min(v.plan.LimitBurst/hosts, v.store+(s.now-v.storeAt).Seconds()*v.plan.Limit/hosts)
-	v.storeAt = s.now
+	hosts := s.stock(v)
 	if v.store >= r.Units {
 		return 0
 	}
 	return s.now + seconds((r.Units-v.store)*hosts/v.plan.Limit) + s.set.Tick
 }
 
+// stock fills the volume's store up to now, and tells how many share the plan's limit.
+func (s *Scheduler) stock(v *volume) (hosts float64) {
+	hosts = v.hosts / s.crew.part(s.now)
+	if v.plan.Limit > 0 {
+		v.store = min(v.plan.LimitBurst/hosts, v.store+(s.now-v.storeAt).Seconds()*v.plan.Limit/hosts)
+	}
+	v.storeAt = s.now
+	return hosts
+}
+
 // ---- Placement of new objects ----
 
 // place returns the lane for a request: its shard's, or for a new object the one of least expected wait.
--- a/state.go
+++ b/state.go
@@ -75,6 +75,7 @@
 	storeAt time.Duration
 	owed    float64 // units of the reserve not yet served here
 	owedAt  time.Duration
+	stretch float64 // while its plan changes: its rate before over the one from now on
 }
 
 // flow is a volume's tag state at one lane.
@@ -257,12 +258,6 @@
 	}
 }
 
-// clone copies what the settings share with their maker.
-func (set Settings) clone() Settings {
-	set.Classes, set.Plans = slices.Clone(set.Classes), slices.Clone(set.Plans)
-	return set
-}
-
 // sweep drops volumes that nothing was asked for since then, their flows and empty lanes, keys at rest, and nodes that
 // are gone.
 func (s *Scheduler) sweep(since time.Duration) {
