A configuration that changes is taken over by the parts that run

The parts of an instance that have to do with it take it over (internal/instance/adopt.go): the module by its event, the front's classes and plans, the targets' dial and idle times, descriptors, memory and threads, the numbers, the accounts' worths, discovery's address and crowd. A request is admitted and decided on by the one before or by this one; in between the module knows already what clients may not name yet. It counts as in force, for the feed's tally too, once the module goes by it. What can't be taken over still begins a successor, and the log says for which field: name, listen, control, the operator's file, NVMe, probes and dial times where tasks probe. SIGHUP is as it was. The front's Admits holds what a change replaces; idle connections of clients were bounded by the answer time of the longest patience, now by the longest there can be, since net/http reads that once; endIdle closes them long before either.

--- a/internal/accounts/book.go
+++ b/internal/accounts/book.go
@@ -107,6 +107,9 @@
 		blames: newHeavy(max(1, opt.Pairs)), shares: sums{}}
 }
 
+// Values sets what serving a request is worth, of those that arrive from now on; nil: 1.
+func (b *Book) Values(worth func(spindlehitch.Request) float64) { b.opt.Worth = worth }
+
 // Arrive takes a request.
 func (b *Book) Arrive(at time.Duration, r spindlehitch.Request) {
 	if len(b.open) >= b.opt.Open {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -175,9 +175,9 @@
 
 // Options are the core's bounds.
 type Options struct {
-	MostHeld int            // requests open at a time
+	MostHeld int            // requests open at a time, at first
 	Margin   time.Duration  // an answer must be written this long before the client leaves
-	NamesFor time.Duration  // how long, at least, the name of a request that may have run stays taken
+	NamesFor time.Duration  // how long, at least, and at first, the name of a request that may have run stays taken
 	Observer Observer       // nil: none
 	Avoided  func(int)      // told now and then how many listed targets the module avoids; nil: nobody asks
 	Avoids   func([]string) // told with it which those are that are listed as up; nil: nobody asks
@@ -192,9 +192,11 @@
 	box      *mailbox.Box[any]
 	open     map[string]*entry
 	held     atomic.Int64
+	mostHeld atomic.Int64
 	ended    atomic.Bool // nobody reads the box any more
 	seq      uint64
 	routes   []routed
+	adopted  []chan<- struct{}
 	timerAt  time.Time          // zero: none
 	named    map[string]bool    // of open requests
 	ran      [2]map[string]bool // of finished ones that may have run, lately and before
@@ -232,6 +234,13 @@
 	reply func(node string)
 }
 
+// adopt hands over other settings.
+type adopt struct {
+	set      spindlehitch.Settings
+	namesFor time.Duration
+	done     chan<- struct{}
+}
+
 // written tells that a request's answer is with its client.
 type written struct {
 	id string
@@ -240,13 +249,15 @@
 
 // New returns a core; Run starts it.
 func New(m *spindlehitch.Scheduler, up Upstream, clock Clock, opt Options) *Core {
-	return &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{},
+	c := &Core{module: m, up: up, clock: clock, opt: opt, box: mailbox.New[any](), open: map[string]*entry{},
 		named: map[string]bool{}, ran: [2]map[string]bool{{}, {}}}
+	c.mostHeld.Store(int64(opt.MostHeld))
+	return c
 }
 
 // Submit hands a request over. It returns false when too many are open; then Done is not called.
 func (c *Core) Submit(j *Job) bool {
-	if n := c.held.Add(1); c.opt.MostHeld > 0 && n > int64(c.opt.MostHeld) {
+	if n, most := c.held.Add(1), c.mostHeld.Load(); most > 0 && n > most {
 		c.held.Add(-1)
 		return false
 	}
@@ -286,6 +297,16 @@
 // Share tells the module how many processes act for this initiator.
 func (c *Core) Share(parts int) { c.box.Put(spindlehitch.Shared{Parts: parts}) }
 
+// Adopt has the module take over other settings, in turn with what is submitted before and after. MostHeld holds at once; names are kept for
+// the longest time that was ever asked for, since they were promised by it. Done is closed once the module goes by the settings; a core that has
+// ended closes it no more.
+func (c *Core) Adopt(set spindlehitch.Settings, mostHeld int, namesFor time.Duration) (done <-chan struct{}) {
+	c.mostHeld.Store(int64(mostHeld))
+	in := make(chan struct{})
+	c.box.Put(adopt{set, namesFor, in})
+	return in
+}
+
 // Rationed tells the module that its part of the fleet's wholes has changed.
 func (c *Core) Rationed() { c.box.Put(spindlehitch.Rationed{}) }
 
@@ -327,6 +348,11 @@
 	if len(events) > 0 {
 		c.decide(now, events)
 	}
+	for _, done := range c.adopted {
+		close(done)
+	}
+	clear(c.adopted)
+	c.adopted = c.adopted[:0]
 	for _, r := range c.routes { // once news of the list has been heard
 		r.reply(c.module.Where(r.shard))
 	}
@@ -364,6 +390,10 @@
 			c.opt.Observer.End(c.observed(m.at), m.id)
 		case spindlehitch.Shared, spindlehitch.Rationed, spindlehitch.Watched:
 			c.events = append(c.events, m.(spindlehitch.Event))
+		case adopt:
+			c.events = append(c.events, m.set)
+			c.opt.NamesFor = max(c.opt.NamesFor, m.namesFor)
+			c.adopted = append(c.adopted, m.done)
 		case routed:
 			c.routes = append(c.routes, m)
 		case func():
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -81,6 +82,7 @@
 	call  http.Client
 	box   *mailbox.Box[*listing.List]
 	moves *mailbox.Box[string]
+	crowd atomic.Int64
 	has   int64 // the version that came last
 	waits backoff.ExponentialBackOff
 }
@@ -89,7 +91,7 @@
 type Options struct {
 	Addr  string
 	Known *listing.List // the list as last had; nil: none
-	Crowd int           // how many initiators' calls wait for their turn at one service; 0: it pushes to each
+	Crowd int           // how many initiators' calls wait for their turn at one service, at first; 0: it pushes to each
 	Seed  uint64        // spreads the pauses
 	Log   *slog.Logger
 }
@@ -100,6 +102,7 @@
 	w := &Watcher{opt: opt, tell: tell, log: opt.Log, rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed)),
 		box: mailbox.New[*listing.List](), moves: mailbox.New[string](), has: -1,
 		waits: backoff.ExponentialBackOff{InitialInterval: retryAfter, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: retryMost}}
+	w.Crowd(opt.Crowd)
 	if known := opt.Known; known != nil {
 		whole := *known
 		whole.Full = true
@@ -113,6 +116,9 @@
 	return w
 }
 
+// Crowd sets how many initiators' calls wait for their turn at one service, from the next call on; 0: it pushes to each.
+func (w *Watcher) Crowd(n int) { w.crowd.Store(int64(n)) }
+
 // Move has discovery asked at another address from now on, for the whole list first: what the old one had still
 // to tell is not waited for.
 func (w *Watcher) Move(addr string) { w.moves.Put(addr) }
@@ -275,7 +281,7 @@
 // is pushed calls cost nothing, and after one that failed the next follows before that wait is over.
 func (w *Watcher) ask(sure, on bool, failed, overdue int) (path string, wait, within time.Duration) {
 	path, within = "/api/targets", graceFor
-	crowd := w.opt.Crowd > 0
+	crowd := w.crowd.Load() > 0
 	if sure {
 		wait = watchFor
 		if crowd && !on {
@@ -299,7 +305,7 @@
 var errDoubt = errors.New("list makes no sense")
 
 // turns is the time that all initiators' calls take.
-func (w *Watcher) turns() time.Duration { return time.Duration(w.opt.Crowd) * turnFor }
+func (w *Watcher) turns() time.Duration { return time.Duration(w.crowd.Load()) * turnFor }
 
 // turn is a moment within it, as far as calls are spread.
 func (w *Watcher) turn(most time.Duration) time.Duration {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -179,7 +179,8 @@
 // TestPauses bounds the waits, whatever fails for how long, and spreads them.
 func TestPauses(t *testing.T) {
 	for _, crowd := range []int{0, 80} {
-		w := New(Options{Crowd: crowd, Seed: 7, Log: quiet}, nil)
+		w := New(Options{Crowd: 7, Seed: 7, Log: quiet}, nil)
+		w.Crowd(crowd)
 		most := retryMost*3/2 + time.Duration(crowd)*turnFor*8
 		seen := map[time.Duration]bool{}
 		for failed := 1; failed < 100; failed++ {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -3,6 +3,7 @@
 package figures
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 
@@ -29,8 +30,7 @@
 
 // Book is the numbers of one process. All of it is safe for concurrent use.
 type Book struct {
-	classes    []string
-	ends       map[string]*[endings]atomic.Int64
+	classes    atomic.Pointer[map[string]*[endings]atomic.Int64] // never changed, but for another in its place
 	dispatches atomic.Int64
 	concurrent atomic.Int64
 	targets    atomic.Int64
@@ -39,11 +39,22 @@
 
 // New returns the numbers for these classes, all at 0.
 func New(classes []string) *Book {
-	b := &Book{classes: slices.Sorted(slices.Values(classes)), ends: map[string]*[endings]atomic.Int64{}}
+	b := &Book{}
+	b.classes.Store(&map[string]*[endings]atomic.Int64{})
+	b.Know(classes)
+	return b
+}
+
+// Know has these classes counted as well, from 0 where they are new. Numbers only grow, so that none is forgotten. It isn't to be called by
+// two at a time.
+func (b *Book) Know(classes []string) {
+	all := maps.Clone(*b.classes.Load())
 	for _, c := range classes {
-		b.ends[c] = &[endings]atomic.Int64{}
+		if all[c] == nil {
+			all[c] = &[endings]atomic.Int64{}
+		}
 	}
-	return b
+	b.classes.Store(&all)
 }
 
 // Dispatched notes an attempt that was written whole to a target.
@@ -79,16 +90,17 @@
 
 // Ended counts the end of a request that was never taken. A class that is not known is not counted.
 func (b *Book) Ended(class string, e Ending) {
-	if n := b.ends[class]; n != nil {
+	if n := (*b.classes.Load())[class]; n != nil {
 		n[e].Add(1)
 	}
 }
 
 // Tell tells the numbers: counters from 0 at the start of the process, gauges as they are now.
 func (b *Book) Tell(to statsd.ExtendedStatSender) {
-	for _, c := range b.classes {
+	classes := *b.classes.Load()
+	for _, c := range slices.Sorted(maps.Keys(classes)) {
 		for e := range endings {
-			to.Inc("replies."+c+"."+e.String(), b.ends[c][e].Load(), 1)
+			to.Inc("replies."+c+"."+e.String(), classes[c][e].Load(), 1)
 		}
 	}
 	to.Inc("dispatches", b.dispatches.Load(), 1)
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -35,3 +35,19 @@
 		t.Errorf("after the last end:\n%s", got)
 	}
 }
+
+// TestKnow has classes come and go: what was counted stays, and a new one begins at 0.
+func TestKnow(t *testing.T) {
+	b := New([]string{"get"})
+	open := b.Take("get")
+	b.Know([]string{"put"})
+	open.End(Success)
+	b.Ended("put", Overload)
+	b.Know([]string{"get"})
+	got := string(Page(b.Tell))
+	for _, want := range []string{"get.success:1|", "get.error:0|", "put.overload:1|", "put.success:0|", "concurrent:0|"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no %s in\n%s", want, got)
+		}
+	}
+}
--- a/internal/front/ends_test.go
+++ b/internal/front/ends_test.go
@@ -316,7 +316,9 @@
 func paused(t *testing.T, at http.ConnState) (s *Server, b *back, addr string, reached chan bool, release func()) {
 	reached, free := make(chan bool), make(chan bool)
 	s, b, addr = newFront(t, 64, func(s *Server) {
-		s.opt.Leave = core.Leave{Answer: 5 * time.Second}
+		a := admitted
+		a.Leave = core.Leave{Answer: 5 * time.Second}
+		s.Admit(a)
 		s.http.ConnState = func(c net.Conn, st http.ConnState) {
 			s.conns.state(c, st)
 			if st == at {
@@ -392,7 +394,7 @@
 func TestTakesWhatWaits(t *testing.T) {
 	other, b, _ := newFront(t, 64)
 	opt := other.opt
-	opt.Leave = core.Leave{Answer: 5 * time.Second}
+	opt.Admits.Leave = core.Leave{Answer: 5 * time.Second}
 	s := New(b, opt)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,13 +45,11 @@
 
 // Options set up the front.
 type Options struct {
-	Classes   map[string]bool
-	Plans     map[string]bool
+	Admits    Admits      // at first
 	MostConn  int         // clients' connections at a time
 	EasyConn  int         // of these, how many may be without a request
 	Ready     func() bool // whether requests can be sent on; nil: from the start
 	ReadyOnly bool        // requests come in by another front
-	Leave     core.Leave
 	Figures   *figures.Book
 	Room      *budget.Bytes // for bodies and pieces of them
 	// Ahead opens a large body's way to a target.
@@ -58,6 +57,13 @@
 	Log   *slog.Logger
 }
 
+// Admits is what requests may name, and how the front leaves for the longest that their clients wait. It isn't changed once it is given.
+type Admits struct {
+	Classes map[string]bool
+	Plans   map[string]bool
+	Leave   core.Leave
+}
+
 // Core is what the front needs of the core.
 type Core interface {
 	Submit(*core.Job) bool
@@ -74,16 +80,21 @@
 	conns    *connTable
 	left     atomic.Pointer[time.Time] // when Stop was called
 	handed   atomic.Bool
+	admits   atomic.Pointer[Admits]
 }
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
 	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Room, opt.Log)}
-	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: opt.Leave.Answer + idleFor, MaxHeaderBytes: maxHead,
+	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: core.LeaveWithin(math.MaxInt64).Answer + idleFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
+	s.Admit(opt.Admits)
 	return s
 }
 
+// Admit says what requests may name from now on. What was taken before is not asked again.
+func (s *Server) Admit(a Admits) { s.admits.Store(&a) }
+
 // Serve accepts until Stop.
 func (s *Server) Serve(l net.Listener) error {
 	s.listener.Store(&l)
@@ -120,7 +131,7 @@
 	now := time.Now()
 	s.left.Store(&now)
 	s.conns.leave()
-	how := s.opt.Leave
+	how := s.admits.Load().Leave
 	if s.handed.Load() {
 		how.Linger, how.Serve = 0, 0
 	}
@@ -204,7 +215,7 @@
 	if r.ContentLength != 0 && http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
 		panic(http.ErrAbortHandler)
 	}
-	j.Patience = s.opt.Leave.Cut(j.Patience, arrived, s.left.Load())
+	j.Patience = s.admits.Load().Leave.Cut(j.Patience, arrived, s.left.Load())
 	// The core's goroutine must not wait for a client: the answer has a place of its own.
 	final := &handOver{answer: make(chan core.Answer, 1)}
 	j.Arrived, j.Payload, j.Done = arrived, m, final.put
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -51,14 +51,17 @@
 func (b *back) Depart(j *core.Job)                  { b.gone <- j }
 func (b *back) Route(shard int, reply func(string)) { reply("n") }
 
+// admitted is what a front under test admits.
+var admitted = Admits{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, Leave: usual}
+
 // testRoom is the budget of bytes of a front under test.
 const testRoom = 1 << 20
 
 func newFront(t *testing.T, most int, edit ...func(*Server)) (*Server, *back, string) {
 	t.Helper()
 	b := &back{jobs: make(chan *core.Job, 64), gone: make(chan *core.Job, 64)}
-	s := New(b, Options{Classes: map[string]bool{"get": true, "put": true}, Plans: map[string]bool{"std": true}, MostConn: most, EasyConn: most,
-		Figures: figures.New([]string{"get", "put"}), Room: budget.New(testRoom), Leave: usual,
+	s := New(b, Options{Admits: admitted, MostConn: most, EasyConn: most,
+		Figures: figures.New([]string{"get", "put"}), Room: budget.New(testRoom),
 		Log: slog.New(slog.DiscardHandler)})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -76,10 +76,11 @@
 	j.Class, j.Plan, j.Extent = class, r.Header.Get("Tier"), key
 	m := &upstream.Message{Method: r.Method, URI: r.RequestURI, ID: id, Key: strings.Join(keys, "")}
 	j.Keyless = m.Key == ""
-	if !s.opt.Classes[j.Class] {
+	admits := s.admits.Load()
+	if !admits.Classes[j.Class] {
 		return nil, nil, bad(http.StatusNotFound, "class %q is not served here", j.Class)
 	}
-	if !s.opt.Plans[j.Plan] {
+	if !admits.Plans[j.Plan] {
 		return nil, nil, bad(http.StatusUnprocessableEntity, "Tier: plan %q is not known here", j.Plan)
 	}
 	return j, m, nil
--- a/internal/instance/follow.go
+++ b/internal/instance/follow.go
@@ -10,9 +10,9 @@
 	"spindlehitch/internal/config"
 )
 
-// Follow serves what the agents say of this instance. A new configuration is checked, then served by a
-// successor that listens at the same addresses; the predecessor leaves once that one is up, as at SIGTERM, so
-// that nothing taken is lost. One that cannot be served changes nothing.
+// Follow serves what the agents say of this instance. A new configuration is checked, then taken over by what runs. Where it names what needs a
+// new start, a successor listens at the same addresses, and the predecessor leaves once that one is up, as at SIGTERM, so that nothing taken is
+// lost. One that cannot be served changes nothing.
 func Follow(stop context.Context, agents []string, getenv func(string) string, operator string, log *slog.Logger) error {
 	name := getenv("PROXY_NAME")
 	if name == "" {
@@ -35,7 +35,7 @@
 	answer chan<- error
 }
 
-// succession serves what is offered, each in place of the one before, until stop ends or one in force ends by itself. Of is the process's
+// succession serves what is offered: what runs takes it over, or a successor takes its place, until stop ends or one in force ends by itself. Of is the process's
 // feed; nil: there is none.
 func succession(stop context.Context, operator string, log *slog.Logger, of *stream, offering func(context.Context, chan<- offer)) error {
 	// The environment names the instance alone: where it listens is for those who configure it to say.
@@ -63,7 +63,19 @@
 		case err := <-ended:
 			return err
 		case e := <-offers:
-			next, err := succeed(stop, e.Entry, nothing, operator, log, of)
+			next, why := now, ""
+			cfg, op, err := accept(e.Entry, nothing, operator)
+			switch {
+			case err != nil:
+			case now == nil:
+				next, err = begin(stop, cfg, op, log, of)
+			default:
+				if why = needsStart(now.cfg, cfg, now.op, op); why == "" {
+					err = now.adopt(cfg)
+				} else {
+					next, err = begin(stop, cfg, op, log, of)
+				}
+			}
 			if e.answer != nil {
 				e.answer <- err
 			}
@@ -71,8 +83,8 @@
 				notTaken(log, slog.Uint64("version", e.Version), slog.Any("error", err))
 				continue
 			}
-			log.Info("configuration taken", slog.Uint64("version", e.Version))
-			if old := now; old != nil {
+			log.Info("configuration taken", slog.Uint64("version", e.Version), slog.Bool("started", next != now), slog.String("for", why))
+			if old := now; old != nil && old != next {
 				old.leave()
 				leaving.Go(func() { <-old.ended })
 			}
@@ -81,31 +93,61 @@
 	}
 }
 
-// generation is a running initiator of one configuration.
+// generation is a running initiator, and the configuration that it has in force.
 type generation struct {
-	leave context.CancelFunc
-	ended chan error
+	cfg     *config.Config
+	op      *config.Operator
+	changes chan Change
+	leave   context.CancelFunc
+	ended   chan error
 }
 
-// succeed starts a generation and waits until it listens.
-func succeed(stop context.Context, e agent.Entry, getenv func(string) string, operator string, log *slog.Logger, of *stream) (*generation, error) {
+// accept checks a configuration, and the operator's file beside it.
+func accept(e agent.Entry, getenv func(string) string, operator string) (*config.Config, *config.Operator, error) {
 	cfg, err := config.Parse(e.Config, getenv)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if cfg.Name != e.Name {
-		return nil, errors.New("name: it is another instance's")
+		return nil, nil, errors.New("name: it is another instance's")
 	}
 	op := &config.Operator{}
 	if operator != "" {
 		if op, err = config.ReadOperator(operator, cfg); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
+	return cfg, op, nil
+}
+
+// adopt has a generation take a configuration over, and returns once it is in force.
+func (g *generation) adopt(cfg *config.Config) error {
+	taken := make(chan error, 1)
+	c := Change{Config: cfg, taken: taken}
+	if cfg.Discovery != g.cfg.Discovery {
+		c.Discovery = cfg.Discovery
+	}
+	select {
+	case g.changes <- c:
+	case err := <-g.ended:
+		g.ended <- err // for whoever waits for it
+		return errLeaving
+	}
+	err := <-taken
+	if err == nil {
+		g.cfg = cfg
+	}
+	return err
+}
+
+// begin starts a generation and waits until it listens.
+func begin(stop context.Context, cfg *config.Config, op *config.Operator, log *slog.Logger, of *stream) (*generation, error) {
 	ctx, leave := context.WithCancel(stop)
-	g := &generation{leave, make(chan error, 1)}
+	g := &generation{cfg, op, make(chan Change), leave, make(chan error, 1)}
 	up := make(chan struct{})
-	go func() { g.ended <- Serve(ctx, cfg, op, Options{Log: log, Listening: func() { close(up) }, feed: of}) }()
+	go func() {
+		g.ended <- Serve(ctx, cfg, op, Options{Log: log, Listening: func() { close(up) }, Changes: g.changes, feed: of})
+	}()
 	select {
 	case <-up:
 		return g, nil
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -51,7 +51,7 @@
 // Serve runs an instance until stop ends, and then until everything taken is answered. One that is stopped while it starts has
 // undone what it had begun.
 func Serve(stop context.Context, cfg *config.Config, op *config.Operator, opt Options) error {
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores+0.99)))
+	runtime.GOMAXPROCS(threads(cfg))
 	in, err := assemble(cfg, op, opt)
 	if err != nil {
 		return err
@@ -82,7 +82,8 @@
 	case <-in.crew.gone():
 		reason = "SUCCEEDED"
 	}
-	opt.Log.Info("leaving", slog.String("reason", reason), slog.Int("open", in.core.Open()), slog.Duration("within", in.leave.Answer))
+	cfg = in.cfg.Load()
+	opt.Log.Info("leaving", slog.String("reason", reason), slog.Int("open", in.core.Open()), slog.Duration("within", core.LeaveWithin(longest(cfg)).Answer))
 	bound, done := context.WithTimeout(context.Background(), leaveWithin(longest(cfg)))
 	defer done()
 	err = errors.Join(failed, in.parts.stop(bound))
@@ -96,7 +97,7 @@
 	core   *core.Core
 	crew   *crew // nil: the process is alone
 	fronts *fronts
-	leave  core.Leave
+	cfg    atomic.Pointer[config.Config] // in force
 	log    *slog.Logger
 }
 
@@ -107,7 +108,10 @@
 		case <-ended:
 			return
 		case c := <-changes:
-			if err := in.parts.reload(c); err != nil {
+			err := in.parts.reload(c)
+			if c.taken != nil {
+				c.taken <- err
+			} else if err != nil {
 				notTaken(in.log, slog.Any("error", err))
 			}
 		}
@@ -125,7 +129,8 @@
 // assemble makes all parts and ties them together. It starts nothing and listens nowhere.
 func assemble(cfg *config.Config, op *config.Operator, opt Options) (*instance, error) {
 	log := opt.Log
-	in := &instance{log: log, leave: core.LeaveWithin(longest(cfg))}
+	in := &instance{log: log}
+	in.cfg.Store(cfg)
 	shared := opt.Listening != nil || cfg.Inherited != "" // all addresses but the clients': a predecessor may still listen at each
 	known, err := newPeers(cfg, op, shared, log)
 	if err != nil {
@@ -136,7 +141,7 @@
 	if part != nil {
 		settings.Ration = part
 	}
-	module, err := spindlehitch.New(settings, cfg.Seed)
+	scheduler, err := spindlehitch.New(settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -167,16 +172,17 @@
 		book = newLedger(*op.Accounts, cfg.Name, worth(cfg), log)
 		bounds.Observer = book.book
 	}
-	in.core = core.New(module, up, core.NewClock(), bounds)
+	in.core = core.New(scheduler, up, core.NewClock(), bounds)
 	var listed atomic.Bool
-	clients := front.New(in.core, front.Options{Classes: cfg.Classes(), Plans: cfg.Plans(), Ready: listed.Load,
-		ReadyOnly: op.NVMe != nil, Figures: numbers, Leave: in.leave, Room: room, Ahead: up.Ahead, Log: log})
+	clients := front.New(in.core, front.Options{Admits: admits(cfg), Ready: listed.Load,
+		ReadyOnly: op.NVMe != nil, Figures: numbers, Room: room, Ahead: up.Ahead, Log: log})
 	// What there may be of connections and bytes is set here alone, now and whenever the processes become more or fewer.
 	limits := &shares{limits: granted(cfg.Limits), room: room, up: up, clients: clients, core: in.core}
 	limits.divide(1)
 	in.fronts = &fronts{name: cfg.Name, log: log, known: make(chan struct{})}
 
-	in.parts = parts{&decisions{loop: loop{run: in.core.Run}, core: in.core, up: up, numbers: numbers}}
+	module := &decisions{loop: loop{run: in.core.Run}, core: in.core, up: up, numbers: numbers}
+	in.parts = parts{module}
 	if known != nil {
 		known.About(tellsOf(in.core, part))
 		in.parts = append(in.parts, known)
@@ -208,7 +214,9 @@
 		tell = fed.discovered
 		in.parts = append(in.parts, fed) // before discovery, which finds it running
 	}
-	in.parts = append(in.parts, newWatch(cfg, log, tell))
+	list := newWatch(cfg, log, tell)
+	in.parts = append(in.parts, list)
+	in.parts = append(in.parts, &adoption{in: in, module: module, clients: clients, limits: limits, book: book, list: list})
 	if cfg.Inherited != "" {
 		in.crew = newCrew(cfg.Name, log, limits.divide)
 		in.parts = append(in.parts, in.crew)
@@ -216,7 +224,7 @@
 	// With NVMe the platform's front stays for its ready page alone: a target speaks one wire.
 	in.enter(&entrance{door: clients, addr: cfg.Listen, inherited: cfg.Inherited, shared: shared})
 	if op.NVMe != nil {
-		controller := nvme.New(in.core, about(op.NVMe, cfg, certs, numbers, in.leave, log))
+		controller := nvme.New(in.core, about(op.NVMe, cfg, certs, numbers, core.LeaveWithin(longest(cfg)), log))
 		in.parts = append(in.parts, spaces{front: controller})
 		in.enter(&entrance{door: controller, addr: op.NVMe.Listen, shared: shared})
 	}
@@ -369,12 +377,16 @@
 }
 
 func newWatch(cfg *config.Config, log *slog.Logger, tell func(*listing.List)) *watch {
-	about := discovery.Options{Addr: cfg.Discovery, Known: cfg.Known, Seed: cfg.Seed, Log: log}
+	list := discovery.New(discovery.Options{Addr: cfg.Discovery, Known: cfg.Known, Crowd: crowd(cfg), Seed: cfg.Seed, Log: log}, tell)
+	return &watch{loop{run: list.Run}, list}
+}
+
+// crowd is how many share one discovery service; 0: each has its own, or is pushed to.
+func crowd(cfg *config.Config) int {
 	if cfg.Module.AskForList {
-		about.Crowd = cfg.Module.Initiators
+		return cfg.Module.Initiators
 	}
-	list := discovery.New(about, tell)
-	return &watch{loop{run: list.Run}, list}
+	return 0
 }
 
 // Reload implements reloader.
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime/debug"
+	"sync"
 
 	"golang.org/x/sys/unix"
 
@@ -71,16 +72,36 @@
 	up      *upstream.Registry
 	clients *front.Server
 	core    *core.Core
-	given   int64 // of room
+
+	mu    sync.Mutex
+	parts int
+	given int64 // of room
 }
 
 // divide has this process keep to its part, where so many share the limits.
 func (s *shares) divide(parts int) {
-	part := s.limits.of(parts)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts = parts
+	s.share()
+}
+
+// grant has the processes share other limits.
+func (s *shares) grant(l limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l != s.limits {
+		s.limits = l
+		s.share()
+	}
+}
+
+func (s *shares) share() {
+	part := s.limits.of(s.parts)
 	debug.SetMemoryLimit(int64(part.MemoryMB) << 20 * 7 / 10)
 	s.room.Give(part.held() - s.given)
 	s.given = part.held()
 	s.up.Bound(part.target(), part.allTargets())
 	s.clients.Bound(part.clients(), part.easy())
-	s.core.Share(parts)
+	s.core.Share(s.parts)
 }
--- a/internal/instance/part.go
+++ b/internal/instance/part.go
@@ -34,6 +34,8 @@
 type Change struct {
 	Discovery string             // where it is now; empty: where it was
 	Spaces    []config.Namespace // in place of those there are; nil: as they were
+	Config    *config.Config     // in place of the one in force, taken over whole; nil: as it was
+	taken     chan<- error       // told once it is in force, or why it isn't; nil: nobody waits
 }
 
 // errStopped ends a start that is not wanted any more.
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -134,3 +134,31 @@
 		})
 	}
 }
+
+// TestTimesChange has a connection rest for a time that becomes a shorter one: it is closed by that, and the next has another time to come up.
+func TestTimesChange(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	results := make(chan core.Result, 1)
+	g := NewRegistry(Options{Wire: NewHTTP(budget.New(1 << 20)), Dial: 20 * time.Second, Idle: time.Hour, MostConn: 4, MostAll: 4, Log: slog.New(slog.DiscardHandler)},
+		func(r core.Result) { results <- r })
+	g.Apply([]Target{{ID: "n", Addr: l.Addr().String()}}, true)
+	send := func() {
+		g.Send(core.Attempt{Request: "r", Node: "n", Until: time.Now().Add(20 * time.Second), Payload: &Message{Method: http.MethodGet, URI: "/r/1", ID: "id"}})
+	}
+	send()
+	c, err := l.Accept()
+	require.NoError(t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, err = c.Read(make([]byte, 4096))
+	require.NoError(t, err)
+	say(c, "200 OK", "")
+	<-results
+	g.Times(time.Nanosecond, 50*time.Millisecond)
+	_, err = c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	send()
+	require.Equal(t, spindlehitch.NoConnection, (<-results).Code, "no connection comes up within a nanosecond")
+}
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -21,8 +21,8 @@
 // Options are the bounds of every connection.
 type Options struct {
 	Wire     Wire
-	Dial     time.Duration // for a connection to come up
-	Idle     time.Duration // an unused connection is closed after that
+	Dial     time.Duration // for a connection to come up, at first
+	Idle     time.Duration // an unused connection is closed after that, at first
 	Rest     time.Duration // and is not used again before that, where another may be made
 	MostConn int           // connections to one target
 	MostAll  int           // connections to all targets together
@@ -49,16 +49,31 @@
 	pool    pool
 }
 
-// pool is all targets' connections, those being made included, and how many there may be.
-type pool struct{ conns, mostOne, mostAll atomic.Int64 }
+// pool is all targets' connections, those being made included, how many there may be, and their times.
+type pool struct {
+	conns, mostOne, mostAll atomic.Int64
+	dial, idle              atomic.Int64 // nanoseconds
+}
+
+func (p *pool) dialFor() time.Duration { return time.Duration(p.dial.Load()) }
+func (p *pool) idleFor() time.Duration { return time.Duration(p.idle.Load()) }
 
 // NewRegistry returns an empty registry; results go to report.
 func NewRegistry(opt Options, report func(core.Result)) *Registry {
 	g := &Registry{opt: opt, report: report, targets: map[string]*target{}, leaving: map[*target]bool{}}
 	g.Bound(opt.MostConn, opt.MostAll)
+	g.Times(opt.Dial, opt.Idle)
 	return g
 }
 
+// Times sets how long a connection may take to come up, and how long one is kept that is not used, from now on.
+func (g *Registry) Times(dial, idle time.Duration) {
+	g.pool.dial.Store(int64(dial))
+	if g.pool.idle.Swap(int64(idle)) != int64(idle) {
+		g.Review()
+	}
+}
+
 // Bound sets how many connections there may be, to one target and to all, from now on.
 func (g *Registry) Bound(one, all int) {
 	g.pool.mostOne.Store(int64(one))
--- a/internal/upstream/target.go
+++ b/internal/upstream/target.go
@@ -110,7 +110,7 @@
 	for !retired || len(t.busy)+t.uploads > 0 {
 		// A target that nothing was sent to has nothing to look after: an initiator may know thousands of them.
 		if len(t.idle) > 0 {
-			old.Reset(max(time.Until(t.idle[0].idleAt.Add(t.opt.Idle)), time.Millisecond))
+			old.Reset(max(time.Until(t.idle[0].idleAt.Add(t.pool.idleFor())), time.Millisecond))
 		} else {
 			old.Stop()
 		}
@@ -268,7 +268,7 @@
 
 func (t *target) closeOld() {
 	now := time.Now()
-	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.opt.Idle })
+	t.closeIdle("IDLE", func(c *conn) bool { return now.Sub(c.idleAt) >= t.pool.idleFor() })
 }
 
 func (t *target) closeIdle(reason string, which func(*conn) bool) {
@@ -376,7 +376,7 @@
 }
 
 func (t *target) dial(within context.Context) *conn {
-	ctx, stop := context.WithTimeout(within, t.opt.Dial)
+	ctx, stop := context.WithTimeout(within, t.pool.dialFor())
 	defer stop()
 	addr := t.address()
 	s, err := t.opt.Wire.Dial(ctx, addr)
