--- /dev/null
+++ b/internal/scale/slope/configured.go
@@ -0,0 +1,169 @@
+package slope
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"spindlehitch/internal/agent"
+	serving "spindlehitch/internal/instance"
+)
+
+// served is a configuration that an initiator can be served by, at these addresses, with a plan of this rate.
+func served(name, listen, discovery string, rate uint64) []byte {
+	return fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"settings":{"peersTotal":1,"tickUs":2000,"classes":[{"name":"read","promiseUs":150000,"deadlineUs":300000,`+
+		`"effect":"pure","worth":1}],"contracts":[{"name":"base","usualRate":%d,"reservation":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8},"limits":{"sendCap":3}}}`,
+		name, listen, discovery, rate)
+}
+
+func configuredProbes() []Probe {
+	const about = "internal/instance: an initiator that follows its configuration, without clients; "
+	return []Probe{{
+		About: about + "each of a hundred changes of a plan is taken over by what runs; the stand-ins' time is in it",
+		Gives: []Gives{{Name: "adopt.cpu", Unit: "us", Of: "a changed configuration", Per: "target", Rough: true}},
+		Sizes: targetSizes, Short: []float64{50, 100, 200, 400},
+		Run: func(ctx context.Context, size int) ([]float64, error) { return configured(ctx, size, 100, false) },
+	}, {
+		About: about + "each of four changes of its address is served by a successor that reads the whole list anew; the stand-ins' time is in it",
+		Gives: []Gives{{Name: "successor.cpu", Unit: "us", Of: "a configuration that needs a new start", Per: "target", Rough: true}},
+		Sizes: targetSizes, Short: []float64{50, 100, 200, 400},
+		Run: func(ctx context.Context, size int) ([]float64, error) { return configured(ctx, size, 4, true) },
+	}}
+}
+
+// taken counts the configurations that a log says are taken.
+type taken struct{ n atomic.Int64 }
+
+func (t *taken) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("configuration taken")) {
+		t.n.Add(1)
+	}
+	return len(b), nil
+}
+
+// configured is the processor time of each of so many changed configurations, which need a new start or none.
+func configured(ctx context.Context, size, changes int, starts bool) ([]float64, error) {
+	list := text(1, size, true)
+	var wholes atomic.Int64
+	discovery, closed, err := standIn(func(w http.ResponseWriter, r *http.Request) {
+		if ms, err := strconv.Atoi(r.URL.Query().Get("wait_ms")); err == nil {
+			pause(r.Context(), time.Duration(ms)*time.Millisecond)
+			w.Write(text(1, 0, false))
+			return
+		}
+		w.Write(list)
+		wholes.Add(1)
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer closed()
+	const name = "instance-00000"
+	addrs, err := free(2)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	version, changed := uint64(1), make(chan struct{})
+	agents, closed, err := standIn(func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		mu.Lock()
+		now, wait := version, changed
+		mu.Unlock()
+		if now == after {
+			select {
+			case <-wait:
+				now++
+			case <-time.After(time.Second):
+				w.WriteHeader(http.StatusNoContent)
+				return
+			case <-r.Context().Done():
+				return
+			}
+		}
+		at, rate := addrs[0], now
+		if starts {
+			at, rate = addrs[now%2], 0
+		}
+		json.NewEncoder(w).Encode(agent.Entry{Name: name, Version: now, Config: served(name, at, discovery, 1000+rate)})
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer closed()
+	var log taken
+	serve, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- serving.Follow(serve, []string{agents}, func(key string) string {
+			if key == "PROXY_NAME" {
+				return name
+			}
+			return ""
+		}, "", slog.New(slog.NewTextHandler(&log, nil)))
+	}()
+	defer func() { stop(); <-ended }()
+	ready := func(what string, is func() bool) error {
+		var failed error
+		err := until(ctx, what, func() bool {
+			select {
+			case failed = <-ended:
+				ended <- failed
+				failed = fmt.Errorf("it ended: %w", failed)
+			default:
+			}
+			return failed != nil || is()
+		})
+		return errors.Join(err, failed)
+	}
+	// listed waits until one has read the list, and its predecessor, if it has one, is leaving.
+	listed := func(lists int) error {
+		if err := ready("a successor with its list", func() bool { return wholes.Load() >= int64(lists) }); err != nil {
+			return err
+		}
+		return pause(ctx, time.Second)
+	}
+	if err := listed(1); err != nil {
+		return nil, err
+	}
+	used := cpu()
+	for i := range changes {
+		mu.Lock()
+		version++
+		close(changed)
+		changed = make(chan struct{})
+		mu.Unlock()
+		if starts {
+			err = listed(2 + i)
+		} else {
+			err = ready("a configuration taken", func() bool { return log.n.Load() >= int64(2+i) })
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if lists := wholes.Load(); !starts && lists > 1 {
+		return nil, fmt.Errorf("%d lists were read where none had to be", lists-1)
+	}
+	return []float64{float64((cpu() - used).Microseconds()) / float64(changes)}, nil
+}
+
+// standIn is a server on the loopback.
+func standIn(h http.HandlerFunc) (addr string, closed func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go s.Serve(l)
+	return l.Addr().String(), func() { s.Close() }, nil
+}
--- a/internal/scale/slope/figures.go
+++ b/internal/scale/slope/figures.go
@@ -19,7 +19,7 @@
 const (
 	howLists      = "how changes of the list get to all: internal/discovery"
 	howConfigs    = "how configurations get to all: internal/agent"
-	howSuccessors = "how a changed configuration comes into force: internal/instance"
+	howConfigured = "how a changed configuration comes into force: internal/instance"
 	howFeed       = "the feed: internal/feed, internal/fleet/feed"
 	howModule     = "what a change costs the module: root package"
 	howTurn       = "what a request costs the module: root package"
@@ -46,8 +46,10 @@
 	change := func(c costs, s Size) float64 {
 		return c.at("module.change", s.Targets) + c.at("upstream.change", s.Targets) + c.each("list.decode")
 	}
-	// successor is what a configuration that has changed costs: an instance from the beginning.
-	successor := func(c costs, s Size) float64 { return c.at("successor.cpu", s.Targets) }
+	// adopted is what a configuration that has changed costs an initiator that knows as many volumes as it keeps accounts of.
+	adopted := func(c costs, s Size) float64 { return c.at("adopt.cpu", s.Targets) + c.at("module.adopt", s.Volumes) }
+	// gathered is how many of a burst's changes come to an initiator in a second.
+	gathered := func(s Size) float64 { return min(s.Burst, 1/feed.Fair.Gather.Seconds()) }
 	taken := func(c costs, _ Size, _ Limits) float64 { return 1e6 / c.each("agent.change.time") }
 	entries := func(s Size) float64 { return s.ChangeRate() * s.Initiators }
 	return append(feedFigures(), []Figure{
@@ -57,15 +59,19 @@
 		{Role: "initiator", Of: "processor: changes of the list, one by one", When: zoneBack, Unit: "core", Names: []string{"module.change", "upstream.change", "list.decode"},
 			Mechanism: howModule,
 			Value:     func(c costs, s Size, _ Limits) float64 { return s.Targets / s.Zones / minute * change(c, s) / 1e6 }, Limit: core},
-		{Role: "initiator", Of: "processor: each configuration starts a successor", When: ordinary, Unit: "core", Names: []string{"successor.cpu"}, Mechanism: howSuccessors,
-			Value: func(c costs, s Size, _ Limits) float64 { return s.ChangeRate() * successor(c, s) / 1e6 }, Limit: core},
-		{Role: "initiator", Of: "processor: each configuration starts a successor", When: worst, Unit: "core", Names: []string{"successor.cpu"}, Mechanism: howSuccessors, Feed: Without,
-			Value: func(c costs, s Size, _ Limits) float64 { return s.Burst * successor(c, s) / 1e6 }, Limit: core},
-		{Role: "initiator", Of: "processor: each configuration starts a successor, those gathered at the relay as one", When: worst, Unit: "core", Names: []string{"successor.cpu"},
-			Mechanism: howSuccessors, Feed: By,
+		{Role: "initiator", Of: "processor: each configuration, taken over by what runs", When: ordinary, Unit: "core", Names: []string{"adopt.cpu", "module.adopt"}, Mechanism: howConfigured,
+			Value: func(c costs, s Size, _ Limits) float64 { return s.ChangeRate() * adopted(c, s) / 1e6 }, Limit: core},
+		{Role: "initiator", Of: "processor: each configuration, taken over by what runs", When: worst, Unit: "core", Names: []string{"adopt.cpu", "module.adopt"}, Mechanism: howConfigured,
+			Feed:  Without,
+			Value: func(c costs, s Size, _ Limits) float64 { return s.Burst * adopted(c, s) / 1e6 }, Limit: core},
+		{Role: "initiator", Of: "processor: each configuration, taken over by what runs, those gathered at the relay as one", When: worst, Unit: "core",
+			Names: []string{"adopt.cpu", "module.adopt"}, Mechanism: howConfigured, Feed: By,
+			Value: func(c costs, s Size, _ Limits) float64 { return gathered(s) * adopted(c, s) / 1e6 }, Limit: core},
+		{Role: "initiator", Of: "processor: each configuration, if all of them needed a new start", When: ordinary, Unit: "core", Names: []string{"successor.cpu"}, Mechanism: howConfigured,
 			Value: func(c costs, s Size, _ Limits) float64 {
-				return min(s.Burst, 1/feed.Fair.Gather.Seconds()) * successor(c, s) / 1e6
-			}, Limit: core},
+				return s.ChangeRate() * c.at("successor.cpu", s.Targets) / 1e6
+			}, Limit: core,
+			Untold: "how many changes are of addresses or of the operator's file"},
 		{Role: "initiator", Of: "processor: watches, renewals, members and timers, with nothing new", When: always, Unit: "core",
 			Names: []string{"discovery.cpu", "follower.cpu", "renewer.cpu", "members.cpu", "module.timer"}, Mechanism: howKept, Feed: Without,
 			Value: func(c costs, s Size, _ Limits) float64 {
--- a/internal/scale/slope/module.go
+++ b/internal/scale/slope/module.go
@@ -32,10 +32,11 @@
 // module is a scheduler that knows so many targets, each a shard of its own.
 type module struct {
 	*spindlehitch.Scheduler
-	now   time.Duration
-	nodes []spindlehitch.Node
-	asked int
-	rng   *rand.Rand
+	now     time.Duration
+	nodes   []spindlehitch.Node
+	asked   int
+	volumes int
+	rng     *rand.Rand
 }
 
 func newModule(targets int) (*module, error) {
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &module{Scheduler: s, now: time.Minute, rng: rand.New(rand.NewPCG(1, uint64(targets)))}
+	m := &module{Scheduler: s, now: time.Minute, volumes: 4096, rng: rand.New(rand.NewPCG(1, uint64(targets)))}
 	for i := range targets {
 		m.nodes = append(m.nodes, spindlehitch.Node{ID: target(i), Zone: fmt.Sprint("zone-", i%30), Shard: i})
 	}
@@ -65,7 +66,7 @@
 	m.asked++
 	id := fmt.Sprint("r", m.asked)
 	m.now += 60 * time.Microsecond
-	for _, a := range m.Step(m.now, []spindlehitch.Event{spindlehitch.Request{ID: id, Class: "read", Plan: "base", Volume: fmt.Sprint("v", m.asked%4096),
+	for _, a := range m.Step(m.now, []spindlehitch.Event{spindlehitch.Request{ID: id, Class: "read", Plan: "base", Volume: fmt.Sprint("v", m.asked%m.volumes),
 		Shard: m.rng.IntN(len(m.nodes)), Units: 1, Initiators: 1, Budget: 2 * time.Second}}) {
 		if a.Kind == spindlehitch.Send {
 			m.now += 60 * time.Microsecond
@@ -110,5 +111,30 @@
 			}) / 20
 			runtime.KeepAlive(m)
 			return []float64{change, request, timer, whole, held}, nil
+		}}, {
+		About: "root package, 2,000 targets: other settings, all plans with other rates, while volumes are known that have been served lately",
+		Gives: []Gives{{Name: "module.adopt", Unit: "us", Of: "other settings", Per: "volume"}},
+		Sizes: []float64{64, 256, 1024, 4096, 16384}, Short: []float64{128, 256, 512, 1024}, Turns: 3,
+		Run: func(_ context.Context, size int) ([]float64, error) {
+			m, err := newModule(2000)
+			if err != nil {
+				return nil, err
+			}
+			m.volumes = size
+			for range size {
+				m.request()
+			}
+			other := [2]spindlehitch.Settings{settings(), settings()}
+			for i := range other[1].Plans {
+				other[1].Plans[i].Rate *= 2
+			}
+			turn := 0
+			took := quickest(20, 100*time.Millisecond, func() {
+				turn++
+				m.now += time.Microsecond
+				m.Step(m.now, []spindlehitch.Event{other[turn%2]})
+			})
+			runtime.KeepAlive(m)
+			return []float64{took}, nil
 		}}}
 }
--- a/internal/scale/slope/probe.go
+++ b/internal/scale/slope/probe.go
@@ -37,7 +37,7 @@
 
 // Probes is all of them.
 func Probes() []Probe {
-	return slices.Concat(moduleProbes(), listProbes(), fleetProbes(), memberProbes(), edgeProbes(), agentProbes(), feedProbes(), successorProbes())
+	return slices.Concat(moduleProbes(), listProbes(), fleetProbes(), memberProbes(), edgeProbes(), agentProbes(), feedProbes(), configuredProbes())
 }
 
 // Measure runs a probe at so many sizes, one after another, and fits what came.
