A write's data leaves no later than its window, also where the deadline's timer is late

Checked, the first: a write that follows a target's R2T is bounded by the deadline of the connection's writes alone (host.go, finish). Go keeps it by a timer, and a write goes out until that has fired: on a busy machine past the window. The clock is looked at before the data leaves now. The test has a connection without that timer and fails without the change, always. The test waits until each rests. Its front also has no time after which idle ones end, which a machine that stood still for 2 s would meet.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,12 +80,13 @@
 	conns    *connTable
 	left     atomic.Pointer[time.Time] // when Stop was called
 	handed   atomic.Bool
+	idle     time.Duration // idleFor
 	admits   atomic.Pointer[Admits]
 }
 
 // New returns a front for the core.
 func New(c Core, opt Options) *Server {
-	s := &Server{opt: opt, core: c, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Room, opt.Log)}
+	s := &Server{opt: opt, core: c, idle: idleFor, conns: newConnTable(opt.MostConn, opt.EasyConn, opt.Room, opt.Log)}
 	s.http = http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: core.LeaveWithin(math.MaxInt64).Answer + idleFor, MaxHeaderBytes: maxHead,
 		ConnState: s.conns.state, ConnContext: withConn, ErrorLog: slog.NewLogLogger(opt.Log.Handler(), slog.LevelWarn)}
 	s.Admit(opt.Admits)
@@ -101,14 +102,14 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
-		tick := time.NewTicker(idleFor / 8)
+		tick := time.NewTicker(s.idle / 8)
 		defer tick.Stop()
 		for {
 			select {
 			case <-ended:
 				return
 			case <-tick.C:
-				s.conns.endIdle(idleFor)
+				s.conns.endIdle(s.idle)
 			}
 		}
 	}()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -411,9 +411,25 @@
 	}
 }
 
+// resting waits until so many connections have had their answers, and rest.
+func resting(t *testing.T, s *Server, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		quiets := 0
+		for c := range s.conns.open {
+			if c.phase.Load() == quiet && c.used.Load() {
+				quiets++
+			}
+		}
+		return quiets == n
+	}, 20*time.Second, time.Millisecond)
+}
+
 // TestCapMakesRoom fills the clients' connections: a new one is taken all the same, and the one idle longest goes.
 func TestCapMakesRoom(t *testing.T) {
-	_, b, addr := newFront(t, 2)
+	s, b, addr := newFront(t, 2, func(s *Server) { s.idle = time.Hour }) // none ends by itself, however long the machine stands still
 	go func() {
 		for j := range b.jobs {
 			j.Done(core.Answer{Payload: []byte("x")})
@@ -421,7 +437,9 @@
 	}()
 	defer close(b.jobs)
 	_, _, first := ask(t, addr, good)
+	resting(t, s, 1) // a client may have its answer before its connection rests: of two that rest the order would be by chance
 	_, _, second := ask(t, addr, good)
+	resting(t, s, 2)
 	if resp, _, _ := ask(t, addr, good); resp.StatusCode != 200 {
 		t.Errorf("past the cap: status %d", resp.StatusCode)
 	}
--- a/internal/nvme/host.go
+++ b/internal/nvme/host.go
@@ -572,6 +572,10 @@
 			if length == 0 || offset+length > int64(len(x.Data)) {
 				return 0, nil, errors.New("R2T out of range")
 			}
+			if !time.Now().Before(a.WriteBy()) {
+				// The deadline of writes is kept by a timer, which a busy machine may fire late: what must not leave any more must not hang on it.
+				return 0, nil, os.ErrDeadlineExceeded
+			}
 			if err := s.sendData(c.cid(), p.u16(10), x.Data, int(offset), int(offset+length)); err != nil {
 				return 0, nil, err
 			}
--- a/internal/nvme/nvme_test.go
+++ b/internal/nvme/nvme_test.go
@@ -828,6 +828,13 @@
 	require.Len(t, h.all, 1)
 }
 
+// tardy is a connection on a machine that is too busy to fire the timer of its writes' deadline.
+type tardy struct{ net.Conn }
+
+func (tardy) SetWriteDeadline(time.Time) error { return nil }
+
+func (c tardy) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
 // TestDataPastItsWindow has a target ask for a write's data just inside the window that the repeat may leave in, and after it: then no byte of
 // the data goes out, and the write cannot have begun. A completion of another command is not taken for its.
 func TestDataPastItsWindow(t *testing.T) {
@@ -856,7 +863,7 @@
 		}()
 		c, err := net.Dial("tcp", l.Addr().String())
 		require.NoError(t, err)
-		q := &session{wire: &wire{Conn: c, in: bufio.NewReader(c), most: blockSize}, from: &association{talk: make(chan struct{}, 1), inUse: map[uint16]bool{}}}
+		q := &session{wire: &wire{Conn: tardy{c}, in: bufio.NewReader(c), most: blockSize}, from: &association{talk: make(chan struct{}, 1), inUse: map[uint16]bool{}}}
 		r, reuse, _ := q.Do(core.Attempt{Until: time.Now().Add(patient), Before: before, Payload: &IO{Write: true, NSID: 1, Blocks: 1, Bytes: blockSize,
 			Data: make([]byte, blockSize)}}, func() bool { return true })
 		q.Close()
