Readers leave a relay that alone is cut off, and go home again

A reader whose relay says that what it has may be over 3 s old asks the others of its region, and one of another, the next in its own order; it stays with one that has newer (not aged, or half as old), else goes back and asks again after 10 to 30 s at the earliest. Where all are cut from the same, all are about as old and nobody moves; one that is busy is passed by. Relays do the same with agents. Found by its test and mended: readers never went home. The time at which home was due was put off by each answer that came after it (mover.go, settle, before Ended), and polls end with an answer; only a look in the instant between two calls could have seen it. TestHome fails without that.

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -43,6 +43,7 @@
 	Relays                    []feed.Relay // what it may follow
 	Dir                       string       // where the copy is kept; empty: nowhere
 	Seed                      uint64       // of what is spread; 0: from the name
+	Moves                     feed.MoverOptions
 	Log                       *slog.Logger // nil: none
 	// Transport carries the polls; nil: one of the follower's own, and then State counts all bytes of its connections and not the
 	// bodies alone.
@@ -134,11 +135,10 @@
 	turn := cmp.Or(opt.Turn, uint64(time.Now().UnixMilli()))
 	f.replica = feed.NewReplica(opt.Fleet, scope, turn, feed.Limits{})
 	f.load()
-	moves := feed.MoverOptions{}
 	if opt.All {
-		moves.Most = relayMost
+		opt.Moves.Most = cmp.Or(opt.Moves.Most, relayMost)
 	}
-	f.mover = feed.NewMover(opt.Relays, opt.Region, opt.Name, opt.Seed, moves)
+	f.mover = feed.NewMover(opt.Relays, opt.Region, opt.Name, opt.Seed, opt.Moves)
 	return f, nil
 }
 
@@ -155,11 +155,11 @@
 			f.move(relay, last)
 			last = relay.ID
 		}
-		out, after := f.poll(ctx, relay)
+		out, after, age := f.poll(ctx, relay)
 		if ctx.Err() != nil {
 			break
 		}
-		f.mover.Ended(monotone.Now(), out, after)
+		f.mover.Ended(monotone.Now(), out, after, age)
 		f.save(false)
 	}
 	f.save(true)
@@ -193,8 +193,8 @@
 	f.log.Info("feed source", slog.String("reason", "FEED_MOVED"), slog.String("relay", to.ID), slog.String("region", to.Region), slog.String("from", from))
 }
 
-// poll asks a relay once, and takes what it answers.
-func (f *Follower) poll(ctx context.Context, relay feed.Relay) (feed.Outcome, time.Duration) {
+// poll asks a relay once, and takes what it answers: after is when to come again, age how old what it has may be.
+func (f *Follower) poll(ctx context.Context, relay feed.Relay) (out feed.Outcome, after, age time.Duration) {
 	f.mu.Lock()
 	h := f.replica.Hello()
 	f.state.Polls++
@@ -204,35 +204,36 @@
 	status, age, body, err := f.ask(ctx, relay.Addr, &h)
 	switch {
 	case ctx.Err() != nil:
-		return feed.Failed, 0
+		return feed.Failed, 0, 0
 	case err != nil:
 		f.failed(relay, err)
 		if errors.Is(err, context.DeadlineExceeded) {
-			return feed.Silent, 0
+			return feed.Silent, 0, 0
 		}
-		return feed.Failed, 0
+		return feed.Failed, 0, 0
 	case status == http.StatusOK:
-		return f.take(relay, body)
+		out, age := f.take(relay, body)
+		return out, 0, age
 	case status == http.StatusNoContent:
 		f.heard(relay, age)
 		if monotone.Now()-began < hurried {
 			sleep(ctx, hurried) // it leaves, or doesn't wait: it isn't asked without a pause
 		}
-		return feed.Answered, 0
+		return feed.Answered, 0, age
 	}
 	var no Refused
 	if err := format.Unmarshal(body, &no); err != nil || no.Reason == "" {
 		f.failed(relay, fmt.Errorf("it answers %d, %.100q", status, body))
-		return feed.Failed, 0
+		return feed.Failed, 0, 0
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if no.AfterMs > 0 {
 		f.state.Busy++
-		return feed.Turned, min(time.Duration(no.AfterMs)*time.Millisecond, time.Minute)
+		return feed.Turned, min(time.Duration(no.AfterMs)*time.Millisecond, time.Minute), 0
 	}
 	f.refused(relay, no.Reason, no.Why)
-	return feed.Refused, 0
+	return feed.Refused, 0, 0
 }
 
 // ask makes one call. The answer is unpacked.
@@ -284,7 +285,7 @@
 }
 
 // take has a delta taken, and applied.
-func (f *Follower) take(relay feed.Relay, body []byte) (feed.Outcome, time.Duration) {
+func (f *Follower) take(relay feed.Relay, body []byte) (out feed.Outcome, age time.Duration) {
 	var d feed.Delta
 	if err := format.Unmarshal(body, &d); err != nil {
 		f.mu.Lock()
@@ -307,9 +308,10 @@
 	f.changed = make(chan struct{})
 	f.mu.Unlock()
 	f.dirty, f.moved = f.dirty || len(records) > 0, true
-	f.heard(relay, time.Duration(max(0, d.AgeMs))*time.Millisecond)
+	age = time.Duration(max(0, d.AgeMs)) * time.Millisecond
+	f.heard(relay, age)
 	f.apply(Change{Records: records, Position: mark.Position}, mark)
-	return feed.Answered, 0
+	return feed.Answered, age
 }
 
 // apply tells what is new, and acknowledges it as far as it is in force.
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -233,6 +233,61 @@
 	eventually(t, func() bool { return f.State().AgeMs < 4000 }, "it hears again")
 }
 
+// homed names a reader whose home is the first of these relays.
+func homed(relays []feed.Relay) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprint("i", i); feed.Order(relays, "north", name)[0] == relays[0] {
+			return name
+		}
+	}
+}
+
+// TestRelayCutAlone cuts one of two relays off from the agents: it answers still, and its readers hear what is new from the other, soon. Once it
+// hears again they come back.
+func TestRelayCutAlone(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(append(targets(20), layer("shared", `{"a":1}`))...)
+	g := &gate{open: map[net.Conn]bool{}}
+	cut := relayAt(t, "127.0.0.1:0", RelayOptions{ID: "cut", Agents: []string{b.addr}, Dial: g.dial})
+	other := relayAt(t, "127.0.0.1:0", RelayOptions{ID: "other", Agents: []string{b.addr}})
+	relays := []feed.Relay{{ID: "cut", Region: "north", Addr: cut.addr}, {ID: "other", Region: "north", Addr: other.addr}}
+	f := follow(t, Options{Name: homed(relays), Relays: relays, Moves: feed.MoverOptions{HomeLeast: time.Second, HomeMost: 2 * time.Second}})
+	f.at(v)
+	require.Equal(t, "cut", f.State().Relay)
+	g.set(true)
+	began := time.Now()
+	later := b.put(target(1, 1))
+	f.at(later)
+	t.Logf("in force after %v", time.Since(began).Round(time.Millisecond))
+	require.Equal(t, "other", f.State().Relay)
+	for i := range 3 { // home is tried meanwhile, and has nothing newer
+		f.at(b.put(target(1, 2+i)))
+		time.Sleep(time.Second)
+	}
+	require.LessOrEqual(t, f.State().AgeMs, int64(4000))
+	g.set(false)
+	eventually(t, func() bool { return f.State().Relay == "cut" }, "it is back")
+	f.at(b.put(target(2, 9)))
+}
+
+// TestHome has a reader's home not answer for a while: it goes to the other relay, and home once that answers again.
+func TestHome(t *testing.T) {
+	b := newBook(t, feed.SourceOptions{})
+	v := b.put(targets(3)...)
+	home := relayAt(t, "127.0.0.1:0", RelayOptions{ID: "home", Agents: []string{b.addr}})
+	other := relayAt(t, "127.0.0.1:0", RelayOptions{ID: "other", Agents: []string{b.addr}})
+	relays := []feed.Relay{{ID: "home", Region: "north", Addr: home.addr}, {ID: "other", Region: "north", Addr: other.addr}}
+	f := follow(t, Options{Name: homed(relays), Relays: relays, Moves: feed.MoverOptions{HomeLeast: time.Second, HomeMost: 2 * time.Second}})
+	f.at(v)
+	require.Equal(t, "home", f.State().Relay)
+	home.kill()
+	f.at(b.put(target(1, 1)))
+	require.Equal(t, "other", f.State().Relay)
+	relayAt(t, home.addr, home.opt)
+	eventually(t, func() bool { return f.State().Relay == "home" }, "it is home")
+	f.at(b.put(target(1, 2)))
+}
+
 // TestAnotherFleet has a relay of another fleet and a follower of ours: nothing is taken, and it is counted.
 func TestAnotherFleet(t *testing.T) {
 	b := newBook(t, feed.SourceOptions{})
--- a/internal/fleet/feed/mover.go
+++ b/internal/fleet/feed/mover.go
@@ -58,14 +58,17 @@
 	Least, Most         time.Duration // before another relay is called: drawn from Least to twice that, doubled by each failure up to Most
 	HomeLeast, HomeMost time.Duration // after a move the first of the order is tried again: drawn between them
 	Patience            int           // failures of one relay one after another before the next is called
+	Aged                time.Duration // past that age of what a relay has, others are asked whether theirs is newer
 }
 
 // Moves is the usual waits.
-var Moves = MoverOptions{Least: 100 * time.Millisecond, Most: 2 * time.Second, HomeLeast: 10 * time.Second, HomeMost: 30 * time.Second, Patience: 1}
+var Moves = MoverOptions{Least: 100 * time.Millisecond, Most: 2 * time.Second, HomeLeast: 10 * time.Second, HomeMost: 30 * time.Second, Patience: 1,
+	Aged: 3 * time.Second}
 
 // Mover decides which relay a reader calls, and when.
 type Mover struct {
 	order   []Relay
+	near    int // of them are of the reader's region
 	opt     MoverOptions
 	rand    *rand.Rand
 	at      int           // who is called now
@@ -76,13 +79,23 @@
 	here    int           // of this relay
 	settled int           // who answered last; -1: nobody
 	moves   uint64
+
+	age    time.Duration // of what who answered last had
+	from   int           // where it looks about from; -1: it doesn't
+	ahead  []int         // who is asked yet, after the one that is called
+	lookAt time.Duration // when it may look about again
 }
 
 // NewMover returns a mover that has not called yet. Equal arguments give equal waits. Without relays Next tells of none.
 func NewMover(relays []Relay, region, reader string, seed uint64, o MoverOptions) *Mover {
 	o.Least, o.Most, o.Patience = cmp.Or(o.Least, Moves.Least), cmp.Or(o.Most, Moves.Most), cmp.Or(o.Patience, Moves.Patience)
 	o.HomeLeast, o.HomeMost = cmp.Or(o.HomeLeast, Moves.HomeLeast), cmp.Or(o.HomeMost, Moves.HomeMost)
-	return &Mover{order: Order(relays, region, reader), opt: o, rand: rand.New(rand.NewPCG(seed, xxhash.Sum64String(reader))), back: -1, settled: -1}
+	o.Aged = cmp.Or(o.Aged, Moves.Aged)
+	m := &Mover{order: Order(relays, region, reader), opt: o, rand: rand.New(rand.NewPCG(seed, xxhash.Sum64String(reader))), back: -1, settled: -1, from: -1}
+	for m.near < len(m.order) && m.order[m.near].Region == region {
+		m.near++
+	}
+	return m
 }
 
 // Next is whom to call, and when: not before at. Whoever then calls another relay than the last time tells the Replica by Moved first.
@@ -90,7 +103,7 @@
 	if len(m.order) == 0 {
 		return Relay{}, now + m.opt.Most
 	}
-	if m.at != 0 && m.back < 0 && m.fails == 0 && m.here == 0 && m.home > 0 && now >= m.home {
+	if m.at != 0 && m.from < 0 && m.back < 0 && m.fails == 0 && m.here == 0 && m.home > 0 && now >= m.home {
 		m.back, m.at, m.due = m.at, 0, now
 	}
 	return m.order[m.at], max(m.due, now)
@@ -99,22 +112,19 @@
 // Moves is how often another relay answered than the one before.
 func (m *Mover) Moves() uint64 { return m.moves }
 
-// Ended tells how the call ended; after is what a Busy said.
-func (m *Mover) Ended(now time.Duration, o Outcome, after time.Duration) {
+// Ended tells how the call ended; after is what a Busy said, age how old what one has may be who answered.
+func (m *Mover) Ended(now time.Duration, o Outcome, after, age time.Duration) {
 	if len(m.order) == 0 {
 		return
 	}
+	aged := o == Answered && age > m.opt.Aged
 	switch {
-	case o == Answered:
-		if m.settled >= 0 && m.settled != m.at {
-			m.moves++
-		}
-		m.settled, m.fails, m.here, m.back, m.due = m.at, 0, 0, -1, now
-		switch {
-		case m.at == 0:
-			m.home = 0
-		case m.home <= now:
-			m.home = now + m.between(m.opt.HomeLeast, m.opt.HomeMost)
+	case m.from >= 0:
+		m.looked(now, o, age)
+	case o == Answered && !(aged && m.back >= 0 && !m.newer(age)):
+		m.settle(now, age)
+		if aged && now >= m.lookAt {
+			m.look(now)
 		}
 	case m.back >= 0: // home isn't ready: go on where it was
 		m.at, m.back, m.due = m.back, -1, now
@@ -135,11 +145,63 @@
 	}
 }
 
+// settle stays with who has answered.
+func (m *Mover) settle(now, age time.Duration) {
+	if m.settled >= 0 && m.settled != m.at {
+		m.moves++
+	}
+	m.settled, m.fails, m.here, m.back, m.due, m.age = m.at, 0, 0, -1, now, age
+	switch {
+	case m.at == 0:
+		m.home = 0
+	case m.home == 0: // one whose time has come stays so until it is tried
+		m.home = now + m.between(m.opt.HomeLeast, m.opt.HomeMost)
+	}
+}
+
+// newer tells whether what is so old is worth a move from where it is now: what isn't aged, or is not half as old. Where all are cut off
+// from the same, all are about as old, and everybody stays.
+func (m *Mover) newer(age time.Duration) bool { return age <= m.opt.Aged || age <= m.age/2 }
+
+// look asks the others of its region whether what they have is newer, and one of another region, which is the next in the reader's own order and so not
+// the same for all.
+func (m *Mover) look(now time.Duration) {
+	m.from, m.ahead = m.at, m.ahead[:0]
+	for i := range min(m.near+1, len(m.order)) {
+		if i != m.at {
+			m.ahead = append(m.ahead, i)
+		}
+	}
+	m.ask(now)
+}
+
+// ask calls the next of those that are asked, or goes back to where it was, for a while.
+func (m *Mover) ask(now time.Duration) {
+	if m.due = now; len(m.ahead) > 0 {
+		m.at, m.ahead = m.ahead[0], m.ahead[1:]
+		return
+	}
+	m.at, m.from, m.lookAt = m.from, -1, now+m.between(m.opt.HomeLeast, m.opt.HomeMost)
+}
+
+// looked takes the end of a call of one that is asked. One that is busy or doesn't answer is passed by: who asks has somebody who does.
+func (m *Mover) looked(now time.Duration, o Outcome, age time.Duration) {
+	if o != Answered || !m.newer(age) {
+		m.ask(now)
+		return
+	}
+	m.from, m.lookAt = -1, 0
+	if age > m.opt.Aged {
+		m.lookAt = now + m.between(m.opt.HomeLeast, m.opt.HomeMost)
+	}
+	m.settle(now, age)
+}
+
 func (m *Mover) next(now time.Duration) {
 	m.at, m.here = (m.at+1)%len(m.order), 0
 	if m.at == 0 {
 		m.home = 0
-	} else if m.home <= now {
+	} else if m.home == 0 {
 		m.home = now + m.between(m.opt.HomeLeast, m.opt.HomeMost)
 	}
 }
--- a/internal/fleet/proof/feed/moves_test.go
+++ b/internal/fleet/proof/feed/moves_test.go
@@ -61,7 +61,7 @@
 			r = again
 		}
 		o, after := answer(now, r.ID)
-		m.Ended(now, o, after)
+		m.Ended(now, o, after, 0)
 		ids, at = append(ids, r.ID), append(at, now)
 		now += 100 * time.Millisecond
 	}
@@ -160,3 +160,130 @@
 		}
 	}
 }
+
+// region plays the readers of r1 for so long: each polls for a second at who it is told to call, and hears how old that relay's state is.
+// It returns how many stay at each relay by id, and how many calls each relay had from readers that were at another.
+func region(t *testing.T, readers int, lasts time.Duration, ages func(id string, at time.Duration) time.Duration, busy func(id string, at time.Duration) bool, look func(reader int, id string, at time.Duration)) (stay map[string]int, moves int) {
+	stay = map[string]int{}
+	for i := range readers {
+		reader := fmt.Sprint("n", i)
+		m := feed.NewMover(relays(), "r1", reader, uint64(i), feed.MoverOptions{})
+		last := ""
+		for now := time.Duration(i) * time.Second / time.Duration(readers); now < lasts; {
+			r, at := m.Next(now)
+			if now = at; now >= lasts {
+				break
+			}
+			look(i, r.ID, now)
+			last = r.ID
+			if busy(r.ID, now) {
+				now += 5 * time.Millisecond
+				m.Ended(now, feed.Turned, 700*time.Millisecond, 0)
+				continue
+			}
+			now += time.Second
+			m.Ended(now, feed.Answered, 0, ages(r.ID, now))
+		}
+		stay[last]++
+		moves += int(m.Moves())
+	}
+	return stay, moves
+}
+
+// TestAgedRelay has relays that answer and are cut from the log: their readers go where newer is known, soon, spread, and not all at once to one; the
+// others stay. Where all are cut off, everybody stays where it is, and asks about seldom.
+func TestAgedRelay(t *testing.T) {
+	const n, cut = 300, 10 * time.Second
+	home := map[int]string{}
+	for i := range n {
+		home[i] = feed.Order(relays(), "r1", fmt.Sprint("n", i))[0].ID
+	}
+	never := func(string, time.Duration) bool { return false }
+	aged := func(is func(id string) bool, until time.Duration) func(string, time.Duration) time.Duration {
+		return func(id string, at time.Duration) time.Duration {
+			if is(id) && at > cut && at < until {
+				return at - cut
+			}
+			return 200 * time.Millisecond
+		}
+	}
+	one := func(id string) bool { return id == "relay/4" }
+	own := func(id string) bool { return id == "relay/3" || id == "relay/4" || id == "relay/5" }
+
+	// One is cut off.
+	late := map[int]time.Duration{} // the first call of another, by reader
+	_, moved := region(t, n, cut+8*time.Second, aged(one, time.Hour), never, func(i int, id string, at time.Duration) {
+		if id != home[i] && late[i] == 0 {
+			late[i] = at
+		}
+	})
+	readers := 0
+	for i, id := range home {
+		switch {
+		case id == "relay/4":
+			readers++
+			if late[i] == 0 || late[i] > cut+feed.Moves.Aged+1100*time.Millisecond {
+				t.Fatalf("%v: n%d is at a relay that is cut off, and asks another after %v", errMoves, i, late[i]-cut)
+			}
+		case late[i] != 0:
+			t.Fatalf("%v: n%d is at a relay that is not cut off, and asks another", errMoves, i)
+		}
+	}
+	if moved != readers {
+		t.Fatalf("%v: %d moves of %d readers", errMoves, moved, readers)
+	}
+	// It is cut off for long: home is tried, and not gone back to; then it is back.
+	stay, moves := region(t, n, 3*time.Minute, aged(one, time.Hour), never, func(int, string, time.Duration) {})
+	if stay["relay/4"] > n/10 || moves != readers { // some are just trying it
+		t.Fatalf("%v: %d are at a relay that is cut off, after %d moves of %d readers: %v", errMoves, stay["relay/4"], moves, readers, stay)
+	}
+	stay, _ = region(t, n, 3*time.Minute, aged(one, time.Minute), never, func(int, string, time.Duration) {})
+	if stay["relay/4"] != readers {
+		t.Fatalf("%v: %d of %d are back: %v", errMoves, stay["relay/4"], readers, stay)
+	}
+	// Its region is cut off, and others aren't: all go to others, spread.
+	stay, _ = region(t, n, cut+15*time.Second, aged(own, time.Hour), never, func(int, string, time.Duration) {})
+	for i := range 9 {
+		if id := fmt.Sprint("relay/", i); own(id) && stay[id] > 0 || !own(id) && (stay[id] < n/6/2 || stay[id] > n/6*2) {
+			t.Fatalf("%v: a region is cut off, and its readers are at %v", errMoves, stay)
+		}
+	}
+	// All are: nobody moves, and each asks four others in HomeLeast at most; one other region's relays know a part of them, not all.
+	asked, known := map[int]int{}, map[string]map[int]bool{}
+	const long = 5 * time.Minute
+	stay, moves = region(t, n, long, aged(func(string) bool { return true }, time.Hour), never, func(i int, id string, _ time.Duration) {
+		if id == home[i] {
+			return
+		}
+		asked[i]++
+		if known[id] == nil {
+			known[id] = map[int]bool{}
+		}
+		known[id][i] = true
+	})
+	if moves != 0 {
+		t.Fatalf("%v: all are as old, and there are %d moves", errMoves, moves)
+	}
+	for i, times := range asked {
+		if most := 3 * (1 + int(long/feed.Moves.HomeLeast)); times > most || times < 3 {
+			t.Fatalf("%v: n%d asks others %d times in %v", errMoves, i, times, long)
+		}
+	}
+	for id, readers := range known {
+		if !own(id) && len(readers) > n/6*2 {
+			t.Fatalf("%v: %s is asked by %d of %d readers of another region", errMoves, id, len(readers), n)
+		}
+	}
+	// All others are busy: whoever is passed by goes on where it is, and is not kept from it.
+	calls := map[int]int{}
+	_, moves = region(t, n, cut+20*time.Second, aged(one, time.Hour), func(id string, _ time.Duration) bool { return id != "relay/4" }, func(i int, id string, at time.Duration) {
+		if id == home[i] && at > cut+feed.Moves.Aged {
+			calls[i]++
+		}
+	})
+	for i, id := range home {
+		if id == "relay/4" && calls[i] < 10 {
+			t.Fatalf("%v: n%d called its own relay %d times while all others were busy", errMoves, i, calls[i])
+		}
+	}
+}
--- a/internal/fleet/proof/feed/wrong_test.go
+++ b/internal/fleet/proof/feed/wrong_test.go
@@ -73,8 +73,16 @@
 	// Who calls whom.
 	{"all of a relay's readers to one other", mover, "	_, _ = d.WriteString(reader)\n", "", "TestMoves"},
 	{"other regions first", mover, "			if a.Region == region {\n				return -1\n			}\n			return 1\n", "			if a.Region == region {\n				return 1\n			}\n			return -1\n", "TestMoves"},
-	{"never home again", mover, "	if m.at != 0 && m.back < 0 && m.fails == 0 && m.here == 0 && m.home > 0 && now >= m.home {\n", "	if false {\n", "TestMoves"},
+	{"never home again", mover, "	if m.at != 0 && m.from < 0 && m.back < 0 && m.fails == 0 && m.here == 0 && m.home > 0 && now >= m.home {\n", "	if false {\n", "TestMoves"},
 	{"a busy relay asked before its time", mover, "		m.due = now + after + m.between(0, m.opt.Least)\n", "		m.due = now + m.between(0, m.opt.Least)\n", "TestMoves"},
+	{"a relay that is cut off never left", mover, "		if aged && now >= m.lookAt {\n", "		if false {\n", "TestAgedRelay"},
+	{"left for one that is as old", mover, "	if o != Answered || !m.newer(age) {\n", "	if o != Answered {\n", "TestAgedRelay"},
+	{"others asked about all the time", mover, "	m.at, m.from, m.lookAt = m.from, -1, now+m.between(m.opt.HomeLeast, m.opt.HomeMost)\n", "	m.at, m.from, m.lookAt = m.from, -1, now\n", "TestAgedRelay"},
+	{"never another region's", mover, "		if i != m.at {\n", "		if i != m.at && i < m.near {\n", "TestAgedRelay"},
+	{"all relays of all regions asked", mover, "min(m.near+1, len(m.order))", "len(m.order)", "TestAgedRelay"},
+	{"home again while it is cut off", mover, "	case o == Answered && !(aged && m.back >= 0 && !m.newer(age)):\n", "	case o == Answered:\n", "TestAgedRelay"},
+	{"home's time put off while it is away", mover, "	case m.home == 0: // one whose time has come stays so until it is tried\n", "	case m.home <= now:\n", "TestAgedRelay"},
+	{"kept at one that is busy", mover, "	if o != Answered || !m.newer(age) {\n		m.ask(now)\n", "	if o == Turned {\n		m.due = now + m.opt.Least\n		return\n	}\n	if o != Answered || !m.newer(age) {\n		m.ask(now)\n", "TestAgedRelay"},
 	{"no wait after a failure", mover, "		m.due = now + m.between(wait, 2*wait)\n", "		m.due = now + 0*m.between(wait, 2*wait)\n", "TestMoves"},
 }
 
