--- a/internal/scale/run/control.go
+++ b/internal/scale/run/control.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"spindlehitch/internal/agent"
@@ -80,6 +81,7 @@
 			}
 			agents = append(agents, fmt.Sprintf("%q", way))
 		}
+		f.toAgents = append(f.toAgents, slices.Clone(f.links[at.Region][len(f.links[at.Region])-len(f.apis):]))
 		text := fmt.Sprintf("[relay]\nid = %q\nfleet = %q\nregion = %q\nlisten = %q\nagents = [%s]\ndir = %q\n", at.ID, fleetName, at.Region, listen,
 			strings.Join(agents, ", "), filepath.Join(f.dir, at.ID+".data"))
 		path := filepath.Join(f.dir, at.ID+".toml")
--- a/internal/scale/run/run.go
+++ b/internal/scale/run/run.go
@@ -277,7 +277,7 @@
 		}
 		r.Checks = append(r.Checks, c)
 		switch x.What {
-		case "kill-relays", "pause-relays", "burst", "deaf":
+		case "kill-relays", "pause-relays", "cut-relays", "burst", "deaf":
 			r.Checks = append(r.Checks, during)
 		}
 	}
--- a/internal/scale/run/spec.go
+++ b/internal/scale/run/spec.go
@@ -60,7 +60,7 @@
 
 // faults are the kinds, and which of their fields they need.
 var kinds = map[string]struct{ number, region bool }{
-	"kill-relays": {number: true}, "pause-relays": {number: true}, "kill-agent": {}, "pause-agent": {}, "cut-region": {region: true},
+	"kill-relays": {number: true}, "pause-relays": {number: true}, "kill-agent": {}, "pause-agent": {}, "cut-region": {region: true}, "cut-relays": {number: true},
 	"restart": {number: true}, "restart-all": {}, "restart-zone": {}, "burst": {}, "deaf": {number: true},
 }
 
@@ -187,7 +187,7 @@
 			return fmt.Errorf("fault[%d].number: %d is not over 0", i, f.Number)
 		case !(f.ForS >= 0 && f.ForS <= 3600), f.Changes < 0, f.HealedIn < 0:
 			return fmt.Errorf("fault[%d]: for_s, changes and healed_in can't be below 0, for_s is 3600 at most", i)
-		case f.What == "kill-relays" || f.What == "pause-relays":
+		case f.What == "kill-relays" || f.What == "pause-relays" || f.What == "cut-relays":
 			if s.Mechanism != "feed" || f.Number >= s.Relays {
 				return fmt.Errorf("fault[%d].number: %d of %d relays", i, f.Number, s.Relays)
 			}
--- a/internal/scale/run/spec_test.go
+++ b/internal/scale/run/spec_test.go
@@ -93,6 +93,7 @@
 		{`number = 1`, `number = 0`, "fault[0].number: 0 is not over 0"},
 		{`number = 1`, "number = 1\nregion = \"west\"", `fault[0].region: "west" is no region`},
 		{`number = 1`, "number = 1\nzone = \"n-9\"", `fault[0].zone: "n-9" is no zone`},
+		{`what = "kill-relays"`, "what = \"cut-relays\"\nzone = \"n-9\"", `fault[0].zone: "n-9" is no zone`},
 		{`what = "kill-relays"`, `what = "flood"`, `fault[0].what: "flood" is not known`},
 		{`what = "kill-relays"`, `what = "cut-region"`, `fault[0].region: "" is no region`},
 		{`what = "kill-relays"`, `what = "restart-zone"`, `fault[0].zone: "" is no zone`},
--- a/internal/scale/run/suffer.go
+++ b/internal/scale/run/suffer.go
@@ -158,15 +158,14 @@
 		return back(hit, resumed), err
 	case "cut-region":
 		f.targets.judgeFrom(time.Now().Add(time.Hour))
-		for _, l := range f.links[x.Region] {
-			l.Set(faults.Way{Hold: true}, faults.Way{Hold: true})
+		return held(f.links[x.Region]), nil
+	case "cut-relays": // they answer still
+		var of []*faults.Link
+		for _, i := range rng.Perm(len(f.relays))[:x.Number] {
+			f.say("%s is cut off from the agents", f.relays[i].name)
+			of = append(of, f.toAgents[i]...)
 		}
-		return func() error {
-			for _, l := range f.links[x.Region] {
-				l.Heal()
-			}
-			return nil
-		}, nil
+		return held(of), nil
 	case "restart", "restart-all", "restart-zone":
 		o := order{Do: "restart", Number: x.Number, Zone: x.Zone, Seed: seed}
 		if x.What == "restart-all" { // over the whole time
@@ -181,6 +180,19 @@
 	return nothing, nil // a burst is its changes alone
 }
 
+// held has links hold all that comes, until it ends.
+func held(links []*faults.Link) (end func() error) {
+	for _, l := range links {
+		l.Set(faults.Way{Hold: true}, faults.Way{Hold: true})
+	}
+	return func() error {
+		for _, l := range links {
+			l.Heal()
+		}
+		return nil
+	}
+}
+
 // hit is the processes that a fault is about: of the agents the leader.
 func (f *fleet) hit(x Fault, some func([]*proc, int) []*proc) ([]*proc, error) {
 	if x.What == "kill-relays" || x.What == "pause-relays" {
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -47,6 +47,7 @@
 	reals     []*real
 	backwards int                       // times that a real one said that an older version is in force
 	links     map[string][]*faults.Link // of each region, to all that is outside it
+	toAgents  [][]*faults.Link          // of each relay, among those
 	client    *agent.Client
 	entries   []listing.Entry
 	turns     []int64      // changes of each
