--- a/internal/instance/adopt_test.go
+++ b/internal/instance/adopt_test.go
@@ -35,28 +35,10 @@
 	offers chan offer
 	ended  chan error
 	leave  context.CancelFunc
-	log    lines
+	log    heard
 	serial atomic.Int64
 }
 
-// lines is a log that is read while it is written.
-type lines struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *lines) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *lines) count(what string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), what)
-}
-
 func (r *running) discovery(target string) *httptest.Server {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if q.URL.Query().Has("after") {
@@ -216,8 +198,8 @@
 	}
 	require.Equal(t, 200, resting.ask("export", "gold"), "what cannot be served changes nothing")
 	require.EqualValues(t, 1, r.wholes.Load(), "whole lists")
-	require.Equal(t, 1, r.log.count("msg=serving"))
-	require.Equal(t, 1, r.log.count("started=false"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=serving"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "started=false"))
 }
 
 // TestAdoptsUnderLoad has clients go on with request after request, each on one connection, while two hundred configurations come: none is
@@ -265,7 +247,7 @@
 	t.Logf("%d requests meanwhile", asked.Load())
 	require.Greater(t, asked.Load(), int64(200))
 	require.EqualValues(t, 1, r.wholes.Load(), "whole lists")
-	require.Equal(t, 1, r.log.count("msg=serving"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=serving"))
 }
 
 // TestAdoptsBounds has bounds come that hold at once: how many requests may be open, and where discovery is.
@@ -298,7 +280,7 @@
 	}))
 	require.Eventually(t, func() bool { return r.wholes.Load() > asked }, 30*time.Second, 10*time.Millisecond, "it is not asked where it is now")
 	require.NoError(t, r.offer(nil))
-	require.Equal(t, 1, r.log.count("msg=serving"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=serving"))
 }
 
 // TestAdoptsInTurn has an address change between configurations that need no start: a successor serves there, and takes over what follows.
@@ -316,8 +298,8 @@
 	}))
 	require.Equal(t, 200, r.client().ask("position-read", "gold"))
 	require.Equal(t, 200, first.ask("position-read", "base"), "the predecessor leaves by its own configuration")
-	require.Equal(t, 2, r.log.count("msg=serving"))
-	require.Equal(t, 1, r.log.count("for=listen"))
+	require.Equal(t, 2, strings.Count(r.log.String(), "msg=serving"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "for=listen"))
 }
 
 // TestAdoptsWhileLeaving has configurations come until the process has left: each is answered, and none keeps it.
@@ -401,7 +383,7 @@
 	require.Error(t, l.take(layers(`{"listen":"nowhere"}`), 3))
 	require.Equal(t, 200, r.client().ask("position-read", "gold"))
 	require.FileExists(t, filepath.Join(l.dir, lastName))
-	require.Equal(t, 1, r.log.count("msg=serving"))
+	require.Equal(t, 1, strings.Count(r.log.String(), "msg=serving"))
 }
 
 func layers(shared string) []feed.Record {
