A stop waits for who came under longer deadlines than those in force now

Found on reading the change over: a stop is bounded by the longest deadline, of the configuration in force. One taken over while a request is open may have shorter ones, and the process would have ended under that request (instance.go, Serve). The longest of an earlier configuration counts for as long as one of its clients may wait. TestAdoptsShorterDeadlines fails without it.

--- a/internal/instance/adopt.go
+++ b/internal/instance/adopt.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"runtime"
 	"slices"
+	"time"
 
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/core"
@@ -46,7 +47,9 @@
 	case <-a.module.ended: // nothing is decided any more
 	}
 	a.clients.Admit(admits(cfg))
+	was := a.in.patience()
 	a.in.cfg.Store(cfg)
+	a.in.before.Store(&earlier{was, time.Now().Add(was)})
 	return nil
 }
 
--- a/internal/instance/adopt_test.go
+++ b/internal/instance/adopt_test.go
@@ -283,6 +283,25 @@
 	require.Equal(t, 1, strings.Count(r.log.String(), "msg=serving"))
 }
 
+// TestAdoptsShorterDeadlines has clients' time become short while a request is open that came with a long one, and the process leave: it is
+// answered before the process ends, however much later than any that comes now.
+func TestAdoptsShorterDeadlines(t *testing.T) {
+	r := run(t, "")
+	require.NoError(t, r.offer(patient))
+	r.served()
+	c := r.client()
+	c.write("position-read", "base", "f000000000000001")
+	<-r.held
+	for range 2 { // the second is not the one that it came under either
+		require.NoError(t, r.offer(nil))
+	}
+	r.leave()
+	time.Sleep(leaveWithin(500*time.Millisecond) + 300*time.Millisecond)
+	close(r.hold)
+	status, body, _ := c.read()
+	require.Equal(t, "200 whole", fmt.Sprint(status, " ", body))
+}
+
 // TestAdoptsInTurn has an address change between configurations that need no start: a successor serves there, and takes over what follows.
 func TestAdoptsInTurn(t *testing.T) {
 	r := run(t, "")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -82,9 +82,8 @@
 	case <-in.crew.gone():
 		reason = "SUCCEEDED"
 	}
-	cfg = in.cfg.Load()
-	opt.Log.Info("leaving", slog.String("reason", reason), slog.Int("open", in.core.Open()), slog.Duration("within", core.LeaveWithin(longest(cfg)).Answer))
-	bound, done := context.WithTimeout(context.Background(), leaveWithin(longest(cfg)))
+	opt.Log.Info("leaving", slog.String("reason", reason), slog.Int("open", in.core.Open()), slog.Duration("within", core.LeaveWithin(longest(in.cfg.Load())).Answer))
+	bound, done := context.WithTimeout(context.Background(), leaveWithin(in.patience()))
 	defer done()
 	err = errors.Join(failed, in.parts.stop(bound))
 	opt.Log.Info("left", slog.Int("open", in.core.Open()))
@@ -98,9 +97,25 @@
 	crew   *crew // nil: the process is alone
 	fronts *fronts
 	cfg    atomic.Pointer[config.Config] // in force
+	before atomic.Pointer[earlier]       // nil: none was in force before that one
 	log    *slog.Logger
 }
 
+// earlier is how long a client may wait whose request came under a configuration that is not in force any more, and until when there may be one.
+type earlier struct {
+	longest time.Duration
+	until   time.Time
+}
+
+// patience is the longest that any client with a request here may wait.
+func (in *instance) patience() time.Duration {
+	d := longest(in.cfg.Load())
+	if b := in.before.Load(); b != nil && time.Now().Before(b.until) {
+		d = max(d, b.longest)
+	}
+	return d
+}
+
 // follow passes changes on.
 func (in *instance) follow(changes <-chan Change, ended <-chan struct{}) {
 	for {
