Fault run: a shared configuration that changes ten times a second while relays are hurt

Four initiators that take list and configuration from the feed, 40 requests a second at each, 60 changes of the shared layer; one relay cut from the agents alone for 6 s, one paused, one killed, one initiator killed and started again. The four places that read the seed from the environment are one.

--- /dev/null
+++ b/internal/faults/configure_test.go
@@ -0,0 +1,144 @@
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spindlehitch/internal/fleet/feed"
+)
+
+// configured is a shared configuration of a fleet that goes by its version: a plan is named by it, and what may be held, how long connections
+// rest and what limits there are go with it.
+func configured(discovery string, version int) feed.Put {
+	return layer("shared", `{"discovery":%q,"limits":{"sockets":%d},"settings":{"peersTotal":%d,"tickUs":2000,
+ "classes":[{"name":"position-read","promiseUs":%d,"deadlineUs":2000000,"effect":"pure","worth":%d}],
+ "contracts":[{"name":"base","usualRate":%d,"reservation":1000,"parts":1,"pays":1},{"name":"plan%d","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],
+ "extra":{"meanUnits":1,"largest":8},"limits":{"sendCap":3,"mostHeld":%d,"connIdleUs":%d}}}`,
+		discovery, 256+version%64, 4+version%3, 1000000+version, 1+version%5, 1000+version%500, version, 2000+version, 1000000*(1+version%4))
+}
+
+// TestConfigurationUnderFaults changes the shared configuration of four initiators ten times a second, while clients go on at each, and a relay is cut off from the
+// agents alone, one is paused and one killed, and an initiator is killed and started again. Nobody's request is lost or refused, but for those at the one that
+// was killed; no initiator begins a successor; and what the fleet knows to be in force is what clients meet.
+func TestConfigurationUnderFaults(t *testing.T) {
+	r := New(t)
+	f := &fed{Rig: r, t: t, targets: r.Targets(2, nil), starts: map[string]int64{"t0": 1000, "t1": 1000}}
+	agents := r.Agents(3)
+	f.Feed = r.Feed(agents, 2, "north", "south")
+	agents.Leader()
+	puts := []feed.Put{configured(f.targets.Discovery, 0)}
+	for i, x := range f.targets.All {
+		x.Shard = i
+		puts = append(puts, f.entry(x, "SERVING"))
+	}
+	var all []*Instance
+	for i := range 4 {
+		n := f.Layered(fmt.Sprint("n", i), f.regions[i%2])
+		f.all, all = append(f.all, n), append(all, n.Instance)
+		puts = append(puts, layer("instance/"+n.Name, `{"listen":%q,"control":%q}`, n.Listen, n.Control))
+	}
+	f.until("all serve", f.Put(puts...), f.all)
+	r.Load(t.Context(), all, 2)
+	for _, n := range all {
+		n.Offer(40)
+		f.Until(n.Name+" serves", func() bool { return n.Served.Load() > 10 })
+	}
+	lost := func(of []*Instance) (n int64) {
+		for _, x := range of {
+			n += x.Lost.Load() + x.Other.Load()
+		}
+		return n
+	}
+	had := lost(all)
+
+	rng := rand.New(rand.NewPCG(seedOf(3), 15))
+	const changes = 60
+	var hurt sync.WaitGroup
+	var last uint64
+	for i := 1; i <= changes; i++ {
+		switch i {
+		case changes / 6:
+			cut := f.Relays[rng.IntN(2)] // of the north
+			for _, k := range cut.Links {
+				k.Cut()
+			}
+			hurt.Go(func() {
+				time.Sleep(6 * time.Second)
+				for _, k := range cut.Links {
+					k.Heal()
+				}
+			})
+		case changes / 3:
+			paused, killed := f.Relays[2], f.Relays[3]
+			if rng.IntN(2) > 0 {
+				paused, killed = killed, paused
+			}
+			paused.Pause()
+			hurt.Go(func() {
+				time.Sleep(2 * time.Second)
+				paused.Resume()
+				killed.Kill()
+				time.Sleep(time.Second)
+				killed.Restart()
+			})
+		case changes / 2:
+			f.all[3].Kill()
+			f.all[3].Restart()
+		}
+		last = f.Put(configured(f.targets.Discovery, i))
+		time.Sleep(100 * time.Millisecond)
+	}
+	took := f.until("all have the last configuration", last, f.all)
+	t.Logf("in force at all %v after the last change", took.Round(time.Millisecond))
+	for _, n := range f.all {
+		require.Equal(t, http.StatusOK, ask(t, n.Listen, fmt.Sprint("plan", changes)), "%s says that the last configuration is in force", n.Name)
+		require.Equal(t, http.StatusUnprocessableEntity, ask(t, n.Listen, fmt.Sprint("plan", changes-1)), "%s", n.Name)
+	}
+	hurt.Wait()
+	for _, n := range all {
+		served := n.Served.Load()
+		f.Until(n.Name+" serves", func() bool { return n.Served.Load() > served+10 })
+	}
+	require.EqualValues(t, had, lost(all[:3]), "requests lost or refused at initiators that weren't killed")
+	for i, n := range f.all {
+		log := n.Log()
+		if i == 3 {
+			log = log[strings.LastIndex(log, "msg=serving"):]
+		}
+		require.LessOrEqual(t, strings.Count(log, "started=true"), 1, "%s begins once:\n%s", n.Name, log)
+		require.NotContains(t, log, "BAD_CONFIG")
+	}
+	f.Until("the fleet knows", func() bool { s, ok := f.status(fmt.Sprint(last)); return ok && s.Have == 4 && s.Refused == 0 })
+}
+
+// ask sends one request of a plan and returns its status.
+func ask(t *testing.T, addr, plan string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/position-read/7f3a9c21e0b4d655", nil)
+	require.NoError(t, err)
+	for name, value := range map[string]string{"Request-Id": fmt.Sprint("asked-", time.Now().UnixNano()), "Tier": plan, "Request-Timeout-Ms": "2000",
+		"IO-Info": "volume=00000003b4d60021,units=1,shard=0,hosts=1"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}).Do(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// seedOf is what SPINDLEHITCH_SEED says; the usual one where it says nothing.
+func seedOf(usual uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("SPINDLEHITCH_SEED"), 10, 64); err == nil {
+		return n
+	}
+	return usual
+}
--- a/internal/faults/feed_test.go
+++ b/internal/faults/feed_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -144,9 +143,7 @@
 	if d, err := time.ParseDuration(os.Getenv("SPINDLEHITCH_FAULTS")); err == nil {
 		length = d
 	}
-	if n, err := strconv.ParseUint(os.Getenv("SPINDLEHITCH_SEED"), 10, 64); err == nil {
-		seed = n
-	}
+	seed = seedOf(seed)
 	const initiators = 12
 	plan := feedSchedule(seed, initiators, length, 1400*time.Millisecond)
 	require.Equal(t, plan, feedSchedule(seed, initiators, length, 1400*time.Millisecond), "a seed names one schedule")
--- a/internal/faults/lease_long_test.go
+++ b/internal/faults/lease_long_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -34,9 +33,7 @@
 	if d, err := time.ParseDuration(os.Getenv("SPINDLEHITCH_FAULTS")); err == nil {
 		length, members, shards = d, 20, 30
 	}
-	if n, err := strconv.ParseUint(os.Getenv("SPINDLEHITCH_SEED"), 10, 64); err == nil {
-		seed = n
-	}
+	seed = seedOf(seed)
 	d := newDrill(t, members, shards, 1.0005, 0, 0.9995)
 	// What is paused is paused inside an act here.
 	plan := slices.DeleteFunc(Schedule(seed, members, 3, length, 8*time.Second/time.Duration(members)), func(e Event) bool { return e.What == "pause" })
--- a/internal/faults/long_test.go
+++ b/internal/faults/long_test.go
@@ -22,9 +22,7 @@
 	if d, err := time.ParseDuration(os.Getenv("SPINDLEHITCH_FAULTS")); err == nil {
 		length, instances = d, 20
 	}
-	if n, err := strconv.ParseUint(os.Getenv("SPINDLEHITCH_SEED"), 10, 64); err == nil {
-		seed = n
-	}
+	seed = seedOf(seed)
 	plan := Schedule(seed, instances, 3, length, time.Duration(6*time.Second)/time.Duration(instances))
 	if again := Schedule(seed, instances, 3, length, time.Duration(6*time.Second)/time.Duration(instances)); !slices.Equal(plan, again) {
 		t.Fatal("a seed names two schedules")
--- a/internal/faults/members_test.go
+++ b/internal/faults/members_test.go
@@ -186,9 +186,7 @@
 	if d, err := time.ParseDuration(os.Getenv("SPINDLEHITCH_FAULTS")); err == nil {
 		length = d
 	}
-	if n, err := strconv.ParseUint(os.Getenv("SPINDLEHITCH_SEED"), 10, 64); err == nil {
-		seed = n
-	}
+	seed = seedOf(seed)
 	r := New(t)
 	m := r.Mesh(MeshOptions{Size: 20, ProbeMs: probeMs, Rates: []float64{1, 1.0005, 0.9995}, Zones: 2})
 	r.Until("all know each other", m.Level)
