--- a/cmd/spindlehitch/serve_test.go
+++ b/cmd/spindlehitch/serve_test.go
@@ -30,6 +30,7 @@
 	"spindlehitch/internal/config"
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/instance"
+	"spindlehitch/internal/ports"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -41,12 +42,11 @@
 // freeAddr finds a port of the loopback that nobody listens on.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addrs, err := ports.Free(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs[0]
 }
 
 // world is a stand-in target and a discovery that names it.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch/internal/config"
+	"spindlehitch/internal/ports"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -31,14 +32,9 @@
 // freeAddrs finds ports of the loopback that nobody listens on.
 func freeAddrs(t *testing.T, n int) []string {
 	t.Helper()
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
+	addrs, err := ports.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return addrs
 }
--- a/internal/faults/link.go
+++ b/internal/faults/link.go
@@ -1,13 +1,12 @@
 package faults
 
 import (
-	"fmt"
 	"net"
-	"os"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
+
+	"spindlehitch/internal/ports"
 )
 
 // Way is what a link does with what passes in one direction. The zero value lets it through.
@@ -245,30 +244,12 @@
 	}
 }
 
-// ports is the next port to try. They are below those that the kernel gives to whoever names none: one of these, once let go, may be a
-// connection's by the time a process listens there.
-var ports atomic.Int64
-
-const (
-	firstPort = 10_000
-	manyPorts = 20_000
-)
-
 // FreeAddrs finds ports of the loopback that nobody listens on, each only once.
 func FreeAddrs(t testing.TB, n int) []string {
 	t.Helper()
-	ports.CompareAndSwap(0, int64(os.Getpid())*131)
-	var addrs []string
-	for range manyPorts {
-		if len(addrs) == n {
-			return addrs
-		}
-		addr := fmt.Sprint("127.0.0.1:", firstPort+ports.Add(1)%manyPorts)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			l.Close()
-			addrs = append(addrs, addr)
-		}
+	addrs, err := ports.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free ports")
-	return nil
+	return addrs
 }
--- a/internal/feed/relay_test.go
+++ b/internal/feed/relay_test.go
@@ -16,6 +16,7 @@
 
 	"spindlehitch/internal/fleet/feed"
 	"spindlehitch/internal/monotone"
+	"spindlehitch/internal/ports"
 )
 
 // relayed is a relay on the loopback that can be stopped and started again at its address.
@@ -33,6 +34,11 @@
 	opt.Fleet, opt.Region = fleet, "north"
 	r, err := NewRelay(opt)
 	require.NoError(t, err)
+	if addr == "127.0.0.1:0" { // where it may be started again
+		free, err := ports.Free(1)
+		require.NoError(t, err)
+		addr = free[0]
+	}
 	l, err := net.Listen("tcp", addr)
 	require.NoError(t, err)
 	x := &relayed{Relay: r, t: t, opt: opt, addr: l.Addr().String()}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -25,6 +25,7 @@
 	"spindlehitch/internal/core"
 	"spindlehitch/internal/figures"
 	"spindlehitch/internal/listing"
+	"spindlehitch/internal/ports"
 	"spindlehitch/internal/upstream"
 )
 
@@ -124,11 +125,11 @@
 		fmt.Fprint(w, `{"version":1,"full":true,"servers":[{"id":"t","addr":"127.0.0.1:1","cell":0,"state":"SERVING"}]}`)
 	}))
 	t.Cleanup(s.list.Close)
-	for _, name := range []string{"listen", "control", "accounts", "nvme"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		s.addrs[name] = l.Addr().String()
-		l.Close()
+	names := []string{"listen", "control", "accounts", "nvme"}
+	addrs, err := ports.Free(len(names))
+	require.NoError(t, err)
+	for i, name := range names {
+		s.addrs[name] = addrs[i]
 	}
 	return s
 }
--- a/internal/scale/run/control.go
+++ b/internal/scale/run/control.go
@@ -12,6 +12,7 @@
 	"spindlehitch/internal/fleet/feed"
 	"spindlehitch/internal/listing"
 	"spindlehitch/internal/monotone"
+	"spindlehitch/internal/ports"
 	"spindlehitch/internal/scale/hollow"
 )
 
@@ -23,7 +24,7 @@
 
 // startAgents starts them and waits for a leader.
 func (f *fleet) startAgents() error {
-	addrs, err := freeAddrs(2 * f.spec.Agents)
+	addrs, err := ports.Free(2 * f.spec.Agents)
 	if err != nil {
 		return err
 	}
@@ -67,7 +68,7 @@
 
 // startRelays starts them, spread over the regions; each meets the agents by its region's links.
 func (f *fleet) startRelays() error {
-	addrs, err := freeAddrs(f.spec.Relays)
+	addrs, err := ports.Free(f.spec.Relays)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/run/proc.go
+++ b/internal/scale/run/proc.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -208,31 +206,6 @@
 	return kB << 10 / 2, nil
 }
 
-// ports is the next port to try: each is given out once.
-var ports atomic.Int64
-
-// freeAddrs finds ports of the loopback that nobody listens on, below those that the kernel gives to connections.
-func freeAddrs(n int) (addrs []string, err error) {
-	const first, many = 10_000, 20_000
-	ports.CompareAndSwap(0, int64(os.Getpid())*131)
-	for range many {
-		if len(addrs) == n {
-			return addrs, nil
-		}
-		addr := fmt.Sprint("127.0.0.1:", first+ports.Add(1)%many)
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		if u, err := net.ListenPacket("udp", addr); err == nil {
-			u.Close()
-			addrs = append(addrs, addr)
-		}
-	}
-	return nil, errors.New("no free ports")
-}
-
 // folderSize is how many bytes the files below a folder have.
 func folderSize(dir string) (n int64) {
 	filepath.WalkDir(dir, func(_ string, e os.DirEntry, err error) error {
--- a/internal/scale/run/real.go
+++ b/internal/scale/run/real.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"spindlehitch/internal/monotone"
+	"spindlehitch/internal/ports"
 	"spindlehitch/internal/scale/hollow"
 )
 
@@ -27,7 +28,7 @@
 
 // startReals starts them, with the whole list as last known.
 func (f *fleet) startReals() error {
-	addrs, err := freeAddrs(2 * f.spec.Real)
+	addrs, err := ports.Free(2 * f.spec.Real)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/run/topology.go
+++ b/internal/scale/run/topology.go
@@ -14,6 +14,7 @@
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/faults"
 	"spindlehitch/internal/listing"
+	"spindlehitch/internal/ports"
 )
 
 // Options are what a run is told beside its file.
@@ -223,7 +224,7 @@
 		k := f.kindOf(i)
 		x := hollowSpec{Name: nameOf(i), Region: f.region(i).Name, Zone: f.zone(i), Seed: f.spec.Seed + uint64(i), Module: k == deciding || k == whole, Disk: k == onDisk || k == whole}
 		if k == member {
-			bind, err := freeAddrs(1)
+			bind, err := ports.Free(1)
 			if err != nil {
 				return err
 			}
--- a/internal/scale/slope/configured.go
+++ b/internal/scale/slope/configured.go
@@ -16,6 +16,7 @@
 
 	"spindlehitch/internal/agent"
 	serving "spindlehitch/internal/instance"
+	"spindlehitch/internal/ports"
 )
 
 // served is a configuration that an initiator can be served by, at these addresses, with a plan of this rate.
@@ -68,7 +69,7 @@
 	}
 	defer closed()
 	const name = "instance-00000"
-	addrs, err := free(2)
+	addrs, err := ports.Free(2)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scale/slope/group.go
+++ b/internal/scale/slope/group.go
@@ -22,6 +22,7 @@
 
 	"spindlehitch/internal/agent"
 	"spindlehitch/internal/config"
+	"spindlehitch/internal/ports"
 )
 
 // AgentEnv names, for a process that is one agent of a probe, its options: so that an agent's processor time and memory are told from its instances'.
@@ -115,7 +116,7 @@
 			g.stop()
 		}
 	}()
-	addrs, err := free(6)
+	addrs, err := ports.Free(6)
 	if err != nil {
 		return nil, err
 	}
@@ -138,19 +139,6 @@
 	})
 }
 
-// free finds ports of the loopback that nobody listens at.
-func free(n int) (addrs []string, err error) {
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
-	}
-	return addrs, nil
-}
-
 // start begins one agent's process.
 func (g *group) start(opt options, id string) error {
 	opt.ID, opt.Dir = id, filepath.Join(g.dir, id)
