--- a/cmd/spindlehitch-scale/run.go
+++ b/cmd/spindlehitch-scale/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,14 +16,14 @@
 	"spindlehitch/internal/scale/slope"
 )
 
-// errNotHeld ends a run of which a limit is not held.
-var errNotHeld = errors.New("a limit is not held")
+// exitNotHeld is the exit code of a run of which a limit is not held, or was not measured: its last line says how many.
+const exitNotHeld = 5
 
 // runCommand is the scale run: the table of what was found, and as its last line how many limits are held.
 func runCommand() *cobra.Command {
 	var asJSON bool
 	var plots, program, dir string
-	cmd := &cobra.Command{Use: "run [short|full|before|FILE.toml]", Short: "Run hollow and real initiators under changes and faults", Args: cobra.MaximumNArgs(1),
+	cmd := &cobra.Command{Use: "run [short|full|wide|before|FILE.toml]", Short: "Run hollow and real initiators under changes and faults", Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			spec, err := run.Read(append(args, "short")[0])
 			if err != nil {
@@ -65,12 +64,13 @@
 				if err := e.Encode(r); err != nil {
 					return err
 				}
+				fmt.Fprintln(cmd.ErrOrStderr(), r.Verdict())
 			} else if err := r.Table(cmd.OutOrStdout()); err != nil {
 				return err
 			}
 			for _, c := range r.Checks {
 				if !c.Held() {
-					return errNotHeld
+					os.Exit(exitNotHeld)
 				}
 			}
 			return nil
