Agents: a leader that was just elected applies its log before it answers reads

What callers saw: reads without `stale` (config get, config list, change records, change status) missed writes that had been acknowledged, for as long as the agent that had just been elected applied its log; a change of the stream could be refused as if it were the first one.

Cause: redirectUnlessLeader took Raft's VerifyLeader as enough. It shows that the agent leads, not that its state machine has applied what earlier terms committed.

Mend: one way for linearizable reads, beginRead: a barrier once in each term, a majority that confirms the term after the read arrived (readindex, as for renewals), then the read. Why it works: what earlier terms acknowledged is applied by the barrier, what this term acknowledged was applied before its answer, and no later term had begun.

Same fault elsewhere: the fleet's view read the registry before its confirmation; two callers of syncWithTerm could both start an allocator for one term. Both are mended here.

--- a/internal/controlplane/agent/command.go
+++ b/internal/controlplane/agent/command.go
@@ -11,6 +11,7 @@
 	"spindlehitch/internal/controlplane/lease"
 	"spindlehitch/internal/controlplane/quota"
 	"spindlehitch/internal/controlplane/watchstream"
+	"spindlehitch/internal/process/failpoint"
 )
 
 // command is an entry of the log. It concerns one instance's configuration unless one of the later
@@ -43,6 +44,7 @@
 
 // Apply implements raft.FSM. It returns the command's result, or an error.
 func (s *store) Apply(l *raft.Log) any {
+	failpoint.Hit("agent.apply")
 	var c command
 	if err := json.Unmarshal(l.Data, &c); err != nil {
 		return fmt.Errorf("log entry %d: %w", l.Index, err)
--- a/internal/controlplane/agent/configs.go
+++ b/internal/controlplane/agent/configs.go
@@ -10,21 +10,23 @@
 
 // handleList answers GET /v1/instances with the names and versions of all configurations.
 func (a *Agent) handleList(w http.ResponseWriter, r *http.Request) {
-	if allowsStale(r) || !a.redirectUnlessLeader(w, r) {
+	if a.mayAnswer(w, r) {
 		writeJSON(w, a.store.versions())
 	}
 }
 
 // handleGet answers with an instance's configuration: the leader's, or with stale this agent's,
-// waiting until its version is not after any more.
+// waiting until its version is not after any more. A wait at the leader ends with its term.
 func (a *Agent) handleGet(w http.ResponseWriter, r *http.Request) {
-	if !allowsStale(r) && a.redirectUnlessLeader(w, r) {
-		return
+	var termEnded <-chan struct{} // nil, and never ready, for a stale read
+	if !allowsStale(r) {
+		var ok bool
+		if termEnded, ok = a.beginRead(w, r); !ok {
+			return
+		}
 	}
-	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	ms, _ := strconv.Atoi(q.Get("wait_ms"))
-	end := time.NewTimer(min(time.Duration(max(ms, 0))*time.Millisecond, maxPollWait))
+	after, wait := pollParameters(r)
+	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
 		e, found, changed := a.store.get(r.PathValue("name"))
@@ -35,6 +37,9 @@
 		select {
 		case <-changed:
 			continue
+		case <-termEnded:
+			a.redirectToLeader(w, r)
+			return
 		case <-r.Context().Done():
 			return
 		case <-end.C:
--- a/internal/controlplane/agent/fleet_view.go
+++ b/internal/controlplane/agent/fleet_view.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -27,10 +28,9 @@
 }
 
 // leaderContactMs is how many milliseconds ago this agent last led or heard of the leader; -1: never.
+// The caller holds mu.
 func (s *leaderService) leaderContactMs() int64 {
-	s.mu.Lock()
 	led := s.lastLedAt
-	s.mu.Unlock()
 	age := int64(-1)
 	if heard := s.agent.raft.LastContact(); !heard.IsZero() {
 		age = time.Since(heard).Milliseconds()
@@ -47,36 +47,63 @@
 // handleShowFleet answers GET /v1/fleet: the leader's view, or with stale this agent's, as far as its
 // log goes.
 func (s *leaderService) handleShowFleet(w http.ResponseWriter, r *http.Request) {
-	if !allowsStale(r) && s.redirectUnlessLeading(w, r) {
+	var leads bool
+	if allowsStale(r) {
+		leads = s.confirmIfBegun(r.Context())
+	} else if _, leads = s.agent.beginRead(w, r); !leads {
 		return
 	}
-	reg, _ := s.agent.store.registry()
-	v := FleetView{Agent: s.agent.opt.ID, QuotaConfig: reg.QuotaConfig, LeaseConfig: reg.LeaseConfig}
+	view, ok := s.fleetView(leads)
+	if !ok && allowsStale(r) {
+		view, ok = s.fleetView(false)
+	}
+	if !ok {
+		writeError(w, errNotLeading)
+		return
+	}
+	writeJSON(w, view)
+}
+
+// confirmIfBegun reports whether this agent leads, as a majority has just confirmed. It does not wait
+// for its term to begin.
+func (s *leaderService) confirmIfBegun(ctx context.Context) bool {
 	s.mu.Lock()
-	if s.allocator != nil {
-		now := monotone.Now()
-		v.Members, v.Ledger = s.allocator.Members(now), s.allocator.Ledger(now, "")
-		v.Leases, v.Board = s.lessor.Status(now), s.board.Entries(now)
-		for i := range reg.QuotaConfig.Budgets {
-			v.RecoveryWaitMs = max(v.RecoveryWaitMs, s.allocator.RecoveryWait(now, &reg.QuotaConfig.Budgets[i]).Milliseconds())
-		}
-		v.Leads = s.confirmLeadership(r.Context())
-	} else {
+	if s.term == 0 {
 		s.mu.Unlock()
+		return false
 	}
-	if !v.Leads {
-		if !allowsStale(r) {
-			writeError(w, errNotLeading)
-			return
-		}
-		v.Members, v.Ledger, v.Leases, v.Board = nil, nil, nil, nil
-		for _, m := range reg.Members {
-			v.Members = append(v.Members, allocator.MemberStatus{Member: m, Liveness: livenessUnknown, LastHeardMs: -1})
-		}
-		for _, l := range reg.Leases {
-			v.Leases = append(v.Leases, lessor.LeaseStatus{Lease: l, State: string(livenessUnknown), SinceMs: -1, UntilMs: -1, ProgressMs: -1})
+	return s.confirmLeadership(ctx)
+}
+
+// fleetView returns the leader's view, or that of any agent; false: the term of the leader has ended.
+func (s *leaderService) fleetView(leads bool) (v FleetView, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reg, _ := s.agent.store.registry()
+	v = FleetView{Agent: s.agent.opt.ID, Leads: leads, QuotaConfig: reg.QuotaConfig, LeaseConfig: reg.LeaseConfig}
+	if leads {
+		if s.allocator == nil {
+			return v, false
 		}
-		v.AgeMs = s.leaderContactMs()
+		s.addLeaderState(&v)
+		return v, true
+	}
+	for _, m := range reg.Members {
+		v.Members = append(v.Members, allocator.MemberStatus{Member: m, Liveness: livenessUnknown, LastHeardMs: -1})
+	}
+	for _, l := range reg.Leases {
+		v.Leases = append(v.Leases, lessor.LeaseStatus{Lease: l, State: string(livenessUnknown), SinceMs: -1, UntilMs: -1, ProgressMs: -1})
+	}
+	v.AgeMs = s.leaderContactMs()
+	return v, true
+}
+
+// addLeaderState adds what only the leader knows. The caller holds mu.
+func (s *leaderService) addLeaderState(v *FleetView) {
+	now := monotone.Now()
+	v.Members, v.Ledger = s.allocator.Members(now), s.allocator.Ledger(now, "")
+	v.Leases, v.Board = s.lessor.Status(now), s.board.Entries(now)
+	for i := range v.QuotaConfig.Budgets {
+		v.RecoveryWaitMs = max(v.RecoveryWaitMs, s.allocator.RecoveryWait(now, &v.QuotaConfig.Budgets[i]).Milliseconds())
 	}
-	writeJSON(w, v)
 }
--- a/internal/controlplane/agent/http.go
+++ b/internal/controlplane/agent/http.go
@@ -17,8 +17,9 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// redirectUnlessLeader redirects the caller to the leader, and returns false if this agent leads and
-// has just confirmed it.
+// redirectUnlessLeader redirects a caller that wants to write to the leader, and returns false if this
+// agent takes itself for the leader. Whether the write is made is decided by the log; for a read that
+// is not enough (beginRead).
 func (a *Agent) redirectUnlessLeader(w http.ResponseWriter, r *http.Request) bool {
 	if a.raft.State() == raft.Leader && a.raft.VerifyLeader().Error() == nil {
 		return false
@@ -39,9 +40,6 @@
 	http.Error(w, "no leader at the moment", http.StatusServiceUnavailable)
 }
 
-// allowsStale reports whether the caller accepts this agent's state, however old it is.
-func allowsStale(r *http.Request) bool { return r.URL.Query().Has("stale") }
-
 // readBody decodes a request body.
 func readBody[T any](w http.ResponseWriter, r *http.Request) (v T, ok bool) {
 	return readBodyUpTo[T](w, r, maxRequestBytes)
--- a/internal/controlplane/agent/leader_service.go
+++ b/internal/controlplane/agent/leader_service.go
@@ -16,6 +16,7 @@
 	"spindlehitch/internal/controlplane/lease/outlierboard"
 	"spindlehitch/internal/controlplane/quota/allocator"
 	"spindlehitch/internal/controlplane/readindex"
+	"spindlehitch/internal/controlplane/registry"
 	"spindlehitch/internal/process/failpoint"
 	"spindlehitch/internal/process/monotone"
 )
@@ -40,7 +41,8 @@
 	lessorWake       chan struct{} // leases may be granted
 
 	mu                   sync.Mutex
-	term                 uint64               // of the allocator; 0: this agent does not lead
+	term                 uint64               // of the allocator; 0: this agent does not lead, or has not applied what earlier terms committed
+	termChanged          chan struct{}        // closed and replaced when term changes, and at times while this agent does not lead
 	allocator            *allocator.Allocator // nil: this agent does not lead
 	lessor               *lessor.Lessor       // as long as there is an allocator
 	board                *outlierboard.Board
@@ -50,7 +52,7 @@
 
 // newLeaderService starts the service's goroutines.
 func newLeaderService(a *Agent) *leaderService {
-	s := &leaderService{agent: a, confirmRequested: make(chan struct{}, 1), lessorWake: make(chan struct{}, 1)}
+	s := &leaderService{agent: a, confirmRequested: make(chan struct{}, 1), lessorWake: make(chan struct{}, 1), termChanged: make(chan struct{})}
 	s.client.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.loops.Go(s.run)
@@ -130,28 +132,22 @@
 func (s *leaderService) syncWithTerm() {
 	leads, term := s.agent.raft.State() == raft.Leader, s.agent.raft.CurrentTerm()
 	s.mu.Lock()
-	had := s.term
-	if had != 0 && (!leads || term != had) {
-		s.term, s.allocator, s.lessor, s.board = 0, nil, nil, nil
-		had = 0
+	if s.term != 0 && (!leads || term != s.term) {
+		s.endTerm()
 	}
-	s.mu.Unlock()
 	if !leads {
-		return
+		s.notifyTerm() // a read that waits for the term to begin looks again
 	}
-	if had == 0 {
-		// Everything that earlier terms have committed must be applied before anything is decided.
-		if s.agent.raft.Barrier(applyTimeout).Error() != nil || s.agent.raft.CurrentTerm() != term {
-			return
-		}
+	begun := s.term != 0
+	s.mu.Unlock()
+	if !leads || !begun && !s.applyEarlierTerms(term) {
+		return
 	}
 	s.mu.Lock()
 	reg, _ := s.agent.store.registry() // with mu held, so that two calls cannot pass older state after newer
 	now := monotone.Now()
-	if had == 0 {
-		s.allocator, s.term = allocator.New(now, reg.QuotaConfig, reg.Members), term
-		s.lessor, s.board = lessor.New(now, &reg), &outlierboard.Board{}
-		s.agent.opt.Log.Info("allocator started", slog.String("reason", "FLEET_GIVER"), slog.Uint64("term", term), slog.Int("members", len(reg.Members)))
+	if s.term == 0 {
+		s.beginTerm(now, term, &reg)
 	} else {
 		s.allocator.Update(now, reg.QuotaConfig, reg.Members)
 		s.lessor.Update(now, &reg)
@@ -167,6 +163,62 @@
 	}
 }
 
+// applyEarlierTerms waits until everything that earlier terms have committed is applied, and reports
+// whether this agent still leads in the term.
+func (s *leaderService) applyEarlierTerms(term uint64) bool {
+	return s.agent.raft.Barrier(applyTimeout).Error() == nil && s.agent.raft.CurrentTerm() == term
+}
+
+// beginTerm starts the allocator and the lessor. The caller holds mu.
+func (s *leaderService) beginTerm(now time.Duration, term uint64, reg *registry.Registry) {
+	s.allocator, s.term = allocator.New(now, reg.QuotaConfig, reg.Members), term
+	s.lessor, s.board = lessor.New(now, reg), &outlierboard.Board{}
+	s.notifyTerm()
+	s.agent.opt.Log.Info("allocator started", slog.String("reason", "FLEET_GIVER"), slog.Uint64("term", term), slog.Int("members", len(reg.Members)))
+}
+
+// endTerm drops the allocator and the lessor. The caller holds mu.
+func (s *leaderService) endTerm() {
+	s.term, s.allocator, s.lessor, s.board = 0, nil, nil, nil
+	s.notifyTerm()
+}
+
+// notifyTerm wakes everybody who waits for a term to begin or to end. The caller holds mu.
+func (s *leaderService) notifyTerm() {
+	close(s.termChanged)
+	s.termChanged = make(chan struct{})
+}
+
+// confirmTerm waits until this agent leads in a term that has begun (see applyEarlierTerms) and a
+// majority has confirmed, after this call, that no later term has. The channel is closed once the term
+// has ended.
+func (s *leaderService) confirmTerm(ctx context.Context) (ended <-chan struct{}, err error) {
+	for {
+		s.mu.Lock()
+		changed := s.termChanged
+		if s.term != 0 {
+			if !s.confirmLeadership(ctx) {
+				return nil, errNotLeading
+			}
+			return changed, nil
+		}
+		s.mu.Unlock()
+		if s.agent.raft.State() != raft.Leader {
+			return nil, errNotLeading
+		}
+		select {
+		case <-changed:
+		case <-s.ctx.Done():
+			return nil, errNotLeading
+		case <-ctx.Done():
+			return nil, errNotApplied
+		}
+	}
+}
+
+// errNotApplied says that the leader cannot answer reads yet; the caller retries.
+var errNotApplied = errors.New("this agent leads and has not applied its log yet: try again, or read what it has with ?stale")
+
 // errNotLeading says that there is no leader to answer; the caller retries.
 var errNotLeading = errors.New("this agent does not lead at the moment")
 
--- a/internal/controlplane/agent/leases.go
+++ b/internal/controlplane/agent/leases.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"spindlehitch/internal/controlplane/lease"
@@ -90,10 +89,8 @@
 // the index that it knows, or the wait is over. Any agent may be asked: the answer is only a hint to
 // renew.
 func (s *leaderService) handleLeaseChanges(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	ms, _ := strconv.Atoi(q.Get("wait_ms"))
-	end := time.NewTimer(min(time.Duration(max(ms, 0))*time.Millisecond, maxPollWait))
+	after, wait := pollParameters(r)
+	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
 		index, changed := s.agent.store.lastLeaseChange(r.PathValue("id"))
--- a/internal/controlplane/agent/stream_service.go
+++ b/internal/controlplane/agent/stream_service.go
@@ -96,7 +96,7 @@
 
 // handleChange answers POST /v1/feed/changes.
 func (s *streamService) handleChange(w http.ResponseWriter, r *http.Request) {
-	if s.agent.redirectUnlessLeader(w, r) {
+	if _, ok := s.agent.beginRead(w, r); !ok { // checkSnapshotFormats reads the state
 		return
 	}
 	c, ok := readBody[watchstream.Change](w, r)
--- a/internal/controlplane/agent/stream_status.go
+++ b/internal/controlplane/agent/stream_status.go
@@ -52,7 +52,7 @@
 // only how far this agent's log goes.
 func (s *streamService) handleVersions(w http.ResponseWriter, r *http.Request) {
 	old := allowsStale(r)
-	if !old && s.agent.redirectUnlessLeader(w, r) {
+	if !s.agent.mayAnswer(w, r) {
 		return
 	}
 	status, ok := s.logStatus()
@@ -86,7 +86,7 @@
 
 // handleShow answers GET /v1/feed.
 func (s *streamService) handleShow(w http.ResponseWriter, r *http.Request) {
-	if !allowsStale(r) && s.agent.redirectUnlessLeader(w, r) {
+	if !s.agent.mayAnswer(w, r) {
 		return
 	}
 	status, ok := s.logStatus()
@@ -101,7 +101,7 @@
 // handleRecords answers GET /v1/feed/records with a page of the live records of a kind, in order of
 // version and in whole versions: a key that changes between two pages is returned again.
 func (s *streamService) handleRecords(w http.ResponseWriter, r *http.Request) {
-	if !allowsStale(r) && s.agent.redirectUnlessLeader(w, r) {
+	if !s.agent.mayAnswer(w, r) {
 		return
 	}
 	q := r.URL.Query()
--- a/internal/process/failpoint/on.go
+++ b/internal/process/failpoint/on.go
@@ -14,8 +14,12 @@
 
 var dir = os.Getenv("SPINDLEHITCH_FAILPOINTS")
 
-// Hit does what a file of that name in the folder SPINDLEHITCH_FAILPOINTS says, and takes it away: stop (the process, until it is
-// told to go on), kill, or hang (the caller, until the process ends). What happened is noted in a file with the ending .hit.
+// waitInterval is the time between two looks at whether a caller that waits is released.
+const waitInterval = 2 * time.Millisecond
+
+// Hit does what a file of that name in the folder SPINDLEHITCH_FAILPOINTS says, and removes it: stop (the process, until SIGCONT),
+// kill, hang (the caller, until the process ends), or wait (the caller, until the file with the ending .hit is removed). What
+// happened is noted in a file with the ending .hit.
 func Hit(name string) {
 	if dir == "" {
 		return
@@ -36,5 +40,11 @@
 		select {}
 	case "hang":
 		select {}
+	case "wait":
+		for released := false; !released; {
+			time.Sleep(waitInterval)
+			_, err := os.Stat(path + ".hit")
+			released = os.IsNotExist(err)
+		}
 	}
 }
--- a/internal/testbed/faults/proc.go
+++ b/internal/testbed/faults/proc.go
@@ -185,7 +185,8 @@
 	}
 }
 
-// Aim has the process stop, die or hang (stop, kill, hang) the next time that it comes to the step of that name (internal/process/failpoint).
+// Aim has the process stop, die, hang or wait for Release (stop, kill, hang, wait) the next time that it comes to the step of that name
+// (internal/process/failpoint).
 func (p *Proc) Aim(step, what string) {
 	p.rig.T.Helper()
 	os.Remove(filepath.Join(p.aims, step+".hit"))
@@ -205,6 +206,9 @@
 	return err == nil
 }
 
+// Release lets a caller go on that waits at a step.
+func (p *Proc) Release(step string) { os.Remove(filepath.Join(p.aims, step+".hit")) }
+
 // Unaim takes an aim back, and tells whether the process has not come to the step.
 func (p *Proc) Unaim(step string) bool { return os.Remove(filepath.Join(p.aims, step)) == nil }
 
--- /dev/null
+++ b/internal/testbed/faults/reads_test.go
@@ -0,0 +1,145 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"spindlehitch/internal/controlplane/agent"
+	"spindlehitch/internal/controlplane/quota"
+	"spindlehitch/internal/controlplane/watchstream"
+)
+
+// instanceConfig is the smallest configuration that an agent accepts for an instance, told apart by its port.
+func instanceConfig(name string, port int) []byte {
+	return fmt.Appendf(nil, `{"name":%q,"listen":"127.0.0.1:1","discovery":"127.0.0.1:%d","settings":{"peersTotal":1,"tickUs":2000,
+ "classes":[{"name":"read","promiseUs":500000,"deadlineUs":2000000,"effect":"pure","worth":1}],
+ "contracts":[{"name":"base","usualRate":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8}}}`, name, port)
+}
+
+// writeEverything writes what each kind of read answers with, once for each number.
+func writeEverything(t *testing.T, client *agent.Client, number int) {
+	t.Helper()
+	ctx := t.Context()
+	_, err := client.Put(ctx, fmt.Sprint("n", number), instanceConfig(fmt.Sprint("n", number), number), "")
+	require.NoError(t, err)
+	_, err = client.Put(ctx, "latest", instanceConfig("latest", number), "")
+	require.NoError(t, err)
+	budget := quota.Budget{Name: "work", Resource: "work", Kind: "rate", Capacity: float64(200 + number), Burst: 100, FloorRate: 1, FloorBurst: 1}
+	_, err = client.SetQuotaConfig(ctx, quota.Config{MaxSessions: 16, RenewIntervalMs: 300, AllocationTTLMs: 1500, SessionTTLS: 30, ClockPPM: 1000, Budgets: []quota.Budget{budget}})
+	require.NoError(t, err)
+	target := watchstream.Put{Kind: watchstream.Targets, Key: fmt.Sprint("t", number),
+		Value: fmt.Appendf(nil, `{"id":"t%d","addr":"127.0.0.1:%d","cell":0,"state":"SERVING"}`, number, number)}
+	_, err = client.PutChange(ctx, watchstream.Change{Fleet: "campus", Puts: []watchstream.Put{target}})
+	require.NoError(t, err)
+}
+
+// readsOf is each linearizable read of an agent, and what its answer contains once writeEverything is done with that number.
+func readsOf(number int) map[string]string {
+	return map[string]string{
+		"/v1/instances":            fmt.Sprintf(`"n%d"`, number),
+		"/v1/instances/latest":     fmt.Sprintf(`"discovery":"127.0.0.1:%d"`, number),
+		"/v1/fleet":                fmt.Sprintf(`"whole":%d`, 200+number),
+		"/v1/feed":                 fmt.Sprintf(`"head":%d`, number),
+		"/v1/feed/versions/latest": fmt.Sprintf(`"head":%d`, number),
+		"/v1/feed/records?kind=" + watchstream.Targets.String(): fmt.Sprintf(`"key":"t%d"`, number),
+		"/v1/instances/latest?wait_ms=1":                        fmt.Sprintf(`"discovery":"127.0.0.1:%d"`, number),
+	}
+}
+
+// get asks one agent, without following redirects; status 0 means that no answer came in time.
+func get(ctx context.Context, addr, path string, within time.Duration) (status int, body string) {
+	ctx, done := context.WithTimeout(ctx, within)
+	defer done()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+// applyStep is the step before an agent applies an entry of the log.
+const applyStep = "agent.apply"
+
+// electBehind has a follower hold back the application of all that write does, kills the leader and has that follower elected.
+func electBehind(t *testing.T, g *Agents, write func(leader *agent.Client)) (behind int) {
+	t.Helper()
+	first := g.Leader()
+	behind, other := (first+1)%3, (first+2)%3
+	g.Procs[behind].Aim(applyStep, "wait")
+	write(&agent.Client{Addrs: []string{g.API[first]}})
+	g.rig.Until("the follower holds its log back", func() bool { return g.Procs[behind].Struck(applyStep) })
+	// The other follower can vote, but nobody hears it ask for votes.
+	g.links[other][behind].Set(Way{Hold: true}, Way{})
+	g.Procs[first].Kill()
+	require.Equal(t, behind, g.Leader(first))
+	return behind
+}
+
+// TestNewLeaderReadsAppliedLog guards against a leader that was just elected and answers reads before it has applied what earlier terms
+// committed: such a read misses writes that were acknowledged.
+func TestNewLeaderReadsAppliedLog(t *testing.T) {
+	r := New(t)
+	g := r.Agents(3)
+	g.Leader()
+	writeEverything(t, &agent.Client{Addrs: g.API}, 1)
+	for _, addr := range g.API {
+		r.Until("all have what comes first", func() bool {
+			_, body := get(t.Context(), addr, "/v1/feed?stale", time.Second)
+			return strings.Contains(body, `"head":1`)
+		})
+	}
+	behind := electBehind(t, g, func(leader *agent.Client) { writeEverything(t, leader, 2) })
+	for path, want := range readsOf(2) {
+		status, body := get(t.Context(), g.API[behind], path, time.Second)
+		if status != 0 && status != http.StatusServiceUnavailable {
+			assert.Contains(t, body, want, "%s, before the log is applied", path)
+		}
+	}
+	g.Procs[behind].Release(applyStep)
+	for path, want := range readsOf(2) {
+		r.Until(path, func() bool {
+			status, _ := get(t.Context(), g.API[behind], path, 10*time.Second)
+			return status == http.StatusOK
+		})
+		_, body := get(t.Context(), g.API[behind], path, 10*time.Second)
+		assert.Contains(t, body, want, "%s, once the log is applied", path)
+	}
+}
+
+// TestNewLeaderKnowsFirstChange guards against a leader that was just elected, has not applied the first change of the watch stream, takes
+// the next one for the first, and refuses it while an agent is down.
+func TestNewLeaderKnowsFirstChange(t *testing.T) {
+	r := New(t)
+	g := r.Agents(3)
+	change := watchstream.Change{Fleet: "campus", Puts: []watchstream.Put{layer("shared", "{}")}}
+	behind := electBehind(t, g, func(leader *agent.Client) {
+		_, err := leader.PutChange(t.Context(), change)
+		require.NoError(t, err)
+	})
+	client := &agent.Client{Addrs: []string{g.API[behind]}}
+	soon, done := context.WithTimeout(t.Context(), time.Second)
+	_, err := client.PutChange(soon, change)
+	done()
+	require.Error(t, err)
+	require.NotContains(t, err.Error(), "first change")
+	g.Procs[behind].Release(applyStep)
+	_, err = client.PutChange(t.Context(), change)
+	require.NoError(t, err)
+}
