--- a/internal/testbed/faults/agents.go
+++ b/internal/testbed/faults/agents.go
@@ -1,11 +1,16 @@
 package faults
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+
+	"github.com/hashicorp/raft"
+
+	"spindlehitch/internal/controlplane/agent"
 )
 
 // Agents is a group of agents, every directed pair of which has a link for Raft and one for calls.
@@ -122,3 +127,18 @@
 	})
 	return leader
 }
+
+// leading returns the number of the agent that says that it leads; -1: none does.
+func (g *Agents) leading(ctx context.Context) int {
+	for i, addr := range g.API {
+		if !g.Procs[i].Alive() || g.Procs[i].Stopped() {
+			continue
+		}
+		for _, s := range (&agent.Client{Addrs: []string{addr}}).Status(ctx) {
+			if s.State == raft.Leader.String() {
+				return i
+			}
+		}
+	}
+	return -1
+}
