--- a/internal/controlplane/agent/stream_service.go
+++ b/internal/controlplane/agent/stream_service.go
@@ -177,9 +177,9 @@
 	s.mu.Lock()
 	st := s.agent.store
 	st.mu.Lock()
-	fleet := ""
+	fleet, epoch := "", ""
 	if st.stream.store != nil {
-		fleet = st.stream.store.Fleet()
+		fleet, epoch = st.stream.store.Fleet(), st.stream.store.Epoch()
 	}
 	if fleet != "" && (s.acks == nil || s.term != term) {
 		s.term, s.acks, s.epoch, s.countedVersion = term, watchstream.NewAckTracker(fleet, watchstream.AckTrackerOptions{}), "", 0
@@ -195,6 +195,7 @@
 		s.acks.NoteCommit(c.at, c.epoch, c.version)
 		s.epoch, s.countedVersion = c.epoch, c.version
 	}
+	s.acks.SetEpoch(epoch) // a snapshot has no commits
 	return s.acks
 }
 
--- a/internal/controlplane/agent/stream_service_test.go
+++ b/internal/controlplane/agent/stream_service_test.go
@@ -133,6 +133,32 @@
 	})
 }
 
+// TestStatusAfterSnapshot guards against a leader that has restarted from a snapshot, does not know the epoch of the stream, and takes every
+// reader for one of another history until the next change is made.
+func TestStatusAfterSnapshot(t *testing.T) {
+	g := newThree(t)
+	v := g.putChange(changeOf(targetAt(0, 1)))
+	f := g.follower("i0", g.relay("relay-0", g.Addrs...))
+	g.until("it has the version", func() bool { return f.State().Applied.Min() >= v })
+	for i, a := range g.agents {
+		g.until("all have the change", func() bool { _, ok := a.stream.logStatus(); return ok })
+		require.NoError(t, a.raft.Snapshot().Error())
+		g.stop(i)
+	}
+	for i := range g.agents {
+		g.start(i)
+	}
+	var s StreamStatus
+	known := func() bool {
+		var err error
+		s, err = g.StreamStatus(context.Background(), v)
+		return err == nil && s.Leads && s.Applied == 1
+	}
+	require.Eventually(t, known, 20*time.Second, 20*time.Millisecond, "the reader is known to have the version")
+	require.NotEmpty(t, s.Epoch)
+	require.Equal(t, int64(-1), s.SinceMs, "when the version was committed is not known any more")
+}
+
 // TestFeedChanges checks what is refused of a change, and that what is refused changes nothing.
 func TestFeedChanges(t *testing.T) {
 	g := newThree(t)
--- a/internal/controlplane/watchstream/ack_tracker.go
+++ b/internal/controlplane/watchstream/ack_tracker.go
@@ -71,12 +71,18 @@
 	}
 }
 
-// NoteCommit records that the log has a change.
-func (t *AckTracker) NoteCommit(now time.Duration, epoch string, version uint64) {
+// SetEpoch records the epoch of the log's changes. An agent that has restarted from a snapshot knows
+// it before it knows of any commit.
+func (t *AckTracker) SetEpoch(epoch string) {
 	if epoch != t.epoch {
 		t.epoch, t.appliedChanged = epoch, true
 		t.resetTimes()
 	}
+}
+
+// NoteCommit records that the log has a change.
+func (t *AckTracker) NoteCommit(now time.Duration, epoch string, version uint64) {
+	t.SetEpoch(epoch)
 	if len(t.commits.list) == 0 {
 		t.commits.add(version-1, now) // its time is unknown
 	}
