Tests in virtual time run on one processor, where the race detector does not crash

Cause: in Go 1.26.8 the timer channels of a bubble of testing/synctest fire with the bubble's one context of the race detector (unlockAndRun), from any processor and without a common lock. 300 goroutines with timer channels that come due together: 4 of 4 runs crashed, with the same two messages (SIGSEGV, CHECK failed: tsan_rtl.cpp:346), none of 4 with GOMAXPROCS=1.

Mend: virtualtime.Test runs the bubble on one processor; the tests' checks are unchanged.

--- a/internal/datapath/discovery/crowd_test.go
+++ b/internal/datapath/discovery/crowd_test.go
@@ -11,12 +11,12 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch/internal/datapath/listing"
+	"spindlehitch/internal/testbed/virtualtime"
 )
 
 // lines is how long the stand-in's whole list is; its changes have one.
@@ -253,7 +253,7 @@
 		{"210 start 8 s before it comes back", 210, true, 2 * time.Second, 8 * time.Second, func(s *inTurn) { s.change(false); s.mu.Lock(); s.down = false; s.mu.Unlock() }, 11500 * time.Millisecond, 15 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				s := newInTurn(c.patience)
 				if strings.HasSuffix(c.name, "refused at once") {
 					s.refusal = 2 * time.Millisecond
--- a/internal/datapath/discovery/paths_test.go
+++ b/internal/datapath/discovery/paths_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch/internal/datapath/listing"
+	"spindlehitch/internal/testbed/virtualtime"
 )
 
 // faulty is a service in a bubble's time whose calls go wrong as a test says: each takes the next fault there is.
@@ -172,7 +173,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			first := strings.Contains(c.name, "first moment")
 			for seed := range uint64(10) {
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					f, told, log, w := bubble(t, c.crowd, seed, !strings.Contains(c.name, "nothing known"))
 					if !first {
 						go w.Run(t.Context())
@@ -237,7 +238,7 @@
 			for _, how := range []string{"at the start", "later", "moved"} {
 				t.Run(fmt.Sprintf("%d, %s, %s", crowd, fault, how), func(t *testing.T) {
 					for seed := range uint64(4) {
-						synctest.Test(t, func(t *testing.T) {
+						virtualtime.Test(t, func(t *testing.T) {
 							f, told, log, w := bubble(t, crowd, seed, true)
 							set := func(fault string) {
 								f.at.Lock()
@@ -277,7 +278,7 @@
 
 // TestNothingNewTooSoon guards against a service that does not wait: it is asked ten times a second, not as often as it answers.
 func TestNothingNewTooSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, _, _, w := bubble(t, 0, 1, true)
 		f.always = list(5, false)
 		go w.Run(t.Context())
@@ -296,7 +297,7 @@
 	}{{0, 1600 * time.Millisecond, 2100 * time.Millisecond}, {4, 2300 * time.Millisecond, 3300 * time.Millisecond}, {300, 3700 * time.Millisecond, 5900 * time.Millisecond}} {
 		t.Run(fmt.Sprint(c.crowd), func(t *testing.T) {
 			for seed := range uint64(5) {
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					rng := rand.New(rand.NewPCG(seed, seed))
 					f, told, log, w := bubble(t, c.crowd, seed, true)
 					go w.Run(t.Context())
--- a/internal/datapath/upstream/idle_test.go
+++ b/internal/datapath/upstream/idle_test.go
@@ -17,6 +17,7 @@
 	"spindlehitch/internal/datapath/budget"
 	"spindlehitch/internal/datapath/core"
 	"spindlehitch/internal/policy"
+	"spindlehitch/internal/testbed/virtualtime"
 )
 
 // wakings is about how often goroutines were run so far.
@@ -31,7 +32,7 @@
 
 // TestIdleTargetsCostNothing has an initiator send nothing to many targets for an hour: none of their actors wakes up meanwhile.
 func TestIdleTargetsCostNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		g := NewRegistry(Options{Wire: NewHTTP(budget.New(0)), Idle: time.Second, MostConn: 1, MostAll: 1, Log: slog.New(slog.DiscardHandler)}, nil)
 		var list []Target
 		for i := range 200 {
