Fault runs: the faults of a schedule are functions of one job each

Play had its faults, their order and their timing in one function past the complexity bound; now a function tells what begins and ends a fault of an agent or an instance, and Play carries the steps out in order.

--- a/internal/testbed/faults/fleet.go
+++ b/internal/testbed/faults/fleet.go
@@ -78,17 +78,11 @@
 // CutOff has nothing pass between the instance and the agents: asked says whether that goes for what it sends, told for what comes
 // back.
 func (n *Instance) CutOff(asked, told bool) {
-	for _, k := range n.Links {
-		k.Set(Way{Drop: asked}, Way{Drop: told})
-	}
+	n.setLinks(Way{Drop: asked}, Way{Drop: told})()
 }
 
 // Heal ends CutOff.
-func (n *Instance) Heal() {
-	for _, k := range n.Links {
-		k.Heal()
-	}
-}
+func (n *Instance) Heal() { n.eachLink((*Link).Heal)() }
 
 // Figures is what the instance's second address tells; nothing where it does not answer.
 func (n *Instance) Figures() string {
--- a/internal/testbed/faults/schedule.go
+++ b/internal/testbed/faults/schedule.go
@@ -1,9 +1,11 @@
 package faults
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -55,80 +57,82 @@
 	return json.MarshalIndent(faults, "", " ")
 }
 
-// Play carries a schedule out and returns once everything in it has ended. It tells how often what happened.
-func (r *Rig) Play(all []Event, instances []*Instance, agents *Agents) map[string]int { //nolint:gocognit // to be split with its package, see docs/left.md
-	type step struct {
-		at time.Duration
-		do func()
-	}
+// Play carries a schedule out and returns once everything in it has ended. It tells how often what happened. An instance that is still
+// under a fault, or was until a second ago, is spared.
+func (r *Rig) Play(all []Event, instances []*Instance, agents *Agents) map[string]int {
 	var steps []step
 	counts := map[string]int{}
 	busy := map[int]time.Duration{} // until when an instance is under a fault
 	for _, e := range all {
 		var begin, end func()
 		if strings.HasPrefix(e.What, "agent") {
-			p, i := agents.Procs[e.On], e.On
-			switch e.What {
-			case "agent-kill":
-				begin, end = p.Kill, p.Restart
-			case "agent-pause":
-				begin, end = p.Pause, p.Resume
-			case "agent-alone":
-				begin, end = func() { agents.Isolate(i) }, func() { agents.Join(i) }
-			}
+			begin, end = agents.fault(e)
 		} else {
 			if e.At < busy[e.On] {
 				continue
 			}
 			busy[e.On] = e.At + e.For + time.Second
-			n := instances[e.On]
-			links := func(there, back Way) func() {
-				return func() {
-					for _, k := range n.Links {
-						k.Set(there, back)
-					}
-				}
-			}
-			end = n.Heal
-			switch e.What {
-			case "kill":
-				begin, end = n.Kill, n.Restart
-			case "pause":
-				begin, end = n.Pause, n.Resume
-			case "cut":
-				begin = func() {
-					for _, k := range n.Links {
-						k.Cut()
-					}
-				}
-			case "deaf":
-				begin = links(Way{}, Way{Hold: true})
-			case "mute":
-				begin = links(Way{Hold: true}, Way{})
-			case "slow":
-				begin = links(Way{Delay: e.For / 20}, Way{Delay: e.For / 8})
-			case "reset":
-				begin = func() {
-					for _, k := range n.Links {
-						k.Reset()
-					}
-				}
-			}
+			begin, end = instances[e.On].fault(e)
 		}
 		counts[e.What]++
 		steps = append(steps, step{e.At, begin}, step{e.At + e.For, end})
 	}
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	began := time.Now()
-	for len(steps) > 0 {
-		next := 0
-		for i := range steps {
-			if steps[i].at < steps[next].at {
-				next = i
-			}
-		}
-		time.Sleep(time.Until(began.Add(steps[next].at)))
-		steps[next].do()
-		steps = append(steps[:next], steps[next+1:]...)
+	for _, s := range steps {
+		time.Sleep(time.Until(began.Add(s.at)))
+		s.do()
 	}
 	return counts
 }
+
+// step is one begin or end of a fault.
+type step struct {
+	at time.Duration
+	do func()
+}
+
+// fault returns what begins and what ends a fault of an agent.
+func (g *Agents) fault(e Event) (begin, end func()) {
+	p := g.Procs[e.On]
+	switch e.What {
+	case "agent-kill":
+		return p.Kill, p.Restart
+	case "agent-pause":
+		return p.Pause, p.Resume
+	}
+	return func() { g.Isolate(e.On) }, func() { g.Join(e.On) }
+}
+
+// fault returns what begins and what ends a fault of an instance or of its links.
+func (n *Instance) fault(e Event) (begin, end func()) {
+	switch e.What {
+	case "kill":
+		return n.Kill, n.Restart
+	case "pause":
+		return n.Pause, n.Resume
+	case "cut":
+		return n.eachLink((*Link).Cut), n.Heal
+	case "reset":
+		return n.eachLink((*Link).Reset), n.Heal
+	case "deaf":
+		return n.setLinks(Way{}, Way{Hold: true}), n.Heal
+	case "mute":
+		return n.setLinks(Way{Hold: true}, Way{}), n.Heal
+	}
+	return n.setLinks(Way{Delay: e.For / 20}, Way{Delay: e.For / 8}), n.Heal // slow
+}
+
+// eachLink returns a function that does something to each link of the instance.
+func (n *Instance) eachLink(do func(*Link)) func() {
+	return func() {
+		for _, k := range n.Links {
+			do(k)
+		}
+	}
+}
+
+// setLinks returns a function that has each link of the instance treat its two ways so.
+func (n *Instance) setLinks(there, back Way) func() {
+	return n.eachLink(func(k *Link) { k.Set(there, back) })
+}
