Agents: the age of a state counts from when all that was committed had been applied

What callers saw: an agent that had not applied what it knew to be committed told its state to be as new as its last contact with the leader (age_ms, old_ms, Feed-Age-Ms): 17 ms, where it lacked what had been written 1.5 s before.

Cause: the age was the time since the last contact, whatever the state machine had applied.

Mend: it counts from the last moment at which the leader was heard and all commands up to the commit index were applied. Two ways to reckon ages became one.

--- a/cmd/spindlehitch/change.go
+++ b/cmd/spindlehitch/change.go
@@ -156,8 +156,8 @@
 	}
 	if err == nil && !v.Leads {
 		age := "no agent there knows how old"
-		if v.LeaderContactMs >= 0 {
-			age = "at least " + ms(v.LeaderContactMs) + " old"
+		if v.AgeMs >= 0 {
+			age = "at least " + ms(v.AgeMs) + " old"
 		}
 		err = &exit{exitOld, fmt.Errorf("no leader answers: this is what the log of %s says, %s, and nothing is known of initiators", v.Agent, age)}
 	}
--- a/internal/controlplane/agent/agent.go
+++ b/internal/controlplane/agent/agent.go
@@ -59,6 +59,7 @@
 	http      http.Server
 	leader    *leaderService
 	stream    *streamService
+	applied   appliedState
 }
 
 // Serve answers requests until Stop.
--- a/internal/controlplane/agent/command.go
+++ b/internal/controlplane/agent/command.go
@@ -51,6 +51,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applied = l.Index
 	if c.RequestID != "" {
 		for _, made := range s.recentChanges {
 			if made.RequestID == c.RequestID {
--- a/internal/controlplane/agent/fleet_view.go
+++ b/internal/controlplane/agent/fleet_view.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"spindlehitch/internal/controlplane/lease"
 	"spindlehitch/internal/controlplane/lease/lessor"
@@ -17,7 +16,7 @@
 type FleetView struct {
 	Agent          string                   `json:"agent"`
 	Leads          bool                     `json:"leads"`  // a majority has just confirmed it
-	AgeMs          int64                    `json:"age_ms"` // since it last heard of the leader: how old the view may be
+	AgeMs          int64                    `json:"age_ms"` // how old the view may be; -1: it has never heard of a leader
 	QuotaConfig    quota.Config             `json:"doc"`
 	Members        []allocator.MemberStatus `json:"members"`
 	Ledger         []allocator.LedgerLine   `json:"lines,omitempty"` // of the leader only
@@ -27,20 +26,6 @@
 	Board          []outlierboard.Entry     `json:"board,omitempty"` // of the leader only
 }
 
-// leaderContactMs is how many milliseconds ago this agent last led or heard of the leader; -1: never.
-// The caller holds mu.
-func (s *leaderService) leaderContactMs() int64 {
-	led := s.lastLedAt
-	age := int64(-1)
-	if heard := s.agent.raft.LastContact(); !heard.IsZero() {
-		age = time.Since(heard).Milliseconds()
-	}
-	if since := (monotone.Now() - led).Milliseconds(); led > 0 && (age < 0 || since < age) {
-		age = since
-	}
-	return age
-}
-
 // livenessUnknown is the state of members at an agent that does not lead.
 const livenessUnknown allocator.Liveness = "unknown"
 
@@ -77,6 +62,7 @@
 
 // fleetView returns the leader's view, or that of any agent; false: the term of the leader has ended.
 func (s *leaderService) fleetView(leads bool) (v FleetView, ok bool) {
+	age, _ := s.agent.stateAge()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reg, _ := s.agent.store.registry()
@@ -94,7 +80,7 @@
 	for _, l := range reg.Leases {
 		v.Leases = append(v.Leases, lessor.LeaseStatus{Lease: l, State: string(livenessUnknown), SinceMs: -1, UntilMs: -1, ProgressMs: -1})
 	}
-	v.AgeMs = s.leaderContactMs()
+	v.AgeMs = ageMs(age)
 	return v, true
 }
 
--- a/internal/controlplane/agent/leader_service.go
+++ b/internal/controlplane/agent/leader_service.go
@@ -47,7 +47,6 @@
 	lessor               *lessor.Lessor       // as long as there is an allocator
 	board                *outlierboard.Board
 	awaitingConfirmation readindex.Queue[chan<- bool]
-	lastLedAt            time.Duration // 0: never
 }
 
 // newLeaderService starts the service's goroutines.
@@ -87,6 +86,7 @@
 	for {
 		_, changed := s.agent.store.registry()
 		s.syncWithTerm()
+		s.agent.stateAge() // notes that the state is new, whether or not anybody asks
 		if s.applyPendingEvents() {
 			continue // take over the change before anything else
 		}
@@ -153,7 +153,6 @@
 		s.lessor.Update(now, &reg)
 		s.board.Prune(now, probeResultTTL, s.lessor.IsMember)
 	}
-	s.lastLedAt = now
 	gone := s.allocator.Expire(now)
 	s.mu.Unlock()
 	if len(gone) > 0 {
@@ -183,6 +182,13 @@
 	s.notifyTerm()
 }
 
+// hasBegun reports whether this agent leads in a term that has begun.
+func (s *leaderService) hasBegun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term != 0
+}
+
 // notifyTerm wakes everybody who waits for a term to begin or to end. The caller holds mu.
 func (s *leaderService) notifyTerm() {
 	close(s.termChanged)
--- a/internal/controlplane/agent/snapshot.go
+++ b/internal/controlplane/agent/snapshot.go
@@ -20,7 +20,8 @@
 	Entries map[string]Entry      `json:"entries"`
 	Recent  []Entry               `json:"recent,omitempty"`
 	Fleet   registry.Registry     `json:"fleet"`
-	Stream  *watchstream.Snapshot `json:"feed,omitempty"` // nil: there was no change of it yet
+	Stream  *watchstream.Snapshot `json:"feed,omitempty"`    // nil: there was no change of it yet
+	Applied uint64                `json:"applied,omitempty"` // index of the last command; 0: older programs do not tell
 }
 
 // Formats of snapshots. An agent does not read a newer format, since it would lose what it does not
@@ -34,7 +35,7 @@
 func (s *store) Snapshot() (raft.FSMSnapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return snapshot{snapshotFormat, maps.Clone(s.entries), slices.Clone(s.recentChanges), s.fleet.Clone(), s.stream.snapshot()}, nil
+	return snapshot{snapshotFormat, maps.Clone(s.entries), slices.Clone(s.recentChanges), s.fleet.Clone(), s.stream.snapshot(), s.applied}, nil
 }
 
 // Persist implements raft.FSMSnapshot.
@@ -76,7 +77,7 @@
 	if err := s.stream.restore(saved.Stream); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	s.entries, s.recentChanges, s.fleet = saved.Entries, saved.Recent, saved.Fleet
+	s.entries, s.recentChanges, s.fleet, s.applied = saved.Entries, saved.Recent, saved.Fleet, saved.Applied
 	s.notifyWatchers()
 	return nil
 }
--- a/internal/controlplane/agent/store.go
+++ b/internal/controlplane/agent/store.go
@@ -28,6 +28,7 @@
 type store struct {
 	mu            sync.Mutex
 	entries       map[string]Entry
+	applied       uint64  // index of the last command; 0: none yet, or unknown
 	recentChanges []Entry // results of the last changes with a request id
 	fleet         registry.Registry
 	stream        streamState
@@ -47,6 +48,13 @@
 	return e, found, s.changed
 }
 
+// lastApplied returns the index of the last command that is applied; 0: none yet, or unknown.
+func (s *store) lastApplied() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applied
+}
+
 // versions returns the names and versions of all entries.
 func (s *store) versions() map[string]uint64 {
 	s.mu.Lock()
--- a/internal/controlplane/agent/stream_service.go
+++ b/internal/controlplane/agent/stream_service.go
@@ -68,7 +68,7 @@
 
 // WithSource implements distribution.Origin with the log's state, as far as this agent has applied it.
 func (s *streamService) WithSource(do func(now time.Duration, st *watchstream.Source)) (<-chan struct{}, bool) {
-	age, now := s.agent.leaderContactAge()
+	age, now := s.agent.stateAge()
 	st := s.agent.store
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -82,18 +82,6 @@
 	return st.changed, true
 }
 
-// leaderContactAge is how long ago this agent led or heard of the leader; negative: never.
-func (a *Agent) leaderContactAge() (age, now time.Duration) {
-	now = monotone.Now()
-	if a.raft.State() == raft.Leader {
-		return 0, now
-	}
-	if heard := a.raft.LastContact(); !heard.IsZero() {
-		return max(0, time.Since(heard)), now
-	}
-	return -1, now
-}
-
 // handleChange answers POST /v1/feed/changes.
 func (s *streamService) handleChange(w http.ResponseWriter, r *http.Request) {
 	if _, ok := s.agent.beginRead(w, r); !ok { // checkSnapshotFormats reads the state
--- a/internal/controlplane/agent/stream_status.go
+++ b/internal/controlplane/agent/stream_status.go
@@ -12,25 +12,22 @@
 // StreamStatus is where a version is applied, as an agent sees it.
 type StreamStatus struct {
 	watchstream.Status
-	Agent           string `json:"agent"`
-	Leads           bool   `json:"leads"`   // a majority has just confirmed it; else nothing is known of readers
-	LeaderContactMs int64  `json:"old_ms"`  // since it heard of the leader; -1: never
-	Head            uint64 `json:"head"`    // newest version
-	Fleet           string `json:"fleet"`   // whose stream it is
-	Floor           uint64 `json:"floor"`   // readers behind it resync by digests
-	Targets         int    `json:"targets"` // live
-	ConfigLayers    int    `json:"configuration"`
-	Tombstones      int    `json:"tombstones"`
-	Bytes           int    `json:"bytes"` // of keys and values
+	Agent        string `json:"agent"`
+	Leads        bool   `json:"leads"`   // a majority has just confirmed it; else nothing is known of readers
+	AgeMs        int64  `json:"old_ms"`  // how old the state may be; -1: it has never heard of a leader
+	Head         uint64 `json:"head"`    // newest version
+	Fleet        string `json:"fleet"`   // whose stream it is
+	Floor        uint64 `json:"floor"`   // readers behind it resync by digests
+	Targets      int    `json:"targets"` // live
+	ConfigLayers int    `json:"configuration"`
+	Tombstones   int    `json:"tombstones"`
+	Bytes        int    `json:"bytes"` // of keys and values
 }
 
 // logStatus is what the log says, without the readers; false: there was no change yet.
 func (s *streamService) logStatus() (status StreamStatus, ok bool) {
-	age, _ := s.agent.leaderContactAge()
-	status = StreamStatus{Agent: s.agent.opt.ID, LeaderContactMs: -1}
-	if age >= 0 {
-		status.LeaderContactMs = age.Milliseconds()
-	}
+	age, _ := s.agent.stateAge()
+	status = StreamStatus{Agent: s.agent.opt.ID, AgeMs: ageMs(age)}
 	st := s.agent.store
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/testbed/faults/reads_test.go
+++ b/internal/testbed/faults/reads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -143,3 +144,41 @@
 	_, err = client.PutChange(t.Context(), change)
 	require.NoError(t, err)
 }
+
+// TestAgentBehindTellsItsAge guards against an agent that hears the leader, has not applied what it knows to be committed, and tells its
+// state to be as new as what it heard.
+func TestAgentBehindTellsItsAge(t *testing.T) {
+	const behindFor = 1500 * time.Millisecond
+	r := New(t)
+	g := r.Agents(3)
+	first := g.Leader()
+	behind := (first + 1) % 3
+	client := &agent.Client{Addrs: []string{g.API[first]}}
+	age := func(path, field string) (ms float64) {
+		status, body := get(t.Context(), g.API[behind], path, time.Second)
+		var answer map[string]any
+		if status == http.StatusOK && json.Unmarshal([]byte(body), &answer) == nil {
+			ms, _ = answer[field].(float64)
+		}
+		return ms
+	}
+	writeEverything(t, client, 1)
+	fields := map[string]string{"/v1/fleet?stale": "age_ms", "/v1/feed?stale": "old_ms"}
+	for path, field := range fields {
+		r.Until("its state is new", func() bool {
+			status, body := get(t.Context(), g.API[behind], path, time.Second)
+			return status == http.StatusOK && strings.Contains(body, readsOf(1)[strings.TrimSuffix(path, "?stale")]) && age(path, field) < 1000
+		})
+	}
+	g.Procs[behind].Aim(applyStep, "wait")
+	writeEverything(t, client, 2)
+	r.Until("the agent holds its log back", func() bool { return g.Procs[behind].Struck(applyStep) })
+	time.Sleep(behindFor)
+	for path, field := range fields {
+		assert.GreaterOrEqual(t, age(path, field), 1000.0, "%s of an agent that lacks what was written %v ago", path, behindFor)
+	}
+	g.Procs[behind].Release(applyStep)
+	for path, field := range fields {
+		r.Until("its state is new again", func() bool { return age(path, field) < 1000 })
+	}
+}
