Agents: a call that crosses the end of a term neither starts nor uses an allocator

A call now updates the allocator of its own term, starts one only where none had begun, else does nothing.

--- a/internal/controlplane/agent/leader_service.go
+++ b/internal/controlplane/agent/leader_service.go
@@ -146,12 +146,16 @@
 	s.mu.Lock()
 	reg, _ := s.agent.store.registry() // with mu held, so that two calls cannot pass older state after newer
 	now := monotone.Now()
-	if s.term == 0 {
-		s.beginTerm(now, term, &reg)
-	} else {
+	switch {
+	case s.term == term:
 		s.allocator.Update(now, reg.QuotaConfig, reg.Members)
 		s.lessor.Update(now, &reg)
 		s.board.Prune(now, probeResultTTL, s.lessor.IsMember)
+	case s.term == 0 && !begun:
+		s.beginTerm(now, term, &reg)
+	default: // another call has seen the term end
+		s.mu.Unlock()
+		return
 	}
 	gone := s.allocator.Expire(now)
 	s.mu.Unlock()
