--- a/internal/controlplane/agent/bootstrap.go
+++ b/internal/controlplane/agent/bootstrap.go
@@ -43,6 +43,8 @@
 	}
 	a.leader = newLeaderService(a)
 	a.stream = newStreamService(a)
+	a.leader.start() // its loops use both services
+	a.stream.start()
 	a.http = http.Server{Handler: a.routes(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second}
 	return a, nil
 }
--- a/internal/controlplane/agent/leader_service.go
+++ b/internal/controlplane/agent/leader_service.go
@@ -49,14 +49,18 @@
 	awaitingConfirmation readindex.Queue[chan<- bool]
 }
 
-// newLeaderService starts the service's goroutines.
+// newLeaderService returns the service, which does nothing until start.
 func newLeaderService(a *Agent) *leaderService {
 	s := &leaderService{agent: a, confirmRequested: make(chan struct{}, 1), lessorWake: make(chan struct{}, 1), termChanged: make(chan struct{})}
 	s.client.Transport = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// start starts the goroutines.
+func (s *leaderService) start() {
 	s.loops.Go(s.run)
 	s.loops.Go(s.confirmLoop)
-	return s
 }
 
 // stop ends the goroutines and waits for them.
--- a/internal/controlplane/agent/stream_service.go
+++ b/internal/controlplane/agent/stream_service.go
@@ -41,15 +41,17 @@
 	countedVersion uint64 // of it
 }
 
-// newStreamService starts the service's goroutine.
+// newStreamService returns the service, whose loop does not run until start.
 func newStreamService(a *Agent) *streamService {
 	s := &streamService{agent: a}
 	s.server = edge.NewServer(s, 0)
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.loops.Go(s.reportLoop)
 	return s
 }
 
+// start starts the goroutine.
+func (s *streamService) start() { s.loops.Go(s.reportLoop) }
+
 // stop ends the goroutine and waits for it.
 func (s *streamService) stop() {
 	s.cancel()
