Tests of new leaders: the follower's log has what is committed before the leader is killed

Traced in the agents' logs: "rejecting pre-vote request since our last index is greater: candidate last-index=10, ours 11": the leader had committed the last entry with the other follower alone when it was killed, so the follower that the test wants elected could not be. Raft is right; the test's preparation was not.

It now waits until that follower has been handed all that the leader has.

--- a/internal/testbed/faults/reads_test.go
+++ b/internal/testbed/faults/reads_test.go
@@ -86,6 +86,11 @@
 	g.Procs[behind].Aim(applyStep, "wait")
 	write(&agent.Client{Addrs: []string{g.API[first]}})
 	g.rig.Until("the follower holds its log back", func() bool { return g.Procs[behind].Struck(applyStep) })
+	// Its log has all that is committed, or it could not be elected. What Raft counts as applied is handed to the state machine only.
+	g.rig.Until("the follower's log has everything", func() bool {
+		all := (&agent.Client{Addrs: []string{g.API[first], g.API[behind]}}).Status(t.Context())
+		return all[0].Applied > 0 && all[1].Applied >= all[0].Applied
+	})
 	// The other follower can vote, but nobody hears it ask for votes.
 	g.links[other][behind].Set(Way{Hold: true}, Way{})
 	g.Procs[first].Kill()
