--- a/internal/controlplane/agent/agent_test.go
+++ b/internal/controlplane/agent/agent_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -206,6 +208,36 @@
 	}
 }
 
+// TestWaitingReadEndsWithTerm guards against a read that waits at a leader and goes on waiting once that one leads no more.
+func TestWaitingReadEndsWithTerm(t *testing.T) {
+	g := newThree(t)
+	entry := g.put("n1", `{"a":1}`, "")
+	at := g.leader()
+	ended := make(chan int, 1)
+	go func() {
+		path := fmt.Sprintf("http://%s%s?after=%d&wait_ms=50000", g.peers[at].API, instancePath("n1"), entry.Version)
+		resp, err := http.DefaultTransport.RoundTrip(httptest.NewRequest(http.MethodGet, path, nil))
+		if err != nil {
+			ended <- 0
+			return
+		}
+		resp.Body.Close()
+		ended <- resp.StatusCode
+	}()
+	time.Sleep(300 * time.Millisecond) // it waits
+	for i := range g.agents {
+		if i != at {
+			g.stop(i)
+		}
+	}
+	select {
+	case status := <-ended:
+		require.Equal(t, http.StatusServiceUnavailable, status)
+	case <-time.After(30 * time.Second):
+		t.Fatal("it waits although the agent leads no more")
+	}
+}
+
 // sink is a raft.SnapshotSink in memory.
 type sink struct{ bytes.Buffer }
 
