--- a/review/standin/http.go
+++ b/review/standin/http.go
@@ -112,7 +112,7 @@
 	return &Conn{c, bufio.NewReader(c)}, nil
 }
 
-// Do sends a request and reads the answer; a status of 0 means that there was none.
+// Do sends a request and reads the answer; a status of 0 means that there was none, and an error with another status that it was cut off.
 func (c *Conn) Do(q Request) (status int, body string, err error) {
 	head := fmt.Sprintf("%s /%s/%s HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: %s\r\nTier: %s\r\nRequest-Timeout-Ms: %d\r\nIO-Info: volume=%s,units=%d,shard=%d,hosts=1\r\n",
 		q.Method, q.Class, q.Key, q.ID, q.Plan, q.TimeoutMs, q.Volume, q.Units, q.Shard)
@@ -129,10 +129,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, "", err
-	}
-	return resp.StatusCode, string(text), nil
+	return resp.StatusCode, string(text), err
 }
 
 // StatusOf returns the status of a GET on a new connection; 0 without an answer.
