--- a/review/1/main.go
+++ b/review/1/main.go
@@ -19,7 +19,7 @@
 const (
 	reads    = 0                    // the shard of the history-exports: answers of 100,000 bytes, each with its request's id
 	writes   = 1                    // the shard of the event-writes: all answers are alike
-	late     = 5 * time.Millisecond // the second copy
+	late     = 8 * time.Millisecond // the second copy
 	requests = 40                   // of each client, one after the other
 	clients  = 4                    // two of each target
 	spoilt   = 20                   // the answer of a target, counted from 1, that has the second copy
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -20,7 +20,7 @@
 const (
 	targets  = 4
 	hung     = 3                       // the shard whose target hangs
-	size     = 6_000_000               // bytes of a body; up to 32 MB occur
+	size     = 5_000_000               // bytes of a body; up to 32 MB occur
 	deadline = 1200 * time.Millisecond // of event-write
 	slack    = 500 * time.Millisecond  // a later answer is lost
 )
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -9,7 +9,9 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"syscall"
@@ -52,13 +54,14 @@
 	result := make(chan int, 1)
 	go func() {
 		defer func() {
-			if r := recover(); r != nil {
-				if n, ok := r.(notRun); ok {
-					c.Log("the case could not run: %s", n.text)
-					result <- NotRun
-					return
-				}
-				panic(r)
+			switch r := recover().(type) {
+			case nil:
+			case notRun:
+				c.Log("the case could not run: %s", r.text)
+				result <- NotRun
+			default:
+				c.Log("the case could not run: %v\n%s", r, debug.Stack())
+				result <- NotRun
 			}
 		}()
 		if play(c) {
@@ -68,12 +71,19 @@
 		}
 	}()
 	code := NotRun
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	select {
 	case code = <-result:
+	case s := <-stop:
+		c.Log("the case could not run: signal %v", s)
 	case <-time.After(limit):
 		c.Log("the case could not run: it was not done after %v", limit)
 	}
-	for _, p := range c.procs {
+	c.mu.Lock()
+	procs := c.procs
+	c.mu.Unlock()
+	for _, p := range procs {
 		p.Kill()
 	}
 	c.Log("exit %d (0: the rule held, 1: it was broken, 2: the case could not run)", code)
