--- a/internal/datapath/upstream/http.go
+++ b/internal/datapath/upstream/http.go
@@ -32,9 +32,6 @@
 	stallTimeout = 250 * time.Millisecond
 	// maxInformational is how many 1xx answers may precede an answer.
 	maxInformational = 8
-	// duplicateWindow is how soon after an answer an equal one is suspected to be its duplicate. Targets send duplicates some
-	// milliseconds late.
-	duplicateWindow = 50 * time.Millisecond
 )
 
 // Request is the payload of an attempt over HTTP: the parts of the client's request that are forwarded unchanged.
@@ -70,13 +67,11 @@
 	host        string
 	memory      *budget.Bytes
 	unsolicited bool // the target sent data that no request asked for
-	// An answer may be a duplicate of the previous one. For detecting that: whether there was a request before, the previous answer's
-	// fingerprint and time, and the fingerprints of answers that the target is known to repeat for different requests.
+	// For recognizing a copy of the last answer: whether there was a request, and the last answer and its time.
 	used          bool
-	lastSum       uint64
+	last          answerIdentity
 	lastAt        time.Time
-	repeatedSums  [2]uint64 // with status 200, and with others
-	invalidReport bool      // an answer had an impossible load report
+	invalidReport bool // an answer had an impossible load report
 }
 
 // stallReader sets a read deadline before each read of an answer that has started: maxGap from now, and at most deadline, if set. It
@@ -114,10 +109,50 @@
 // Do writes the request and reads the answer. After an error the outcome depends on the bytes written: before the last byte is
 // written the target cannot have started the request, after that it may have run. Writing and reading are bounded by the attempt's
 // deadline.
-func (c *httpSession) Do(a core.Attempt, mayStart func() bool) (r core.Result, reuse bool, reason string) { //nolint:gocognit // to be split with its package, see docs/left.md
+func (c *httpSession) Do(a core.Attempt, mayStart func() bool) (r core.Result, reuse bool, reason string) {
 	c.SetDeadline(a.Deadline)
 	c.SetWriteDeadline(a.WriteDeadline())
 	req := a.Payload.(*Request)
+	hadRequest, previous := c.used, c.last
+	// Taken before the check of the connection, which then sees a copy of the previous answer that was sent within the window.
+	recent := hadRequest && time.Since(c.lastAt) < DuplicateWindow
+	if r.Code, reason = c.writeRequest(a, req, mayStart); reason != "" {
+		return r, false, reason
+	}
+	a.NotifySent()
+	in := newAnswerReader(c, a, hadRequest)
+	ans, err := readAnswer(in.in, req.Method, c.memory, in.beforeRead, in.setReadDeadline)
+	if err != nil {
+		r.Code, reason = in.failure(err)
+		return r, false, reason
+	}
+	c.invalidReport = c.invalidReport || ans.invalidReport
+	c.last, c.lastAt = ans.following(previous), time.Now()
+	suspect := recent && c.last.repeats && !ans.closes
+	if suspect {
+		if r.Code, reason = in.awaitOwnAnswer(); reason != "" {
+			return r, false, reason
+		}
+	}
+	r.Code, r.Load, r.VolumeUsage, r.Payload = ans.code(), ans.load, ans.volumeLoad, ans.body
+	switch {
+	case ans.stream != nil:
+		ans.stream.conn = c
+		r.Payload = ans.stream
+		return r, false, ""
+	case ans.closes || in.in.Buffered() > 0:
+		c.unsolicited = in.in.Buffered() > 0
+		return r, false, "TARGET_CLOSES"
+	case suspect:
+		return r, false, "ANSWER_UNCONFIRMED" // the target's own answer could still come
+	}
+	// The deadline must not stay on the connection: once past, Alive would fail and a healthy connection would be
+	// closed.
+	return r, c.SetDeadline(time.Time{}) == nil, "CLOSED"
+}
+
+// writeRequest writes the request, or the last piece of its upload. If that fails it returns the outcome and the reason code.
+func (c *httpSession) writeRequest(a core.Attempt, req *Request, mayStart func() bool) (code policy.OutcomeCode, reason string) {
 	var raw []byte
 	if req.Upload != nil {
 		raw = req.Upload.lastPiece
@@ -128,92 +163,72 @@
 	// Check once more before the first byte: the target's state may have changed during the dial. An upload's first byte is already
 	// written, so the target's state does not matter, but the target has not started the request: MaySend is still required.
 	if !mayStart() && (req.Upload == nil || !a.MaySend()) {
-		r.Code = policy.NotSent
-		return r, false, "TARGET_LEAVES"
+		return policy.NotSent, "TARGET_LEAVES"
 	}
 	// Check the connection too: data that arrived since takeIdle checked it cannot be the answer to a request not yet written.
 	if !c.Alive() {
-		r.Code = policy.NotConnected
-		return r, false, ReasonClosedWhileIdle
+		return policy.NotConnected, ReasonClosedWhileIdle
 	}
-	hadRequest, recent := c.used, time.Since(c.lastAt) < duplicateWindow
 	c.used = true
 	if n, err := c.Write(raw); n < len(raw) {
-		r.Code = policy.NotConnected
-		return r, false, "WRITE_" + ReasonCode(err)
-	}
-	a.NotifySent()
-	reader := &stallReader{Conn: c.Conn, deadline: a.Deadline, maxGap: stallTimeout}
-	limited := &io.LimitedReader{R: reader}
-	in := bufio.NewReaderSize(limited, 4096)
-	ans, err := readAnswer(in, req.Method, c.memory, func(head bool) error {
-		if !head {
-			limited.N = 2*MaxBody + maxHeadBytes // room for chunk framing; buffered bytes are bounded separately
-			return nil
-		}
-		// Bounds the bytes read for a head that does not end.
-		limited.N, reader.started = maxHeadBytes, false
-		if err := c.SetReadDeadline(a.Deadline); err != nil {
-			return err
-		}
-		_, err := in.Peek(1)
-		if reader.started = err == nil; reader.started && hadRequest && HasUnackedData(c.Conn) {
-			return errEarlyAnswer
-		}
-		return err
-	}, func(until time.Time) { reader.deadline, reader.maxGap = until, streamStallTimeout })
-	if err != nil {
-		r.Code = policy.ConnectionReset
-		switch timedOut := errors.Is(err, os.ErrDeadlineExceeded); {
-		case timedOut && reader.started && time.Now().Before(a.Deadline):
-			return r, false, "READ_STALLED"
-		case timedOut:
-			r.Code = policy.TimedOut
-		case limited.N <= 0:
-			return r, false, "ANSWER_TOO_LARGE"
-		case errors.Is(err, errEarlyAnswer):
-			c.unsolicited = true
-			return r, false, "ANSWER_TOO_SOON"
-		}
-		return r, false, "READ_" + ReasonCode(err)
+		return policy.NotConnected, "WRITE_" + ReasonCode(err)
 	}
-	c.invalidReport = c.invalidReport || ans.invalidReport
-	// An answer does not identify its request. One that equals the previous answer and follows soon after it may be a duplicate: then
-	// the request's own answer comes behind it. If none comes, the target repeats this answer for different requests, and later equal
-	// ones are accepted without waiting.
-	previousSum, previousAt := c.lastSum, c.lastAt
-	c.lastSum, c.lastAt = ans.fingerprint(), time.Now()
-	repeated := &c.repeatedSums[0]
-	if ans.status != http.StatusOK {
-		repeated = &c.repeatedSums[1]
+	return policy.Served, ""
+}
+
+// answerReader reads the answer to one attempt and bounds the time and the bytes that it takes.
+type answerReader struct {
+	session    *httpSession
+	attempt    core.Attempt
+	conn       *stallReader
+	limited    *io.LimitedReader
+	in         *bufio.Reader
+	hadRequest bool // the connection carried a request before this one
+}
+
+func newAnswerReader(c *httpSession, a core.Attempt, hadRequest bool) *answerReader {
+	conn := &stallReader{Conn: c.Conn, deadline: a.Deadline, maxGap: stallTimeout}
+	limited := &io.LimitedReader{R: conn}
+	return &answerReader{session: c, attempt: a, conn: conn, limited: limited, in: bufio.NewReaderSize(limited, 4096), hadRequest: hadRequest}
+}
+
+// beforeRead sets the bounds for a head, whose first byte it waits for, or for a body.
+func (r *answerReader) beforeRead(head bool) error {
+	if !head {
+		r.limited.N = 2*MaxBody + maxHeadBytes // room for chunk framing; buffered bytes are bounded separately
+		return nil
 	}
-	if hadRequest && recent && !ans.closes && ans.stream == nil && c.lastSum == previousSum && c.lastSum != *repeated {
-		if at := previousAt.Add(duplicateWindow); ans.status != http.StatusOK && at.Before(a.Deadline) {
-			reader.deadline = at // rejections mostly: many in a row are equal, so the wait is shorter
-		}
-		if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.unsolicited = err == nil
-			r.Code = policy.ConnectionReset
-			return r, false, "ANSWER_TWICE"
-		} else if !time.Now().Before(a.Deadline) {
-			r.Code = policy.TimedOut
-			return r, false, "READ_TIMEOUT"
-		}
-		*repeated = c.lastSum
+	// Bounds the bytes read for a head that does not end.
+	r.limited.N, r.conn.started = maxHeadBytes, false
+	if err := r.session.SetReadDeadline(r.attempt.Deadline); err != nil {
+		return err
 	}
-	r.Code, r.Load, r.VolumeUsage, r.Payload = ans.code(), ans.load, ans.volumeLoad, ans.body
-	if s := ans.stream; s != nil {
-		s.conn = c
-		r.Payload = s
-		return r, false, ""
+	_, err := r.in.Peek(1)
+	if r.conn.started = err == nil; r.conn.started && r.hadRequest && HasUnackedData(r.session.Conn) {
+		return errEarlyAnswer
 	}
-	if ans.closes || in.Buffered() > 0 {
-		c.unsolicited = in.Buffered() > 0
-		return r, false, "TARGET_CLOSES"
+	return err
+}
+
+// setReadDeadline bounds the next reads of a body that is streamed; a zero time is no deadline.
+func (r *answerReader) setReadDeadline(until time.Time) {
+	r.conn.deadline, r.conn.maxGap = until, streamStallTimeout
+}
+
+// failure returns the outcome and the reason code of an answer that could not be read.
+func (r *answerReader) failure(err error) (policy.OutcomeCode, string) {
+	switch timedOut := errors.Is(err, os.ErrDeadlineExceeded); {
+	case timedOut && r.conn.started && time.Now().Before(r.attempt.Deadline):
+		return policy.ConnectionReset, "READ_STALLED"
+	case timedOut:
+		return policy.TimedOut, "READ_" + ReasonCode(err)
+	case r.limited.N <= 0:
+		return policy.ConnectionReset, "ANSWER_TOO_LARGE"
+	case errors.Is(err, errEarlyAnswer):
+		r.session.unsolicited = true
+		return policy.ConnectionReset, "ANSWER_TOO_SOON"
 	}
-	// The deadline must not stay on the connection: once past, Alive would fail and a healthy connection would be
-	// closed.
-	return r, c.SetDeadline(time.Time{}) == nil, "CLOSED"
+	return policy.ConnectionReset, "READ_" + ReasonCode(err)
 }
 
 // Alive implements Session.
@@ -229,6 +244,9 @@
 // UnsolicitedData implements UncorrelatedSession.
 func (c *httpSession) UnsolicitedData() bool { return c.unsolicited }
 
+// LastAnswer implements UncorrelatedSession.
+func (c *httpSession) LastAnswer() answerIdentity { return c.last }
+
 // InvalidReport implements UncorrelatedSession.
 func (c *httpSession) InvalidReport() bool { return c.invalidReport }
 
--- a/internal/datapath/upstream/registry.go
+++ b/internal/datapath/upstream/registry.go
@@ -23,7 +23,7 @@
 	Dialer            Dialer
 	DialTimeout       time.Duration // of a new connection; SetTimeouts changes it
 	IdleTimeout       time.Duration // after which an unused connection is closed; SetTimeouts changes it
-	ReuseDelay        time.Duration // idle time before reuse at a target that sends unsolicited data, unless no connection can be added; 0: reuse is never delayed
+	ReuseDelay        time.Duration // idle time before a connection is reused if a copy of its last answer could be taken for the next one, and of all connections to a target that sends unsolicited data; 0: reuse is never delayed
 	MaxConnsPerTarget int           // SetConnLimits changes it
 	MaxConnsTotal     int           // to all targets together; SetConnLimits changes it
 	OnSent            func()        // called when an attempt has been written completely; nil: not called
--- a/internal/datapath/upstream/target.go
+++ b/internal/datapath/upstream/target.go
@@ -20,8 +20,9 @@
 	removedMsg struct{}
 	doneMsg    struct {
 		attempt     *activeAttempt
-		conn        *conn // goes back to the pool; nil: closed
-		unsolicited bool  // one of its connections had unsolicited data
+		conn        *conn          // goes back to the pool; nil: closed
+		last        answerIdentity // the connection's last answer
+		unsolicited bool           // one of its connections had unsolicited data
 	}
 )
 
@@ -41,6 +42,7 @@
 	connCount   int                       // idle, in use and being dialed
 	uploads     int                       // connections that carry a body before its attempt
 	unsolicited bool                      // the target has sent unsolicited data: connections are not reused before ReuseDelay
+	repeated    answerSet                 // answers that the target has given to different requests
 	limits      *connLimits               // shared by all targets
 }
 
@@ -69,6 +71,8 @@
 type UncorrelatedSession interface {
 	// UnsolicitedData reports whether the target sent more than the answers to the requests. It is called after Do or Alive.
 	UnsolicitedData() bool
+	// LastAnswer returns what identifies the connection's last answer.
+	LastAnswer() answerIdentity
 	// InvalidReport reports whether an answer had an impossible load report. Such a report is ignored.
 	InvalidReport() bool
 }
@@ -80,6 +84,19 @@
 	reportLogged bool // an invalid report on it was logged
 	requests     int  // carried so far
 	idleSince    time.Time
+	rests        bool      // a copy of its last answer could be taken for the next one: it is not reused before ReuseDelay
+	reusableAt   time.Time // set when it is taken from the pool
+}
+
+// lastAnswer returns what identifies the connection's last answer; nothing for a nil one, or where answers name their request.
+func (c *conn) lastAnswer() answerIdentity {
+	if c == nil {
+		return answerIdentity{}
+	}
+	if uncorrelated, ok := c.Session.(UncorrelatedSession); ok {
+		return uncorrelated.LastAnswer()
+	}
+	return answerIdentity{}
 }
 
 // activeAttempt is an attempt that is being carried out by its own goroutine, runAttempt. The mutex guards conn and cancelled.
@@ -134,6 +151,8 @@
 				}
 			case doneMsg:
 				t.finishAttempt(m)
+			case unsolicitedMsg:
+				t.unsolicited = true
 			case uploadMsg:
 				t.startUpload(m.upload)
 			case uploadEndedMsg:
@@ -195,11 +214,11 @@
 }
 
 // acquireConn returns an idle connection, or nil with true if the caller is to dial one, which is counted already. It returns false if
-// the limits allow none. At a target that has sent unsolicited data a connection is reused only after ReuseDelay: a duplicate answer
-// arrives within that time and cannot be taken for the next answer. If no connection can be added, an earlier reuse is better than none.
+// the limits allow none. A connection that has yet to rest (see duplicates.go) is taken only if no other one can be added, and its user
+// waits until it has rested.
 func (t *target) acquireConn() (*conn, bool) {
 	t.closeExpired() // the timer may be late, and the target may close an expired connection at any moment
-	if c := t.takeIdle(!t.unsolicited); c != nil {
+	if c := t.takeIdle(false); c != nil {
 		return c, true
 	}
 	// Both limits keep the process within its file descriptors, whatever the number of targets.
@@ -210,22 +229,17 @@
 	return c, c != nil
 }
 
-// takeIdle takes the most recently used of the connections that have been idle for ReuseDelay. If there is none and ignoreReuseDelay
-// is set, it takes the one that has been idle for longest, on which a duplicate answer is the least likely to be still on its way.
-func (t *target) takeIdle(ignoreReuseDelay bool) *conn {
-	for reusableBefore := time.Now().Add(-t.opt.ReuseDelay); len(t.idle) > 0; {
-		i := slices.IndexFunc(t.idle, func(c *conn) bool { return c.idleSince.After(reusableBefore) }) // idle is ordered by idleSince
-		switch {
-		case i < 0:
-			i = len(t.idle) - 1
-		case i > 0:
-			i--
-		case !ignoreReuseDelay:
+// takeIdle takes an idle connection that is still open; nil if there is none.
+func (t *target) takeIdle(mayRest bool) *conn {
+	for now := time.Now(); len(t.idle) > 0; {
+		i := t.selectIdle(now, mayRest)
+		if i < 0 {
 			return nil
 		}
 		c := t.idle[i]
 		t.idle = slices.Delete(t.idle, i, i+1)
 		if c.Alive() {
+			c.reusableAt = t.reusableAt(c)
 			return c
 		}
 		t.unsolicited = t.unsolicited || t.hasUnsolicited(c)
@@ -235,6 +249,24 @@
 	return nil
 }
 
+// selectIdle returns the index of the idle connection to take: the most recently used of those that have been idle for ReuseDelay;
+// without any, the longest idle of those that may be reused at once, or with mayRest the longest idle one; otherwise -1.
+func (t *target) selectIdle(now time.Time, mayRest bool) int {
+	rested := now.Add(-t.opt.ReuseDelay)
+	fresh := slices.IndexFunc(t.idle, func(c *conn) bool { return c.idleSince.After(rested) }) // idle is ordered by idleSince
+	switch {
+	case fresh < 0:
+		return len(t.idle) - 1
+	case fresh > 0:
+		return fresh - 1
+	}
+	reusable := slices.IndexFunc(t.idle, func(c *conn) bool { return !t.reusableAt(c).After(now) })
+	if reusable < 0 && mayRest {
+		return 0
+	}
+	return reusable
+}
+
 // hasUnsolicited reports whether the target sent unsolicited data on a connection.
 func (t *target) hasUnsolicited(c *conn) bool {
 	uncorrelated, ok := c.Session.(UncorrelatedSession)
@@ -245,6 +277,7 @@
 func (t *target) finishAttempt(m doneMsg) {
 	m.attempt.stop()
 	t.unsolicited = t.unsolicited || m.unsolicited
+	rests := t.noteAnswer(m.last)
 	// The entry may already be that of a later attempt of the same request.
 	if t.attempts[m.attempt.RequestID] == m.attempt {
 		delete(t.attempts, m.attempt.RequestID)
@@ -253,7 +286,7 @@
 		t.addConns(-1)
 		return
 	}
-	m.conn.idleSince = time.Now()
+	m.conn.idleSince, m.conn.rests = time.Now(), rests
 	t.idle = append(t.idle, m.conn)
 	t.pruneIdle()
 }
@@ -345,6 +378,7 @@
 				break
 			}
 		}
+		c.awaitReusable(active.ctx)
 		r, used = core.Result{Code: policy.NotConnected}, c.requests+1
 		reusable, reason = t.exchange(active, c, &r)
 		unsolicited = unsolicited || t.hasUnsolicited(c)
@@ -370,7 +404,7 @@
 			t.logConnEnd(used, reason)
 		}
 		// The actor gets the connection before the outcome is reported, so that a send decided on the outcome finds it idle.
-		t.inbox.Put(doneMsg{active, pooled, unsolicited || c != nil && t.hasUnsolicited(c)})
+		t.inbox.Put(doneMsg{active, pooled, c.lastAnswer(), unsolicited || c != nil && t.hasUnsolicited(c)})
 	}
 	if s, ok := r.Payload.(*Stream); ok {
 		s.setNotify(func(reuse bool, reason string) {
--- a/internal/datapath/upstream/upload.go
+++ b/internal/datapath/upstream/upload.go
@@ -42,6 +42,7 @@
 // Messages to a target's actor about uploads. An uploadEndedMsg is about one that ends without an attempt.
 type (
 	uploadMsg      struct{ upload *Upload }
+	unsolicitedMsg struct{} // a connection taken for an upload had unsolicited data
 	uploadEndedMsg struct {
 		conn   *conn
 		reason string
@@ -81,11 +82,9 @@
 	t.uploads++
 	go func() {
 		defer close(u.ready)
-		if c == nil {
-			if c = t.dial(u.ctx); c == nil {
-				t.inbox.Put(uploadEndedMsg{nil, "CONNECT_FAILED"})
-				return
-			}
+		if c = t.usableConn(u.ctx, c); c == nil {
+			t.inbox.Put(uploadEndedMsg{nil, "CONNECT_FAILED"})
+			return
 		}
 		s, isHTTP := c.Session.(*httpSession)
 		// Check again before the first byte: the client may have left or the target's state changed during the dial.
@@ -106,6 +105,23 @@
 	}()
 }
 
+// usableConn returns c once it has rested, or a new connection if c is nil or has ended or got data meanwhile; nil if the dial fails.
+func (t *target) usableConn(ctx context.Context, c *conn) *conn {
+	if c == nil {
+		return t.dial(ctx)
+	}
+	c.awaitReusable(ctx)
+	if c.Alive() {
+		return c
+	}
+	if t.hasUnsolicited(c) {
+		t.inbox.Put(unsolicitedMsg{})
+	}
+	c.Close()
+	t.logConnEnd(c.requests, ReasonClosedWhileIdle)
+	return t.dial(ctx)
+}
+
 // writeTo writes b to the target within uploadWriteTimeout.
 func (u *Upload) writeTo(s *httpSession, b []byte) bool {
 	s.SetWriteDeadline(time.Now().Add(uploadWriteTimeout))
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -34,10 +34,6 @@
 // responseMargin is how long before the client's timeout a response must be decided, so that it is written in time.
 const responseMargin = 12 * time.Millisecond
 
-// connReuseDelay is how long a connection is not reused after an HTTP answer, if its target has sent more data than the request called for: HTTP answers
-// name no request, so a duplicate would be taken for the answer to the next request.
-const connReuseDelay = 50 * time.Millisecond
-
 // Options are the parameters of an instance beside its configuration files.
 type Options struct {
 	Log *slog.Logger
@@ -163,7 +159,7 @@
 	byteBudget := budget.New(0) // divider sets its size
 	var certStore *certs.Store
 	var wire upstream.Dialer = upstream.NewHTTPDialer(byteBudget)
-	reuseDelay := connReuseDelay
+	reuseDelay := upstream.DuplicateWindow
 	if op.NVMe != nil {
 		if op.NVMe.TLS != nil {
 			if certStore, err = certs.Load(*op.NVMe.TLS); err != nil {
