During an upgrade an open request's ID is refused by both processes

Callers saw: while two processes of an initiator serve, a bad client sent the id of an event-write that was open at the older one to the younger one, which sent it to the target: the write ran twice and the bad client got 200. With one process it gets 409.

Cause: the ids of requests that are open or may have run were two maps of each core; processes tell each other a start time, a pid and a phase, no ids.

Change: internal/datapath/requestid holds the ids, one registry for all generations of a process. A claim is published before the others' journals are read, so at most one of two claims at the same moment succeeds. What a process had that has ended, also by SIGKILL, stays in use for its time. An id is given back before its rejection is written. While a process is alone nothing is written.

Core's tests count ids by the registry, with the same bounds.

Cost: the younger process is ready up to 0.1 s later, some five system calls a request while both live, a file of 2 MB at most.

--- a/internal/datapath/core/core.go
+++ b/internal/datapath/core/core.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"spindlehitch/internal/datapath/requestid"
 	"spindlehitch/internal/policy"
 	"spindlehitch/internal/process/mailbox"
 )
@@ -178,12 +179,12 @@
 
 // Options are the core's limits and callbacks.
 type Options struct {
-	MaxOpen          int            // open requests at a time; ApplySettings changes it
-	Margin           time.Duration  // a response must be written this long before the client's timeout
-	RequestIDTTL     time.Duration  // how long at least the ID of a request that may have run is kept; ApplySettings may raise it
-	Observer         Observer       // nil: none
-	OnEjectedCount   func(int)      // called at intervals with how many listed targets are ejected; nil: none
-	OnEjectedTargets func([]string) // called with it, with the ejected targets that are listed as up; nil: none
+	MaxOpen          int                 // open requests at a time; ApplySettings changes it
+	Margin           time.Duration       // a response must be written this long before the client's timeout
+	RequestIDs       *requestid.Registry // IDs of clients' requests that are open or may have run; nil: the core keeps those of open ones by itself
+	Observer         Observer            // nil: none
+	OnEjectedCount   func(int)           // called at intervals with how many listed targets are ejected; nil: none
+	OnEjectedTargets func([]string)      // called with it, with the ejected targets that are listed as up; nil: none
 }
 
 // Core is the actor that runs the scheduler. Any goroutine puts messages into the mailbox. Run's goroutine takes them out until
@@ -201,10 +202,7 @@
 	seq               uint64
 	routeQueries      []routeQuery
 	appliedChans      []chan<- struct{}
-	timerAt           time.Time          // when the scheduler's timer fires; zero: not set
-	openIDs           map[string]bool    // client request IDs of open requests
-	executedIDs       [2]map[string]bool // those of finished requests that may have run: current and previous generation
-	rotatedAt         time.Time          // when a new generation of executedIDs was last started
+	timerAt           time.Time // when the scheduler's timer fires; zero: not set
 	events            []policy.Event
 	listEvents        []policy.Event
 	lastStep          time.Duration
@@ -222,14 +220,12 @@
 	lastOutcome policy.OutcomeCode
 	responded   bool // has its response, or was cancelled
 	mayHaveRun  bool
+	idReleased  bool // its client request ID was given back
 }
 
 // ejectedReportInterval is the minimum interval between calls of OnEjectedCount.
 const ejectedReportInterval = 100 * time.Millisecond
 
-// maxExecutedIDs bounds one of the two generations of executedIDs. When it is reached the older one is dropped early.
-const maxExecutedIDs = 1 << 16
-
 type submitted struct{ job *Job }
 
 // routeQuery asks for the target to which a body may be sent ahead of its request.
@@ -253,8 +249,10 @@
 
 // New returns a core; Run starts it.
 func New(sched *policy.Scheduler, up Upstream, clock Clock, opt Options) *Core {
-	c := &Core{scheduler: sched, upstream: up, clock: clock, opt: opt, mailbox: mailbox.New[any](), open: map[string]*openRequest{},
-		openIDs: map[string]bool{}, executedIDs: [2]map[string]bool{{}, {}}}
+	if opt.RequestIDs == nil {
+		opt.RequestIDs = requestid.New(0)
+	}
+	c := &Core{scheduler: sched, upstream: up, clock: clock, opt: opt, mailbox: mailbox.New[any](), open: map[string]*openRequest{}}
 	c.maxOpen.Store(int64(opt.MaxOpen))
 	return c
 }
@@ -302,7 +300,7 @@
 func (c *Core) SetProcessCount(n int) { c.mailbox.Put(policy.ProcessCount{Processes: n}) }
 
 // ApplySettings has the scheduler change to other settings, in order with the requests submitted before and after. maxOpenRequests takes effect at
-// once. Request IDs are kept for the longest requestIDTTL ever given, since earlier requests were accepted under it. applied is closed once the
+// once. Request IDs are kept for requestIDTTL, or for longer if they were before. applied is closed once the
 // settings are in force; a core that has stopped never closes it.
 func (c *Core) ApplySettings(settings policy.Settings, maxOpenRequests int, requestIDTTL time.Duration) (applied <-chan struct{}) {
 	c.maxOpen.Store(int64(maxOpenRequests))
@@ -396,7 +394,7 @@
 			c.events = append(c.events, m.(policy.Event))
 		case settingsUpdate:
 			c.events = append(c.events, m.settings)
-			c.opt.RequestIDTTL = max(c.opt.RequestIDTTL, m.requestIDTTL)
+			c.opt.RequestIDs.KeepFor(m.requestIDTTL)
 			c.appliedChans = append(c.appliedChans, m.applied)
 		case routeQuery:
 			c.routeQueries = append(c.routeQueries, m)
@@ -417,13 +415,12 @@
 func (c *Core) admit(now time.Time, j *Job) {
 	if j.ClientRequestID != "" {
 		// Targets identify requests by this ID: one sent under the ID of an open request would be a second copy of it. A
-		// legitimate retry, of a request that was never read here, is in none of these sets.
-		if c.openIDs[j.ClientRequestID] || c.executedIDs[0][j.ClientRequestID] || c.executedIDs[1][j.ClientRequestID] {
+		// legitimate retry, of a request that was never read by this initiator, can claim its ID.
+		if !c.opt.RequestIDs.Claim(j.ClientRequestID, now) {
 			c.openCount.Add(-1)
 			j.Done(Response{Status: Conflict})
 			return
 		}
-		c.openIDs[j.ClientRequestID] = true
 	}
 	c.seq++
 	j.ID = strconv.FormatUint(c.seq, 10)
@@ -443,7 +440,7 @@
 			c.upstream.Cancel(e.target, j.ID) // no client is waiting for the response
 		}
 		c.events = append(c.events, policy.ClientGone{ID: j.ID})
-		c.removeIfDone(j.ID, e)
+		c.removeIfDone(now, j.ID, e)
 	}
 	if o := c.opt.Observer; o != nil {
 		o.End(c.observerTime(now), j.ID) // also if there is a response that the client did not read
@@ -474,14 +471,11 @@
 		if o := c.opt.Observer; o != nil && !e.responded {
 			o.Served(r.RequestID)
 		}
-		c.respond(e, Response{Status: Served, Payload: r.Payload})
+		c.respond(now, e, Response{Status: Served, Payload: r.Payload})
 	}
 	c.events = append(c.events, policy.Outcome{ID: r.RequestID, Attempt: r.Number, Endpoint: r.Target, Code: r.Code,
 		Latency: now.Sub(e.sentAt), Final: e.responded, Load: r.Load, VolumeUsage: r.VolumeUsage})
-	c.removeIfDone(r.RequestID, e)
-	if now.Sub(c.rotatedAt) > c.opt.RequestIDTTL || len(c.executedIDs[0]) >= maxExecutedIDs {
-		c.executedIDs[0], c.executedIDs[1], c.rotatedAt = map[string]bool{}, c.executedIDs[0], now
-	}
+	c.removeIfDone(now, r.RequestID, e)
 }
 
 func (c *Core) execute(now time.Time, a policy.Action) {
@@ -512,21 +506,23 @@
 		}
 		c.upstream.Send(next)
 	case policy.Reject:
-		c.respond(e, Response{Status: Rejected, RetryAfter: a.Wait})
-		c.removeIfDone(a.Request, e)
+		c.respond(now, e, Response{Status: Rejected, RetryAfter: a.Wait})
+		c.removeIfDone(now, a.Request, e)
 	case policy.Fail:
-		c.respond(e, Response{Status: Failed})
-		c.removeIfDone(a.Request, e)
+		c.respond(now, e, Response{Status: Failed})
+		c.removeIfDone(now, a.Request, e)
 	}
 }
 
 // respond passes the final response to the front, once.
-func (c *Core) respond(e *openRequest, resp Response) {
+func (c *Core) respond(now time.Time, e *openRequest, resp Response) {
 	if e.responded {
 		resp.Discard()
 		return
 	}
 	e.responded = true
+	// Before the response: a client that is rejected may send the request again at once, and another process may read it.
+	c.releaseID(now, e)
 	resp.LastOutcome = e.lastOutcome
 	if c.opt.Observer != nil {
 		id := e.job.ID
@@ -535,15 +531,18 @@
 	e.job.Done(resp)
 }
 
-func (c *Core) removeIfDone(id string, e *openRequest) {
+// releaseID gives the client request ID of a finished request back, once.
+func (c *Core) releaseID(now time.Time, e *openRequest) {
+	if e.responded && !e.inFlight && !e.idReleased && e.job.ClientRequestID != "" {
+		e.idReleased = true
+		c.opt.RequestIDs.Release(e.job.ClientRequestID, e.mayHaveRun, now)
+	}
+}
+
+func (c *Core) removeIfDone(now time.Time, id string, e *openRequest) {
 	if e.responded && !e.inFlight {
 		delete(c.open, id)
 		c.openCount.Add(-1)
-		if e.job.ClientRequestID != "" {
-			delete(c.openIDs, e.job.ClientRequestID)
-			if e.mayHaveRun {
-				c.executedIDs[0][e.job.ClientRequestID] = true
-			}
-		}
+		c.releaseID(now, e)
 	}
 }
--- a/internal/datapath/core/core_test.go
+++ b/internal/datapath/core/core_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"spindlehitch/internal/datapath/requestid"
 	"spindlehitch/internal/observability/accounts"
 	"spindlehitch/internal/policy"
 )
@@ -45,11 +46,17 @@
 
 func newSteppedCore(t *testing.T) *steppedCore {
 	h := &steppedCore{fake: &fakeUpstream{}, now: time.Now()}
-	h.Core = New(newScheduler(t), h.fake, NewClock(), Options{MaxOpen: 100, Margin: 10 * time.Millisecond, RequestIDTTL: testRequestIDTTL})
+	h.Core = New(newScheduler(t), h.fake, NewClock(), Options{MaxOpen: 100, Margin: 10 * time.Millisecond, RequestIDs: requestid.New(testRequestIDTTL)})
 	h.step(h.now, []any{policy.EndpointList{Full: true, Endpoints: []policy.Endpoint{{ID: "n"}}}})
 	return h
 }
 
+// requestIDCount returns the number of client request IDs that are kept.
+func (h *steppedCore) requestIDCount() int {
+	open, mayHaveRun := h.opt.RequestIDs.Count()
+	return open + mayHaveRun
+}
+
 func newJob(class string, arrived time.Time, responses *[]Response) *Job {
 	return &Job{Request: policy.Request{Class: class, Plan: "std", Volume: "v", Units: 1, VolumeInitiators: 1},
 		Arrived: arrived, Timeout: 2 * time.Second, Done: func(a Response) { *responses = append(*responses, a) }}
@@ -138,14 +145,14 @@
 		h.step(h.now, []any{policy.EndpointList{Full: true, Endpoints: []policy.Endpoint{{ID: "n"}}}})
 	}
 	served("c")
-	if n := len(h.openIDs) + len(h.executedIDs[0]) + len(h.executedIDs[1]); n != 1 {
+	if n := h.requestIDCount(); n != 1 {
 		t.Errorf("%d IDs are kept, want only the last", n)
 	}
-	for i := range 2*maxExecutedIDs + 10 {
+	for i := range 2*requestid.MaxExecuted + 10 {
 		h.now, h.fake.sent = h.now.Add(time.Millisecond/10), nil
 		served(fmt.Sprint("many", i))
 	}
-	if n := len(h.openIDs) + len(h.executedIDs[0]) + len(h.executedIDs[1]); n > 2*maxExecutedIDs || n < maxExecutedIDs {
+	if n := h.requestIDCount(); n > 2*requestid.MaxExecuted || n < requestid.MaxExecuted {
 		t.Errorf("%d IDs are kept after many requests, which is out of bounds", n)
 	}
 }
@@ -258,8 +265,8 @@
 			if len(h.fake.sent) != x.sent || len(responses) != x.responses {
 				t.Errorf("%d attempts, %d responses; want %d, %d", len(h.fake.sent), len(responses), x.sent, x.responses)
 			}
-			if len(h.open)+len(h.openIDs)+h.OpenCount() != 0 {
-				t.Errorf("remaining: %d records, %d IDs, %d open; want none", len(h.open), len(h.openIDs), h.OpenCount())
+			if openIDs, _ := h.opt.RequestIDs.Count(); len(h.open)+openIDs+h.OpenCount() != 0 {
+				t.Errorf("remaining: %d records, %d IDs, %d open; want none", len(h.open), openIDs, h.OpenCount())
 			}
 			h.step(h.now, []any{submitted{newJob("get", h.now, &responses)}, submitted{newJob("get", h.now, &responses)}})
 			if n := len(h.fake.sent) - x.sent; n != 2 {
--- a/internal/datapath/core/settings_test.go
+++ b/internal/datapath/core/settings_test.go
@@ -35,10 +35,10 @@
 	require.Empty(t, updated)
 	require.Len(t, oldClass, 1, "its class no longer exists")
 	require.Equal(t, Rejected, oldClass[0].Status)
-	require.Equal(t, testRequestIDTTL, h.opt.RequestIDTTL)
+	require.Equal(t, testRequestIDTTL, h.opt.RequestIDs.TTL())
 	h.ApplySettings(settings, 100, 2*testRequestIDTTL)
 	h.step(h.now, h.mailbox.Take(nil))
-	require.Equal(t, 2*testRequestIDTTL, h.opt.RequestIDTTL)
+	require.Equal(t, 2*testRequestIDTTL, h.opt.RequestIDs.TTL())
 	require.True(t, h.Submit(newJob("new", h.now, &updated)))
 }
 
--- a/internal/process/handover/handover.go
+++ b/internal/process/handover/handover.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -34,12 +35,19 @@
 	mu     sync.Mutex // guards self and the writes of its state file
 	self   Member
 	lock   *os.File // locked by flock while the process lives
+
+	exchange atomic.Pointer[idExchange] // nil: this process's request IDs are not shared
 }
 
 // Join adds this process to the group. It holds its lock until Close or until the process ends. The folder must exist.
 func Join(dir, name string, log *slog.Logger) (*Group, error) {
+	return join(dir, name, os.Getpid(), log)
+}
+
+// join adds a process to the group under a process ID.
+func join(dir, name string, pid int, log *slog.Logger) (*Group, error) {
 	g := &Group{dir: dir, prefix: "handover-" + url.PathEscape(name) + "-", log: log,
-		self: Member{StartedAt: time.Now().UnixNano(), PID: os.Getpid()}}
+		self: Member{StartedAt: time.Now().UnixNano(), PID: pid}}
 	f, err := os.OpenFile(g.path(g.self.PID, lockSuffix), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, err
@@ -98,19 +106,32 @@
 
 // Observe reads the states of the other processes and returns the resulting view.
 func (g *Group) Observe() (View, error) {
+	others, err := g.others()
+	if err != nil {
+		return View{}, err
+	}
+	return g.viewWith(others), nil
+}
+
+// viewWith returns the view of this process with these other live processes.
+func (g *Group) viewWith(others []Member) View {
 	g.mu.Lock()
-	me := g.self
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	return viewOf(g.self, others)
+}
+
+// others reads the states of the other live processes.
+func (g *Group) others() ([]Member, error) {
 	entries, err := os.ReadDir(g.dir)
 	if err != nil {
-		return View{}, err
+		return nil, err
 	}
 	var others []Member
 	for _, e := range entries {
 		id, isOurs := strings.CutPrefix(e.Name(), g.prefix)
 		id, isLock := strings.CutSuffix(id, lockSuffix)
 		pid, err := strconv.Atoi(id)
-		if !isOurs || !isLock || err != nil || pid == me.PID || len(others) == maxMembers {
+		if !isOurs || !isLock || err != nil || pid == g.self.PID || len(others) == maxMembers {
 			continue
 		}
 		if g.removeIfEnded(pid) {
@@ -124,7 +145,7 @@
 		}
 		others = append(others, m)
 	}
-	return viewOf(me, others), nil
+	return others, nil
 }
 
 // removeIfEnded reports whether a process has ended, which is so if its lock is free, and then removes its files.
@@ -137,7 +158,7 @@
 	if unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) != nil {
 		return false
 	}
-	for _, suffix := range []string{stateSuffix, ".next", lockSuffix} {
+	for _, suffix := range []string{stateSuffix, ".next", journalSuffix, journalSuffix + ".next", lockSuffix} {
 		os.Remove(g.path(pid, suffix))
 	}
 	return true
@@ -162,7 +183,11 @@
 	defer tick.Stop()
 	last, failureLogged := View{Processes: 1}, false // only the first failure is logged
 	for {
-		v, err := g.Observe()
+		others, err := g.others()
+		v := g.viewWith(others)
+		if x := g.exchange.Load(); x != nil && err == nil {
+			x.sync(others)
+		}
 		switch {
 		case err != nil:
 			if !failureLogged {
@@ -183,6 +208,10 @@
 
 // Close removes this process from the group.
 func (g *Group) Close() {
+	if x := g.exchange.Load(); x != nil {
+		x.close()
+		os.Remove(g.path(g.self.PID, journalSuffix))
+	}
 	os.Remove(g.path(g.self.PID, stateSuffix))
 	os.Remove(g.path(g.self.PID, lockSuffix))
 	g.lock.Close()
--- a/internal/process/instance/config_change_test.go
+++ b/internal/process/instance/config_change_test.go
@@ -128,8 +128,12 @@
 }
 
 func (c *testClient) write(class, plan, extent string) {
-	fmt.Fprintf(c.conn, "GET /%s/%s HTTP/1.1\r\nHost: a\r\nRequest-Id: i%d\r\nTier: %s\r\nRequest-Timeout-Ms: 20000\r\n"+
-		"IO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n\r\n", class, extent, c.harness.lastID.Add(1), plan)
+	c.writeWithID(fmt.Sprint("i", c.harness.lastID.Add(1)), class, plan, extent)
+}
+
+func (c *testClient) writeWithID(id, class, plan, extent string) {
+	fmt.Fprintf(c.conn, "GET /%s/%s HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTier: %s\r\nRequest-Timeout-Ms: 20000\r\n"+
+		"IO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\n\r\n", class, extent, id, plan)
 }
 
 func (c *testClient) read() (int, string, bool) {
@@ -323,6 +327,33 @@
 	require.Equal(t, 1, strings.Count(h.log.String(), "for=listen"))
 }
 
+// TestGenerationsShareRequestIDs guards against a request that is sent twice while a successor in the same process serves beside its
+// predecessor: an ID that is open, or has run, at one of them is a conflict at the other.
+func TestGenerationsShareRequestIDs(t *testing.T) {
+	h := startHarness(t)
+	release := sync.OnceFunc(func() { close(h.release) })
+	t.Cleanup(release)
+	require.NoError(t, h.offerConfig(withLongDeadlines))
+	h.waitServing()
+	older := h.newClient()
+	older.writeWithID("same", "position-read", "base", "f000000000000001")
+	<-h.blocked
+	h.addr = newTestSite(t).addrs["listen"]
+	require.NoError(t, h.offerConfig(withLongDeadlines))
+	h.waitServing()
+	requireConflict := func(when string) {
+		younger := h.newClient()
+		younger.writeWithID("same", "position-read", "base", "0a00000000000001")
+		status, body, _ := younger.read()
+		require.Equal(t, http.StatusConflict, status, "%s: %s", when, body)
+	}
+	requireConflict("open at the predecessor")
+	release()
+	status, body, _ := older.read()
+	require.Equal(t, http.StatusOK, status, body)
+	requireConflict("it has run")
+}
+
 // TestOffersWhileStopping offers configurations until the instance has stopped: each offer is answered, and none delays the stop.
 func TestOffersWhileStopping(t *testing.T) {
 	h := startHarness(t)
--- a/internal/process/instance/generation.go
+++ b/internal/process/instance/generation.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"spindlehitch/internal/controlplane/agent"
+	"spindlehitch/internal/datapath/requestid"
 	"spindlehitch/internal/process/config"
 )
 
@@ -42,6 +43,7 @@
 func serveGenerations(ctx context.Context, operator string, log *slog.Logger, processFeed *feedStream, source func(context.Context, chan<- configOffer)) error {
 	// The environment only names the instance; the addresses come from the configuration.
 	noEnv := func(string) string { return "" }
+	requestIDs := requestid.New(0) // generations set for how long
 	offers := make(chan configOffer)
 	sourceCtx, stopSource := context.WithCancel(ctx)
 	var sourceDone sync.WaitGroup
@@ -70,12 +72,12 @@
 			switch {
 			case err != nil:
 			case current == nil:
-				next, err = startGeneration(ctx, cfg, op, log, processFeed)
+				next, err = startGeneration(ctx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
 			default:
 				if reason = restartReason(current.cfg, cfg, current.op, op); reason == "" {
 					err = current.applyConfig(cfg)
 				} else {
-					next, err = startGeneration(ctx, cfg, op, log, processFeed)
+					next, err = startGeneration(ctx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
 				}
 			}
 			if offered.result != nil {
@@ -142,13 +144,14 @@
 	return err
 }
 
-// startGeneration starts a generation and waits until it listens at all its addresses.
-func startGeneration(parent context.Context, cfg *config.Config, op *config.OperatorFile, log *slog.Logger, processFeed *feedStream) (*generation, error) {
+// startGeneration starts a generation and waits until it listens at all its addresses. Opt has what the generations of a process share.
+func startGeneration(parent context.Context, cfg *config.Config, op *config.OperatorFile, opt Options) (*generation, error) {
 	ctx, cancel := context.WithCancel(parent)
 	g := &generation{cfg, op, make(chan Change), cancel, make(chan error, 1)}
 	listening := make(chan struct{})
 	go func() {
-		g.done <- Serve(ctx, cfg, op, Options{Log: log, OnListening: func() { close(listening) }, Changes: g.changes, feed: processFeed})
+		opt.OnListening, opt.Changes = func() { close(listening) }, g.changes
+		g.done <- Serve(ctx, cfg, op, opt)
 	}()
 	select {
 	case <-listening:
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -22,6 +22,7 @@
 	"spindlehitch/internal/datapath/discovery"
 	"spindlehitch/internal/datapath/front"
 	"spindlehitch/internal/datapath/nvme"
+	"spindlehitch/internal/datapath/requestid"
 	"spindlehitch/internal/datapath/targetlist"
 	"spindlehitch/internal/datapath/upstream"
 	"spindlehitch/internal/observability/control"
@@ -40,8 +41,9 @@
 	// OnListening is called once the instance listens at all addresses. If it is set, a predecessor that is about to stop may
 	// still be listening at them. Nil: there is no predecessor.
 	OnListening func()
-	Changes     <-chan Change // applied even while the instance stops; nil: none
-	feed        *feedStream   // shared by the process; nil: the instance has its own, if its operator's file has a feed
+	Changes     <-chan Change       // applied even while the instance stops; nil: none
+	feed        *feedStream         // shared by the process; nil: the instance has its own, if its operator's file has a feed
+	requestIDs  *requestid.Registry // shared by the process; nil: the instance has its own
 }
 
 // Serve runs an instance until ctx ends, a front fails or a younger process serves, and then until all accepted requests have their
@@ -174,7 +176,8 @@
 		upstreamOptions.Quota = session
 	}
 	up := upstream.NewRegistry(upstreamOptions, func(r core.Result) { in.core.Report(r) })
-	coreOptions := core.Options{MaxOpen: cfg.MaxOpenRequests, Margin: responseMargin, RequestIDTTL: requestIDTTL(cfg), OnEjectedCount: dataPathMetrics.SetEjected}
+	requestIDs := requestIDsFor(opt.requestIDs, cfg)
+	coreOptions := core.Options{MaxOpen: cfg.MaxOpenRequests, Margin: responseMargin, RequestIDs: requestIDs, OnEjectedCount: dataPathMetrics.SetEjected}
 	if tasks != nil {
 		coreOptions.OnEjectedTargets = tasks.runner.SetEjected
 	}
@@ -230,7 +233,7 @@
 	in.components = append(in.components, discoveryComp)
 	in.components = append(in.components, &configApplier{instance: in, dataPath: dp, front: httpFront, limits: divider, accounts: recorder, discovery: discoveryComp})
 	if cfg.InheritedFD != "" {
-		in.group = newProcessGroup(cfg.Name, log, divider.setProcesses)
+		in.group = newProcessGroup(cfg.Name, log, divider.setProcesses, requestIDs)
 		in.components = append(in.components, in.group)
 	}
 	// With NVMe, the HTTP front only serves the readiness page, since a target speaks only one protocol.
@@ -308,6 +311,15 @@
 	return func(r policy.Request) float64 { return classes[r.Class] * plans[r.Plan] }
 }
 
+// requestIDsFor returns the registry of request IDs, a new one if the process has none, which keeps them for as long as a configuration needs.
+func requestIDsFor(shared *requestid.Registry, cfg *config.Config) *requestid.Registry {
+	if shared == nil {
+		shared = requestid.New(0)
+	}
+	shared.KeepFor(requestIDTTL(cfg))
+	return shared
+}
+
 // requestIDTTL is how long the ID of a request that may have run is kept, so that another request with it is rejected: an attempt lasts
 // no longer than its client waits, and targets remember idempotency keys for the deduplication window.
 func requestIDTTL(cfg *config.Config) time.Duration {
--- a/internal/process/instance/process_group.go
+++ b/internal/process/instance/process_group.go
@@ -6,29 +6,32 @@
 	"os"
 	"sync"
 
+	"spindlehitch/internal/datapath/requestid"
 	"spindlehitch/internal/process/handover"
 )
 
 // processGroup is this process's membership in the process group of its initiator: during an upgrade the processes share the
-// initiator's limits, and an older process stops once a younger one serves. There can only be several processes if they
+// initiator's limits and the IDs of its requests, and an older process stops once a younger one serves. There can only be several processes if they
 // inherit the clients' listening socket. If the group's folder can't be used, the process runs as if it were alone.
 type processGroup struct {
 	name           string
 	log            *slog.Logger
 	onProcessCount func(processes int)
+	requestIDs     *requestid.Registry
 	superseded     chan struct{} // closed by watchGroup once a younger process serves
 	supersededOnce sync.Once
 	group          *handover.Group // nil: not joined
 	loop
 }
 
-func newProcessGroup(name string, log *slog.Logger, onProcessCount func(int)) *processGroup {
-	g := &processGroup{name: name, log: log, onProcessCount: onProcessCount, superseded: make(chan struct{})}
+func newProcessGroup(name string, log *slog.Logger, onProcessCount func(int), requestIDs *requestid.Registry) *processGroup {
+	g := &processGroup{name: name, log: log, onProcessCount: onProcessCount, requestIDs: requestIDs, superseded: make(chan struct{})}
 	g.run = g.watchGroup
 	return g
 }
 
-// Start implements Component.
+// Start implements Component. It returns once this process knows the IDs of the requests that are open at the others, so that no front
+// accepts a second request with one of them.
 func (g *processGroup) Start(ctx context.Context) error {
 	joined, err := handover.Join(os.TempDir(), g.name, g.log)
 	if err != nil {
@@ -36,6 +39,9 @@
 		return nil
 	}
 	g.group = joined
+	if err := joined.ShareRequestIDs(ctx, g.requestIDs); err != nil {
+		g.logFailure(err)
+	}
 	return g.loop.Start(ctx)
 }
 
