A large body to a hung target has its response in the client's time

Callers saw: event-writes of 5 MB to a target that had stopped reading had no response half a second after their deadline of 1.2 s (503 came after 10 s), where small ones got 502 after 0.8 s.

Cause: a body over 64 KiB is sent on piece by piece, 10 s each, before its request goes to the core, and the client's time was counted from the last read. While the target does not read, the front does not read from the client, so the last byte waits in a kernel's buffer.

Change: the front estimates since when the client may have written the last byte: not before bytes came for which a read had to wait, nor while more is missing than is unread here and may be unsent there (4 MiB). A piece is written until that time plus the timeout, less 12 ms; then the request is refused, unrun. The core counts from the same estimate. Opening the upload has the same bound, so that a core that has stopped is no longer waited for. A failed write is logged by its reason (WRITE_TIMEOUT) in place of CANCELLED.

Cost: a body in chunks, or the last 4 MiB of one with a length, that its client sends faster than its target reads for longer than the timeout is refused even if the client is still sending.

--- a/internal/datapath/front/body.go
+++ b/internal/datapath/front/body.go
@@ -117,14 +117,18 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer conn.watchDisconnect(cancel)()
-	target := make(chan string, 1)
-	s.core.Route(j.Shard, func(n string) { target <- n })
-	up, err := s.opt.OpenUpload(ctx, <-target, m, r.ContentLength, j.Timeout)
+	arrival := &bodyArrival{conn: conn, length: r.ContentLength, since: body.start}
+	respondBy := func() time.Time {
+		since := arrival.mayBeWholeSince(body.received)
+		timeout := s.admission.Load().Shutdown.LimitTimeout(j.Timeout, since, s.stoppedAt.Load())
+		return since.Add(timeout - uploadMargin)
+	}
+	up, err := s.openUpload(ctx, j, m, r.ContentLength, respondBy())
 	if err != nil {
 		return nil, &noTargetResponse
 	}
 	defer context.AfterFunc(ctx, up.Close)() // ends a write that blocks on a target that does not read
-	reqErr, err := forwardPieces(up, body, buffered, buf1, buf2)
+	reqErr, err := forwardPieces(up, body, buffered, buf1, buf2, respondBy)
 	if reqErr != nil || err != nil {
 		up.Close()
 		if reqErr != nil {
@@ -132,16 +136,30 @@
 		}
 		return nil, &noTargetResponse
 	}
-	m.Upload, j.BoundEndpoint = up, up.TargetID()
+	m.Upload, j.BoundEndpoint, j.Arrived = up, up.TargetID(), arrival.mayBeWholeSince(body.received)
 	return nil, nil
 }
 
+// openUpload opens an upload to the target that the scheduler names, until the given time.
+func (s *Server) openUpload(parent context.Context, j *core.Job, m *upstream.Request, length int64, until time.Time) (*upstream.Upload, error) {
+	ctx, cancel := context.WithDeadline(parent, until)
+	defer cancel()
+	target := make(chan string, 1)
+	s.core.Route(j.Shard, func(n string) { target <- n })
+	select {
+	case n := <-target:
+		return s.opt.OpenUpload(ctx, n, m, length, j.Timeout)
+	case <-ctx.Done(): // also if the core has stopped
+		return nil, context.Cause(ctx)
+	}
+}
+
 // noTargetResponse rejects a request if there is no target for its body, or if the upload failed.
 var noTargetResponse = core.Response{Status: core.Rejected}
 
 // forwardPieces writes a body to the upload, except for the last piece, which it passes to Upload.HoldLastPiece. It returns a requestError for a
-// failure on the client's side, an error for one on the target's.
-func forwardPieces(up *upstream.Upload, body *pacedReader, buffered, next, spare []byte) (*requestError, error) {
+// failure on the client's side, an error for one on the target's, which is also that a piece was not taken by the time of respondBy.
+func forwardPieces(up *upstream.Upload, body *pacedReader, buffered, next, spare []byte, respondBy func() time.Time) (*requestError, error) {
 	last := buffered
 	var total = int64(len(buffered))
 	for {
@@ -151,7 +169,7 @@
 		}
 		if n > 0 {
 			if len(last) > 0 {
-				if _, err := up.Write(last); err != nil {
+				if err := up.Write(last, respondBy()); err != nil {
 					return nil, err
 				}
 			}
--- a/internal/datapath/front/conns.go
+++ b/internal/datapath/front/conns.go
@@ -74,6 +74,8 @@
 	backgroundRead bool // the pending Read is net/http's, to detect a disconnect
 	moreToRead     bool // readAhead stopped before it had read everything; used by the reading goroutine only
 	noReadDeadline bool
+	readWaits      bool      // the pending Read has found nothing to read
+	waitedAt       time.Time // when bytes last came for which a Read had to wait
 	aheadBuf       []byte    // bytes that arrived while a request was open
 	aheadAt        time.Time // when the last of them did
 	dropped        int       // how many were discarded after an overflow
@@ -138,6 +140,7 @@
 	default:
 		n, wouldBlock := c.readSocket(int(fd), c.readBuf)
 		if wouldBlock {
+			c.readWaits = true
 			return false
 		}
 		if c.readN, c.readErr = n, c.closeErr; n == 0 {
@@ -145,6 +148,9 @@
 		}
 		now := time.Now()
 		c.lastReadAt.Store(&now)
+		if c.readWaits {
+			c.readWaits, c.waitedAt = false, now
+		}
 	}
 	c.scan.write(c.readBuf[:c.readN])
 	c.phase.CompareAndSwap(phaseIdle, phaseReading)
--- a/internal/datapath/front/front.go
+++ b/internal/datapath/front/front.go
@@ -209,7 +209,10 @@
 	} else {
 		conn.claimRequest()
 	}
-	if r.ContentLength != 0 {
+	switch {
+	case m.Upload != nil:
+		arrived = j.Arrived
+	case r.ContentLength != 0:
 		arrived = conn.lastArrival()
 	}
 	counted := s.opt.Metrics.StartRequest(j.Class)
--- a/internal/datapath/upstream/stream_test.go
+++ b/internal/datapath/upstream/stream_test.go
@@ -139,7 +139,7 @@
 				t.Fatal(err)
 			}
 			for range 4 {
-				if _, err := u.Write(make([]byte, 1000)); err != nil {
+				if err := u.Write(make([]byte, 1000), time.Now().Add(10*time.Second)); err != nil {
 					t.Fatal(err)
 				}
 			}
--- a/internal/datapath/upstream/upload.go
+++ b/internal/datapath/upstream/upload.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// uploadWriteTimeout is how long the write of one piece of a body may take.
+// uploadWriteTimeout is how long the write of one piece of a body may take, however long its client waits.
 const uploadWriteTimeout = 10 * time.Second
 
 // ErrUploadFailed means that a body could not be sent to its target. Its request cannot have run.
@@ -21,13 +21,14 @@
 	request       *Request
 	length        int64           // -1: unknown, sent in chunks
 	answerTimeout time.Duration   // sent to the target
-	ctx           context.Context // bounds the dial
+	ctx           context.Context // bounds the dial and the write of the head
 	ready         chan struct{}   // closed when conn is set or the upload has failed
 	target        *target
 
 	mu        sync.Mutex
 	conn      *conn // set before ready is closed, and not changed after that; nil: failed
 	state     uploadState
+	failure   string // reason code of a write that failed; empty: none has
 	lastPiece []byte // with its framing; set before the request is submitted to the core
 }
 
@@ -97,8 +98,9 @@
 			return
 		}
 		c.requests++
-		if !u.writeTo(s, appendHead(nil, u.request, s.host, u.answerTimeout.Milliseconds(), u.length)) {
-			t.inbox.Put(uploadEndedMsg{c, "WRITE_FAILED"})
+		until, _ := u.ctx.Deadline()
+		if !u.writeTo(s, appendHead(nil, u.request, s.host, u.answerTimeout.Milliseconds(), u.length), until) {
+			t.inbox.Put(uploadEndedMsg{c, u.endReason()})
 			return
 		}
 		u.conn = c
@@ -122,19 +124,28 @@
 	return t.dial(ctx)
 }
 
-// writeTo writes b to the target within uploadWriteTimeout.
-func (u *Upload) writeTo(s *httpSession, b []byte) bool {
-	s.SetWriteDeadline(time.Now().Add(uploadWriteTimeout))
+// writeTo writes b to the target within uploadWriteTimeout, and until the given time; zero: without such a bound.
+func (u *Upload) writeTo(s *httpSession, b []byte, until time.Time) bool {
+	deadline := time.Now().Add(uploadWriteTimeout)
+	if !until.IsZero() && until.Before(deadline) {
+		deadline = until
+	}
+	s.SetWriteDeadline(deadline)
 	_, err := s.Write(b)
+	if err != nil {
+		u.mu.Lock()
+		u.failure = "WRITE_" + ReasonCode(err)
+		u.mu.Unlock()
+	}
 	return err == nil
 }
 
-// Write sends a piece of the body that is not its last.
-func (u *Upload) Write(piece []byte) (int, error) {
-	if !u.writeTo(u.conn.Session.(*httpSession), u.frame(piece)) {
-		return 0, ErrUploadFailed
+// Write sends a piece of the body that is not its last, until the given time.
+func (u *Upload) Write(piece []byte, until time.Time) error {
+	if !u.writeTo(u.conn.Session.(*httpSession), u.frame(piece), until) {
+		return ErrUploadFailed
 	}
-	return len(piece), nil
+	return nil
 }
 
 // frame returns a piece with chunk framing, if the body is chunked.
@@ -161,8 +172,18 @@
 // Close ends the upload and closes its connection, unless an attempt owns it.
 func (u *Upload) Close() {
 	if u.transition(uploadClosed) {
-		u.target.inbox.Put(uploadEndedMsg{u.conn, "CANCELLED"})
+		u.target.inbox.Put(uploadEndedMsg{u.conn, u.endReason()})
+	}
+}
+
+// endReason returns the reason code of an upload that ends without an attempt.
+func (u *Upload) endReason() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.failure != "" {
+		return u.failure
 	}
+	return "CANCELLED"
 }
 
 // transition changes the state from uploadOpen. It returns false if the upload is in another state.
