A body's last bytes are left to the read that waits for them

Callers could see: a large body to its target stood still, and had no response in its client's time, if its last bytes arrived in the very moment of the check for a disconnect, which comes every 20 ms.

Cause: clientConn.clientClosed reads ahead to see a close behind what has come. A read that waits in the poller is not woken for bytes that are gone by the time readiness is looked at, though they lie in aheadBuf.

Change: the check reads nothing while a read waits for the body; that read sees a close by itself. A Read also begins anew with the mark that it had to wait.

--- a/internal/datapath/front/conns.go
+++ b/internal/datapath/front/conns.go
@@ -87,7 +87,7 @@
 // Read implements net.Conn. Only net/http's read to detect a disconnect has a one-byte buffer and no deadline.
 func (c *clientConn) Read(b []byte) (int, error) {
 	c.mu.Lock()
-	c.readBuf, c.readN, c.readErr, c.readPending, c.backgroundRead = b, 0, nil, true, len(b) == 1 && c.noReadDeadline
+	c.readBuf, c.readN, c.readErr, c.readPending, c.readWaits, c.backgroundRead = b, 0, nil, true, false, len(b) == 1 && c.noReadDeadline
 	c.mu.Unlock()
 	more, err := true, error(nil)
 	for more && err == nil {
@@ -149,7 +149,7 @@
 		now := time.Now()
 		c.lastReadAt.Store(&now)
 		if c.readWaits {
-			c.readWaits, c.waitedAt = false, now
+			c.waitedAt = now
 		}
 	}
 	c.scan.write(c.readBuf[:c.readN])
@@ -229,7 +229,8 @@
 }
 
 // clientClosed reports whether the client has closed or reset the connection, as far as the kernel knows. bodyRead is whether the
-// current request has been read to the end of its body.
+// current request has been read to the end of its body. If a Read waits for the body, nothing is read here: that Read detects the close
+// itself, and would not be woken for bytes that are no longer in the kernel's buffer.
 func (c *clientConn) clientClosed(bodyRead bool) bool {
 	if c.raw == nil {
 		return false
@@ -237,7 +238,9 @@
 	err := c.raw.Control(func(fd uintptr) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.readAhead(int(fd), bodyRead)
+		if !c.readPending || c.backgroundRead {
+			c.readAhead(int(fd), bodyRead)
+		}
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
