A connection accepted in the moment of a stop has its request answered

Callers could see: a request on a connection that was accepted just as the front stopped was read and its connection closed without an answer. With the schedule of SIGTERM that has hardly a chance; after a handover, where the stop does not wait, it has one at each upgrade.

Cause: Server.Stop closes the listener and ends once the table of connections is empty. A connection that the accept loop has taken from the kernel and not yet put into the table is in neither; http.Server.Shutdown follows, and net/http drops what it reads after that.

TestConnAcceptedDuringStop fails before (the request did not reach the core) and passes now.

--- a/internal/datapath/front/disconnect_test.go
+++ b/internal/datapath/front/disconnect_test.go
@@ -392,6 +392,55 @@
 	return l.TCPListener.Accept()
 }
 
+// lateListener returns a connection only some time after it has accepted it.
+type lateListener struct {
+	*net.TCPListener
+	accepted chan bool // receives one for each connection
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		l.accepted <- true
+		time.Sleep(backlogTimeout / 4)
+	}
+	return c, err
+}
+
+// TestConnAcceptedDuringStop guards against a request that was read and never answered, since its connection was accepted in the moment of
+// the stop: the stop did not know of the connection yet and took the front for idle. Also after a handover.
+func TestConnAcceptedDuringStop(t *testing.T) {
+	for _, handedOver := range []bool{false, true} {
+		other, b, _ := newFront(t, 64)
+		opt := other.opt
+		opt.Admission.Shutdown = core.ShutdownSchedule{RespondWithin: 5 * time.Second}
+		s := New(b, opt)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		late := lateListener{l.(*net.TCPListener), make(chan bool, 1)}
+		go func() { _ = s.Serve(late) }()
+		c := dial(t, l.Addr().String())
+		_, _ = io.WriteString(c, validRequest)
+		<-late.accepted
+		if handedOver {
+			s.HandOver()
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(context.Background()) }()
+		select {
+		case j := <-b.jobs:
+			j.Done(core.Response{Payload: []byte("x")})
+		case <-time.After(5 * time.Second):
+			t.Fatalf("the request did not reach the core, handed over: %v", handedOver)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, resp.StatusCode)
+		c.Close()
+		require.NoError(t, <-stopped)
+	}
+}
+
 // TestShutdownAcceptsBacklog starts a shutdown while a connection with a request on it is in the backlog: it is served.
 func TestShutdownAcceptsBacklog(t *testing.T) {
 	other, b, _ := newFront(t, 64)
--- a/internal/datapath/front/front.go
+++ b/internal/datapath/front/front.go
@@ -79,6 +79,7 @@
 	core        Core
 	http        http.Server
 	listener    atomic.Pointer[net.Listener]
+	acceptEnded atomic.Pointer[chan struct{}] // closed once Serve accepts no more, and each connection that it accepted is in conns
 	conns       *connTable
 	stoppedAt   atomic.Pointer[time.Time] // when Stop was called
 	handedOver  atomic.Bool               // HandOver was called
@@ -100,9 +101,10 @@
 
 // Serve accepts and serves connections on l until Stop.
 func (s *Server) Serve(l net.Listener) error {
-	s.listener.Store(&l)
-	ended := make(chan struct{}) // closed on return; ends the goroutine that closes idle connections
+	ended := make(chan struct{}) // closed on return; also ends the goroutine that closes idle connections
 	defer close(ended)
+	s.acceptEnded.Store(&ended)
+	s.listener.Store(&l)
 	go func() {
 		tick := time.NewTicker(s.idleTimeout / 8)
 		defer tick.Stop()
@@ -145,6 +147,12 @@
 			core.SleepUntil(ctx, time.Now().Add(time.Millisecond))
 		}
 		(*l).Close()
+		// A connection that was accepted in this moment may not be in conns yet: without it, its request would be dropped below.
+		select {
+		case <-*s.acceptEnded.Load():
+		case <-time.After(backlogTimeout):
+		case <-ctx.Done():
+		}
 	}
 	// After a handover clients connect to the successor: each connection is closed after its response, and new ones that have
 	// sent no request yet have headerTimeout to send one.
