--- a/review/lab/nvme.go
+++ b/review/lab/nvme.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -95,6 +96,7 @@
 	ID, Addr   string
 	Work       time.Duration
 	BlockBytes int
+	Disturb    func() (delay time.Duration, reset bool) // of each write; nil: none
 
 	mu       sync.Mutex // guards the fields below
 	cntlid   uint16
@@ -130,11 +132,18 @@
 	return append([]Executed(nil), t.executed...)
 }
 
-func (t *NVMeTarget) run(slba uint64, data []byte) {
+func (t *NVMeTarget) run(c net.Conn, slba uint64, data []byte) {
 	time.Sleep(t.Work)
+	if t.Disturb != nil {
+		delay, reset := t.Disturb()
+		time.Sleep(delay)
+		if reset {
+			c.Close()
+		}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := Executed{slba, string(data[:min(16, len(data))]), time.Now()}
+	e := Executed{slba, string(bytes.TrimRight(data[:min(16, len(data))], "\x00")), time.Now()}
 	t.executed = append(t.executed, e)
 	t.lab.Note("%s: ran the write %q at block %d", t.ID, e.Text, slba)
 }
@@ -174,7 +183,7 @@
 				cid := p.u16(8)
 				delete(writes, cid)
 				go func() {
-					t.run(w.slba, w.data)
+					t.run(c, w.slba, w.data)
 					send(makePDU(capsuleResp, 0, respHead(0, cid, 0), nil))
 				}()
 			}
@@ -217,7 +226,7 @@
 			if q[39] == sglOffset {
 				data := p.data
 				go func() {
-					t.run(slba, data)
+					t.run(c, slba, data)
 					answer(0)
 				}()
 				continue
