--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -50,11 +50,15 @@
 	return l
 }
 
-// Note writes a line to record.txt.
+// Note writes a line to record.txt, with $DIR for the temporary folder.
 func (l *Lab) Note(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fmt.Fprintf(l.record, "%8.3f  %s\n", time.Since(l.began).Seconds(), fmt.Sprintf(format, args...))
+	text := fmt.Sprintf(format, args...)
+	if l.Dir != "" {
+		text = strings.ReplaceAll(text, l.Dir, "$DIR")
+	}
+	fmt.Fprintf(l.record, "%8.3f  %s\n", time.Since(l.began).Seconds(), text)
 }
 
 // End ends all processes and the program: with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
