An upgrade no longer cuts off large answers and bodies

What callers saw: during an upgrade the older process ended 3.6 s after the younger one was ready, in the middle of an answer of 17.8 MB (12.4 to 12.8 MB came) or of a body that its client wrote at 64,000 bytes a second, and exited with 1. With a successor in the same process such a body was rejected or its connection ended.

Cause: instance.Serve had one bound for every stop, that of SIGTERM, though nothing is about to kill a process that leaves for a younger one. By the same schedule the front shortened timeouts and dropped requests of which only a part had come.

Change: a stop that a successor began has 20 minutes (the largest body, then the largest answer, at 64,000 bytes a second). The fronts are told by Supersede and Terminate which stop it is; SIGTERM during such a stop brings SIGTERM's bound. Only components at whose addresses the successor listens too stop after the former bound. A process that only writes answers publishes the phase draining, so that the younger one has its whole share of rates and cold budgets again. SIGTERM's bound is now 0.1 s after the earliest SIGKILL; for a deadline of 3 s it was 0.1 s before it.

The set-up of TestWriteRunsOnceDuringUpgrade became upgradeRig, which both files use.

--- a/internal/datapath/core/core.go
+++ b/internal/datapath/core/core.go
@@ -56,7 +56,6 @@
 	AcceptFor     time.Duration // new connections are accepted: one that the kernel has accepted and the process has not would be lost
 	ServeFor      time.Duration // requests on existing connections are served: their clients have no other connection to use
 	RespondWithin time.Duration // requests that arrive after AcceptFor have their response, so that the successor need not wait
-	HandedOver    bool          // a successor accepts on the same socket: of the above only RespondWithin is needed
 }
 
 // NewShutdownSchedule returns the schedule for clients that wait at most longestTimeout. New clients arrive for 0.4 s after
@@ -77,12 +76,12 @@
 }
 
 // LimitTimeout shortens the timeout of a request that arrives after AcceptFor, so that its response is ready within
-// RespondWithin. stoppedAt is the time of SIGTERM, nil before it.
-func (s ShutdownSchedule) LimitTimeout(timeout time.Duration, arrived time.Time, stoppedAt *time.Time) time.Duration {
-	if stoppedAt == nil {
+// RespondWithin. terminatedAt is the time of SIGTERM, nil before it.
+func (s ShutdownSchedule) LimitTimeout(timeout time.Duration, arrived time.Time, terminatedAt *time.Time) time.Duration {
+	if terminatedAt == nil {
 		return timeout
 	}
-	elapsed := arrived.Sub(*stoppedAt)
+	elapsed := arrived.Sub(*terminatedAt)
 	if elapsed <= s.AcceptFor {
 		return timeout
 	}
--- a/internal/datapath/front/body.go
+++ b/internal/datapath/front/body.go
@@ -120,7 +120,7 @@
 	arrival := &bodyArrival{conn: conn, length: r.ContentLength, since: body.start}
 	respondBy := func() time.Time {
 		since := arrival.mayBeWholeSince(body.received)
-		timeout := s.admission.Load().Shutdown.LimitTimeout(j.Timeout, since, s.stoppedAt.Load())
+		timeout := s.admission.Load().Shutdown.LimitTimeout(j.Timeout, since, s.terminatedAt.Load())
 		return since.Add(timeout - uploadMargin)
 	}
 	up, err := s.openUpload(ctx, j, m, r.ContentLength, respondBy())
--- a/internal/datapath/front/conns.go
+++ b/internal/datapath/front/conns.go
@@ -57,6 +57,7 @@
 	requests    atomic.Int64              // how many requests had their head received
 	inHandler   atomic.Bool               // a handler has been called for the current request
 	served      atomic.Bool               // at least one response has been sent on it
+	responding  atomic.Bool               // the current request has its response, which is being written
 	endReason   atomic.Pointer[string]
 	phase       atomic.Int32
 	idleSince   time.Time   // when it was accepted, or last became idle or failed to be evicted; guarded by the table's mutex
@@ -647,6 +648,7 @@
 		cc.idleSince = time.Now()
 		t.mu.Unlock()
 		cc.served.Store(true)
+		cc.responding.Store(false)
 		cc.inHandler.Store(false)
 		cc.markIdle()
 	case http.StateClosed, http.StateHijacked:
@@ -689,6 +691,24 @@
 	return remaining
 }
 
+// hasUndecided reports whether a connection has a request without a response, or may still send one.
+func (t *connTable) hasUndecided() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.open {
+		switch c.phase.Load() {
+		case phaseDraining, phaseEvicted:
+		case phaseActive:
+			if !c.responding.Load() {
+				return true
+			}
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // closeForShutdown closes idle connections, and has all others closed after their responses. Partial requests may still be completed,
 // unless dropPartial is set. It returns how many connections remain, and how many of these only wait for their clients to close them.
 func (t *connTable) closeForShutdown(dropPartial bool) (remaining, onlyLingering int) {
--- a/internal/datapath/front/front.go
+++ b/internal/datapath/front/front.go
@@ -75,16 +75,18 @@
 
 // Server is the front's HTTP server. Serve runs it, Stop ends it.
 type Server struct {
-	opt         Options
-	core        Core
-	http        http.Server
-	listener    atomic.Pointer[net.Listener]
-	acceptEnded atomic.Pointer[chan struct{}] // closed once Serve accepts no more, and each connection that it accepted is in conns
-	conns       *connTable
-	stoppedAt   atomic.Pointer[time.Time] // when Stop was called
-	handedOver  atomic.Bool               // HandOver was called
-	idleTimeout time.Duration             // defaultIdleTimeout, except in tests
-	admission   atomic.Pointer[Admission]
+	opt          Options
+	core         Core
+	http         http.Server
+	listener     atomic.Pointer[net.Listener]
+	acceptEnded  atomic.Pointer[chan struct{}] // closed once Serve accepts no more, and each connection that it accepted is in conns
+	conns        *connTable
+	stoppedAt    atomic.Pointer[time.Time] // when Stop was called
+	terminatedAt atomic.Pointer[time.Time] // when SIGTERM came: the process may be killed soon
+	handedOver   atomic.Bool               // HandOver was called
+	superseded   atomic.Bool               // Supersede was called
+	idleTimeout  time.Duration             // defaultIdleTimeout, except in tests
+	admission    atomic.Pointer[Admission]
 }
 
 // New returns a front for the core.
@@ -127,15 +129,43 @@
 // HandOver records that a successor accepts on the same socket: Stop need not wait for new clients.
 func (s *Server) HandOver() { s.handedOver.Store(true) }
 
+// Supersede records that the next Stop begins since a successor serves, and not with SIGTERM: nothing will kill the process before its
+// clients have sent the requests that they have begun, and have read their responses.
+func (s *Server) Supersede() { s.superseded.Store(true) }
+
+// Terminate records SIGTERM: from now on the shutdown schedule applies, also to a Stop that began after Supersede.
+func (s *Server) Terminate() {
+	now := time.Now()
+	s.terminatedAt.CompareAndSwap(nil, &now)
+}
+
+// Delivering reports whether all that Stop still waits for is that clients read their responses.
+func (s *Server) Delivering() bool {
+	accepted := s.acceptEnded.Load()
+	if s.stoppedAt.Load() == nil || accepted == nil {
+		return false
+	}
+	select {
+	case <-*accepted:
+		return !s.conns.hasUndecided()
+	default:
+		return false
+	}
+}
+
 // SetConnLimits changes how many client connections there may be, and above which number those without a request are evicted.
 func (s *Server) SetConnLimits(maxConns, softMaxConns int) { s.conns.setLimits(maxConns, softMaxConns) }
 
 // Stop shuts the front down. It is not ready from then on. It accepts connections while new clients may still arrive, serves
-// requests on existing connections for a while, and then waits for open requests to finish, until the context ends.
+// requests on existing connections for a while, and then waits for open requests to finish, until the context ends. Requests of which
+// only a part has come by then are dropped, unless the stop began after Supersede.
 func (s *Server) Stop(ctx context.Context) error {
 	now := time.Now()
 	s.stoppedAt.Store(&now)
 	s.conns.markStopping()
+	if !s.superseded.Load() {
+		s.Terminate()
+	}
 	schedule := s.admission.Load().Shutdown
 	if s.handedOver.Load() {
 		schedule.AcceptFor, schedule.ServeFor = 0, 0
@@ -162,9 +192,9 @@
 	core.SleepUntil(ctx, now.Add(schedule.ServeFor))
 	// http.Server.Shutdown drops requests that have been read but not started, and closes connections that it considers idle although
 	// a request is being read. So it is called last, when only connections remain that their clients do not close.
-	partialDeadline, responseDeadline := now.Add(schedule.ServeFor+partialRequestGrace), now.Add(schedule.RespondWithin)
+	responseDeadline := now.Add(schedule.RespondWithin)
 	for ctx.Err() == nil {
-		remaining, lingering := s.conns.closeForShutdown(time.Now().After(partialDeadline))
+		remaining, lingering := s.conns.closeForShutdown(s.dropsPartialRequests(schedule.ServeFor))
 		if remaining == 0 || remaining == lingering && time.Now().After(responseDeadline) {
 			break
 		}
@@ -173,6 +203,13 @@
 	return s.http.Shutdown(ctx)
 }
 
+// dropsPartialRequests reports whether a request of which only a part has come is dropped by now: those have partialRequestGrace once the
+// time in which requests are served is over, which counts from SIGTERM.
+func (s *Server) dropsPartialRequests(serveFor time.Duration) bool {
+	at := s.terminatedAt.Load()
+	return at != nil && time.Now().After(at.Add(serveFor+partialRequestGrace))
+}
+
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connFromContext(r.Context())
 	conn.inHandler.Store(true)
@@ -229,7 +266,7 @@
 	if r.ContentLength != 0 && http.NewResponseController(w).SetReadDeadline(time.Time{}) != nil {
 		panic(http.ErrAbortHandler)
 	}
-	j.Timeout = s.admission.Load().Shutdown.LimitTimeout(j.Timeout, arrived, s.stoppedAt.Load())
+	j.Timeout = s.admission.Load().Shutdown.LimitTimeout(j.Timeout, arrived, s.terminatedAt.Load())
 	// The core's goroutine must not wait for a client: the channel has room for the response.
 	slot := &responseSlot{ch: make(chan core.Response, 1)}
 	j.Arrived, j.Payload, j.Done = arrived, m, slot.put
@@ -248,6 +285,7 @@
 	}
 	select {
 	case resp := <-slot.ch:
+		conn.responding.Store(true)
 		if conn.closesAfterResponse() || s.handedOver.Load() && s.stoppedAt.Load() != nil {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/datapath/nvme/controller.go
+++ b/internal/datapath/nvme/controller.go
@@ -55,7 +55,8 @@
 	bufferedBytes atomic.Int64 // data of the open commands
 	health        healthCounters
 	openCommands  atomic.Int64              // commands submitted to the core and not completed
-	stopTime      atomic.Pointer[time.Time] // when Stop was called; nil before
+	terminatedAt  atomic.Pointer[time.Time] // when SIGTERM came: the process may be killed soon
+	superseded    atomic.Bool               // Supersede was called
 	rejectNew     atomic.Bool               // new commands are rejected as retryable
 
 	mu          sync.Mutex // guards the fields below
@@ -252,12 +253,26 @@
 		slog.String("reason", reason), slog.Int("requests", q.commandCount), slog.Int("queue", int(q.qid)))
 }
 
+// Supersede records that the next Stop begins since a successor serves, and not with SIGTERM: nothing will kill the process soon.
+func (s *Server) Supersede() { s.superseded.Store(true) }
+
+// Terminate records SIGTERM: commands that arrive from now on must be completed before the process may be killed.
+func (s *Server) Terminate() {
+	now := time.Now()
+	s.terminatedAt.CompareAndSwap(nil, &now)
+}
+
+// Delivering reports whether all that Stop still waits for is that hosts read their completions.
+func (s *Server) Delivering() bool { return s.rejectNew.Load() && s.openCommands.Load() == 0 }
+
 // Stop accepts connections for Shutdown.AcceptFor, and serves commands on those that are open until Shutdown.ServeFor. Then
 // it rejects new commands, waits for the open ones and closes all connections. If ctx ends first, it no longer waits for the
 // open commands and returns the context's error.
 func (s *Server) Stop(ctx context.Context) error {
 	now := time.Now()
-	s.stopTime.Store(&now)
+	if !s.superseded.Load() {
+		s.Terminate()
+	}
 	core.SleepUntil(ctx, now.Add(s.opt.Shutdown.AcceptFor))
 	s.mu.Lock()
 	if s.listener != nil {
@@ -644,7 +659,7 @@
 	now := time.Now()
 	for i, x := range parts {
 		j := &core.Job{Request: p.ns.request(x), Arrived: now, Payload: x}
-		j.Timeout = q.server.opt.Shutdown.LimitTimeout(q.server.opt.Timeouts[j.Class], now, q.server.stopTime.Load())
+		j.Timeout = q.server.opt.Shutdown.LimitTimeout(q.server.opt.Timeouts[j.Class], now, q.server.terminatedAt.Load())
 		j.Done = func(r core.Response) { q.completePart(p, i, r) }
 		jobs[i] = j
 	}
--- a/internal/process/handover/decide.go
+++ b/internal/process/handover/decide.go
@@ -11,6 +11,7 @@
 	Starting Phase = iota
 	Serving        // accepts clients
 	Leaving        // no longer accepts clients
+	Draining       // all its requests are decided: it only writes responses
 )
 
 // Member is the state of one live process.
@@ -22,7 +23,8 @@
 
 // View is what a process concludes from the states of all live processes.
 type View struct {
-	Processes  int  // live processes that share the limits, including this one
+	Processes  int  // live processes that share descriptors and memory, including this one
+	Draining   int  // of these, others that only write responses: they need no share of what the scheduler divides
 	Superseded bool // a younger process serves
 }
 
@@ -32,6 +34,9 @@
 	v := View{Processes: 1}
 	for _, o := range others {
 		v.Processes++
+		if o.Phase == Draining {
+			v.Draining++
+		}
 		younger := o.StartedAt > self.StartedAt || o.StartedAt == self.StartedAt && o.PID > self.PID
 		v.Superseded = v.Superseded || o.StartedAt > 0 && o.Phase == Serving && younger
 	}
--- a/internal/process/handover/handover_test.go
+++ b/internal/process/handover/handover_test.go
@@ -79,6 +79,10 @@
 	requireView(t, g, View{Processes: 2})
 	_ = stuck.Process.Kill()
 	_ = stuck.Wait()
+	draining := startProcess(t, dir, Draining)
+	requireView(t, g, View{Processes: 2, Draining: 1})
+	_ = draining.Process.Kill()
+	_ = draining.Wait()
 	requireView(t, g, View{Processes: 1})
 	if files, _ := filepath.Glob(filepath.Join(dir, "*")); len(files) != 2 {
 		t.Errorf("files left: %q; want only the two of this process", files)
--- a/internal/process/instance/component.go
+++ b/internal/process/instance/component.go
@@ -71,6 +71,18 @@
 	return err
 }
 
+// partition returns the components that f selects, and the others, both in the order of their start.
+func (p components) partition(f func(Component) bool) (selected, others components) {
+	for _, x := range p {
+		if f(x) {
+			selected = append(selected, x)
+		} else {
+			others = append(others, x)
+		}
+	}
+	return selected, others
+}
+
 // onTargetList passes a target list to all targetListeners.
 func (p components) onTargetList(l *targetlist.List) {
 	for _, x := range p {
--- a/internal/process/instance/config_change_test.go
+++ b/internal/process/instance/config_change_test.go
@@ -57,6 +57,7 @@
 func startHarness(t *testing.T) *harness {
 	h := &harness{t: t, addr: newTestSite(t).addrs["listen"], release: make(chan struct{}), blocked: make(chan struct{}, 64), offers: make(chan configOffer), done: make(chan error, 1)}
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
 		if strings.Contains(q.URL.Path, "/f") {
 			h.blocked <- struct{}{}
 			<-h.release
@@ -327,6 +328,47 @@
 	require.Equal(t, 1, strings.Count(h.log.String(), "for=listen"))
 }
 
+// TestPredecessorWaitsForSlowBody guards against a request that is rejected since a successor in the same process serves, as if SIGKILL were
+// near: its body is written for longer than a stop lasts at SIGTERM. Meanwhile the successor alone answers at the control address.
+func TestPredecessorWaitsForSlowBody(t *testing.T) {
+	const (
+		bodyBytes, pieceBytes = 420_000, 4000
+		rate                  = 64_000 // bytes a second
+		controlCalls          = 30
+	)
+	onNewConns := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	h := startHarness(t)
+	control := newTestSite(t).addrs["control"]
+	withControl := func(all, _ map[string]any) { all["control"] = control }
+	require.NoError(t, h.offerConfig(withControl))
+	h.waitServing()
+	slow := h.newClient()
+	fmt.Fprintf(slow.conn, "PUT /position-read/0a00000000000001 HTTP/1.1\r\nHost: a\r\nRequest-Id: slow\r\nTier: base\r\nRequest-Timeout-Ms: 500\r\n"+
+		"IO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+	_, err := slow.conn.Write(make([]byte, pieceBytes))
+	require.NoError(t, err)
+	began := time.Now()
+	h.addr = newTestSite(t).addrs["listen"]
+	require.NoError(t, h.offerConfig(withControl))
+	for sent := pieceBytes; sent < bodyBytes; sent += pieceBytes {
+		time.Sleep(time.Until(began.Add(time.Duration(sent) * time.Second / rate)))
+		_, err := slow.conn.Write(make([]byte, pieceBytes))
+		require.NoError(t, err, "after %d bytes", sent)
+		if sent == bodyBytes-controlCalls*pieceBytes {
+			require.Greater(t, time.Since(began), stopTimeout(500*time.Millisecond))
+			require.Equal(t, 1, strings.Count(h.log.String(), `msg="still leaving"`))
+		}
+		if sent >= bodyBytes-controlCalls*pieceBytes {
+			resp, err := onNewConns.Get("http://" + control + "/v1/readyz")
+			require.NoError(t, err)
+			resp.Body.Close()
+			require.Equal(t, http.StatusOK, resp.StatusCode)
+		}
+	}
+	status, body, _ := slow.read()
+	require.Equal(t, "200 whole", fmt.Sprint(status, " ", body))
+}
+
 // TestGenerationsShareRequestIDs guards against a request that is sent twice while a successor in the same process serves beside its
 // predecessor: an ID that is open, or has run, at one of them is a conflict at the other.
 func TestGenerationsShareRequestIDs(t *testing.T) {
--- a/internal/process/instance/fronts.go
+++ b/internal/process/instance/fronts.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"time"
 
 	"spindlehitch/internal/observability/control"
 	"spindlehitch/internal/process/handover"
@@ -17,6 +16,9 @@
 // frontServer accepts connections until Stop, which finishes the requests that were accepted.
 type frontServer interface {
 	Serve(net.Listener) error
+	Supersede()       // the next Stop begins since a successor serves: nothing will kill the process soon
+	Terminate()       // SIGTERM has come, also during a Stop after Supersede
+	Delivering() bool // Stop only waits for clients that read their responses
 	Stop(context.Context) error
 }
 
@@ -90,6 +92,30 @@
 	return err
 }
 
+// supersede tells all fronts that the next stop begins since a successor serves.
+func (f *fronts) supersede() {
+	for _, e := range f.bound {
+		e.Supersede()
+	}
+}
+
+// terminate tells all fronts that SIGTERM has come.
+func (f *fronts) terminate() {
+	for _, e := range f.bound {
+		e.Terminate()
+	}
+}
+
+// delivering reports whether all that Stop still waits for is that clients read their responses.
+func (f *fronts) delivering() bool {
+	for _, e := range f.bound {
+		if !e.Delivering() {
+			return false
+		}
+	}
+	return true
+}
+
 // controlPages serves health, metrics and membership at the control address.
 type controlPages struct {
 	*control.Server
@@ -112,10 +138,3 @@
 
 // Stop implements Component.
 func (p *controlPages) Stop(context.Context) error { return p.Close() }
-
-// stopTimeout bounds a stop, given the longest time that the client of an open request waits. That may be longer than the
-// platform lets the process run after SIGTERM. The process still waits for the response and may be killed while it waits: a
-// request whose process exits before it is answered is a fault of this program, one whose process is killed is not.
-func stopTimeout(maxWait time.Duration) time.Duration {
-	return max(maxWait, 3*time.Second) + 600*time.Millisecond
-}
--- a/internal/process/instance/generation.go
+++ b/internal/process/instance/generation.go
@@ -53,6 +53,8 @@
 	var current *generation
 	var predecessors sync.WaitGroup // that still finish their open requests
 	defer predecessors.Wait()
+	processCtx, endProcess := context.WithCancel(ctx) // ends with the current generation, too: predecessors then stop as at SIGTERM
+	defer endProcess()
 	for {
 		var done chan error
 		if current != nil {
@@ -72,12 +74,12 @@
 			switch {
 			case err != nil:
 			case current == nil:
-				next, err = startGeneration(ctx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
+				next, err = startGeneration(processCtx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
 			default:
 				if reason = restartReason(current.cfg, cfg, current.op, op); reason == "" {
 					err = current.applyConfig(cfg)
 				} else {
-					next, err = startGeneration(ctx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
+					next, err = startGeneration(processCtx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
 				}
 			}
 			if offered.result != nil {
@@ -89,7 +91,7 @@
 			}
 			log.Info("configuration taken", slog.Uint64("version", offered.Version), slog.Bool("started", next != current), slog.String("for", reason))
 			if old := current; old != nil && old != next {
-				old.stop()
+				close(old.superseded)
 				predecessors.Go(func() { <-old.done }) //nolint:errcheck // Serve has logged its end
 			}
 			current = next
@@ -99,11 +101,11 @@
 
 // generation is a running initiator with the configuration that is in force there.
 type generation struct {
-	cfg     *config.Config
-	op      *config.OperatorFile
-	changes chan Change // never closed
-	stop    context.CancelFunc
-	done    chan error // receives the result of Serve; never closed
+	cfg        *config.Config
+	op         *config.OperatorFile
+	changes    chan Change   // never closed
+	superseded chan struct{} // closed once a successor serves
+	done       chan error    // receives the result of Serve; never closed
 }
 
 // parseEntry parses and checks an agent's entry, and the operator's file against it.
@@ -145,19 +147,17 @@
 }
 
 // startGeneration starts a generation and waits until it listens at all its addresses. Opt has what the generations of a process share.
-func startGeneration(parent context.Context, cfg *config.Config, op *config.OperatorFile, opt Options) (*generation, error) {
-	ctx, cancel := context.WithCancel(parent)
-	g := &generation{cfg, op, make(chan Change), cancel, make(chan error, 1)}
+func startGeneration(ctx context.Context, cfg *config.Config, op *config.OperatorFile, opt Options) (*generation, error) {
+	g := &generation{cfg, op, make(chan Change), make(chan struct{}), make(chan error, 1)}
 	listening := make(chan struct{})
 	go func() {
-		opt.OnListening, opt.Changes = func() { close(listening) }, g.changes
+		opt.OnListening, opt.Changes, opt.superseded = func() { close(listening) }, g.changes, g.superseded
 		g.done <- Serve(ctx, cfg, op, opt)
 	}()
 	select {
 	case <-listening:
 		return g, nil
 	case err := <-g.done:
-		cancel()
 		return nil, err
 	}
 }
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -44,10 +44,12 @@
 	Changes     <-chan Change       // applied even while the instance stops; nil: none
 	feed        *feedStream         // shared by the process; nil: the instance has its own, if its operator's file has a feed
 	requestIDs  *requestid.Registry // shared by the process; nil: the instance has its own
+	superseded  <-chan struct{}     // closed once a successor in the same process serves; nil: there is none
 }
 
-// Serve runs an instance until ctx ends, a front fails or a younger process serves, and then until all accepted requests have their
-// responses, within stopTimeout. If ctx ends during the start, the components that have started are stopped again.
+// Serve runs an instance until ctx ends, which is SIGTERM, a front fails or a successor serves, and then until all accepted requests have
+// their responses: within stopTimeout, or within handoverTimeout if a successor serves. If ctx ends during the start, the components that
+// have started are stopped again.
 func Serve(ctx context.Context, cfg *config.Config, op *config.OperatorFile, opt Options) error {
 	runtime.GOMAXPROCS(maxThreads(cfg))
 	in, err := assemble(cfg, op, opt)
@@ -72,18 +74,26 @@
 		opt.OnListening()
 	}
 	var failed error
-	reason := "STOPPED"
+	reason, superseded := "STOPPED", false
 	select {
 	case failed = <-in.fronts.failed:
 		reason = "FAILED"
 	case <-ctx.Done():
 	case <-in.group.supersededChan():
-		reason = "SUCCEEDED"
+		superseded = true
+	case <-opt.superseded:
+		superseded = true
+	}
+	within := core.NewShutdownSchedule(maxDeadline(in.cfg.Load())).RespondWithin
+	if superseded {
+		reason, within = "SUCCEEDED", handoverTimeout
+	}
+	opt.Log.Info("leaving", slog.String("reason", reason), slog.Int("open", in.core.OpenCount()), slog.Duration("within", within))
+	if superseded {
+		err = in.stopAfterHandover(ctx)
+	} else {
+		err = errors.Join(failed, in.stopNow())
 	}
-	opt.Log.Info("leaving", slog.String("reason", reason), slog.Int("open", in.core.OpenCount()), slog.Duration("within", core.NewShutdownSchedule(maxDeadline(in.cfg.Load())).RespondWithin))
-	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopTimeout(in.longestClientWait()))
-	defer cancelStop()
-	err = errors.Join(failed, in.components.stop(stopCtx))
 	opt.Log.Info("left", slog.Int("open", in.core.OpenCount()))
 	return err
 }
@@ -192,7 +202,7 @@
 		ReadyOnly: op.NVMe != nil, Metrics: dataPathMetrics, BufferBudget: byteBudget, OpenUpload: up.StartUpload, Log: log})
 	// Only the divider sets bounds on connections and bytes: now, and whenever the limits or the number of processes change.
 	divider := &limitDivider{limits: effectiveLimits(cfg.Limits), byteBudget: byteBudget, up: up, front: httpFront, core: in.core}
-	divider.setProcesses(1)
+	divider.setProcesses(1, 0)
 	in.fronts = &fronts{name: cfg.Name, log: log, listKnown: make(chan struct{})}
 
 	dp := &dataPath{loop: loop{run: in.core.Run}, core: in.core, up: up, metrics: dataPathMetrics}
--- a/internal/process/instance/limits.go
+++ b/internal/process/instance/limits.go
@@ -66,7 +66,8 @@
 // bufferedBytes is the limit on the bytes of bodies that are buffered at a time: a quarter of the memory.
 func (l resourceLimits) bufferedBytes() int64 { return int64(l.MemoryMB) << 20 / 4 }
 
-// limitDivider applies the limits to everything that they bound. Processes of one process group share the limits equally.
+// limitDivider applies the limits to everything that they bound. Processes of one process group share the limits equally; one that only
+// writes responses has no part of what the scheduler divides.
 type limitDivider struct {
 	limits     resourceLimits
 	byteBudget *budget.Bytes
@@ -75,15 +76,16 @@
 	core       *core.Core
 
 	mu           sync.Mutex // guards limits and the fields below, and orders the calls of apply
-	processes    int        // live processes that share the limits
+	processes    int        // live processes that share descriptors and memory
+	draining     int        // those of them, this one not among them, that only write responses
 	grantedBytes int64      // added to byteBudget so far
 }
 
-// setProcesses limits this process to its share where n processes share the limits.
-func (d *limitDivider) setProcesses(n int) {
+// setProcesses limits this process to its share where so many processes are alive, of which so many others only write responses.
+func (d *limitDivider) setProcesses(alive, draining int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.processes = n
+	d.processes, d.draining = alive, draining
 	d.apply()
 }
 
@@ -105,5 +107,5 @@
 	d.grantedBytes = own.bufferedBytes()
 	d.up.SetConnLimits(own.connsPerTarget(), own.targetConns())
 	d.front.SetConnLimits(own.clientConns(), own.softMaxClientConns())
-	d.core.SetProcessCount(d.processes)
+	d.core.SetProcessCount(d.processes - d.draining)
 }
--- a/internal/process/instance/process_group.go
+++ b/internal/process/instance/process_group.go
@@ -16,7 +16,7 @@
 type processGroup struct {
 	name           string
 	log            *slog.Logger
-	onProcessCount func(processes int)
+	onProcessCount func(alive, draining int)
 	requestIDs     *requestid.Registry
 	superseded     chan struct{} // closed by watchGroup once a younger process serves
 	supersededOnce sync.Once
@@ -24,7 +24,7 @@
 	loop
 }
 
-func newProcessGroup(name string, log *slog.Logger, onProcessCount func(int), requestIDs *requestid.Registry) *processGroup {
+func newProcessGroup(name string, log *slog.Logger, onProcessCount func(alive, draining int), requestIDs *requestid.Registry) *processGroup {
 	g := &processGroup{name: name, log: log, onProcessCount: onProcessCount, requestIDs: requestIDs, superseded: make(chan struct{})}
 	g.run = g.watchGroup
 	return g
@@ -62,8 +62,8 @@
 // watchGroup follows the other processes' states until the context ends.
 func (g *processGroup) watchGroup(ctx context.Context) {
 	g.group.Watch(ctx, func(v handover.View) {
-		g.log.Info("processes", slog.Int("alive", v.Processes), slog.Bool("succeeded", v.Superseded))
-		g.onProcessCount(v.Processes)
+		g.log.Info("processes", slog.Int("alive", v.Processes), slog.Int("draining", v.Draining), slog.Bool("succeeded", v.Superseded))
+		g.onProcessCount(v.Processes, v.Draining)
 		if v.Superseded {
 			g.supersededOnce.Do(func() { close(g.superseded) })
 		}
--- a/internal/testbed/faults/upgrade_test.go
+++ b/internal/testbed/faults/upgrade_test.go
@@ -44,6 +44,58 @@
 	fmt.Fprint(resp, "done")
 }
 
+// upgradeRig starts processes of one initiator that inherit its clients' socket.
+type upgradeRig struct {
+	*Rig
+	listener *net.TCPListener
+	addr     string // of the clients' socket
+	config   string // file
+}
+
+func newUpgradeRig(t *testing.T, target http.Handler) *upgradeRig {
+	t.Helper()
+	r := &upgradeRig{Rig: New(t)}
+	node := httptest.NewServer(target)
+	t.Cleanup(node.Close)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Query().Has("after") {
+			<-q.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"version":1,"full":true,"servers":[{"id":"t","addr":%q,"cell":0,"state":"SERVING"}]}`, node.Listener.Addr())
+	}))
+	t.Cleanup(discovery.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	r.listener = listener.(*net.TCPListener)
+	r.addr = listener.Addr().String()
+	r.config = r.WriteFile("n.json", fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"settings":{"peersTotal":1,"tickUs":2000,
+ "classes":[{"name":"event-write","promiseUs":1000000,"deadlineUs":3000000,"effect":"side_effect","worth":1}],
+ "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8,"writes":[true]},"limits":{"sendCap":3}}}`,
+		r.addr, discovery.Listener.Addr()))
+	return r
+}
+
+// start starts a process and waits until it is ready.
+func (r *upgradeRig) start(name string) *Proc {
+	r.T.Helper()
+	socket, err := r.listener.File()
+	require.NoError(r.T, err)
+	defer socket.Close()
+	control := FreeAddrs(r.T, 1)[0]
+	p := r.StartWith(name, []*os.File{socket}, 0, []string{"PROXY_CONFIG=" + r.config, "PROXY_SOCKET_FD=3", "PROXY_CONTROL=" + control}, "serve")
+	r.WaitFor(name+" is ready", func() bool {
+		resp, err := http.Get("http://" + control + "/v1/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return p
+}
+
 // writeClient is a client with one connection.
 type writeClient struct {
 	t    *testing.T
@@ -87,42 +139,9 @@
 func TestWriteRunsOnceDuringUpgrade(t *testing.T) {
 	for _, killed := range []bool{false, true} {
 		t.Run(fmt.Sprint("killed: ", killed), func(t *testing.T) {
-			r := New(t)
 			target := &writeTarget{runs: map[string]int{}, arrived: make(chan string, 8)}
-			node := httptest.NewServer(target)
-			t.Cleanup(node.Close)
-			discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-				if q.URL.Query().Has("after") {
-					<-q.Context().Done()
-					return
-				}
-				fmt.Fprintf(w, `{"version":1,"full":true,"servers":[{"id":"t","addr":%q,"cell":0,"state":"SERVING"}]}`, node.Listener.Addr())
-			}))
-			t.Cleanup(discovery.Close)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			addr := listener.Addr().String()
-			file := r.WriteFile("n.json", fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"settings":{"peersTotal":1,"tickUs":2000,
- "classes":[{"name":"event-write","promiseUs":1000000,"deadlineUs":3000000,"effect":"side_effect","worth":1}],
- "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8,"writes":[true]},"limits":{"sendCap":3}}}`,
-				addr, discovery.Listener.Addr()))
-			start := func(name string) *Proc {
-				socket, err := listener.(*net.TCPListener).File()
-				require.NoError(t, err)
-				defer socket.Close()
-				control := FreeAddrs(t, 1)[0]
-				p := r.StartWith(name, []*os.File{socket}, 0, []string{"PROXY_CONFIG=" + file, "PROXY_SOCKET_FD=3", "PROXY_CONTROL=" + control}, "serve")
-				r.WaitFor(name+" is ready", func() bool {
-					resp, err := http.Get("http://" + control + "/v1/readyz")
-					if err != nil {
-						return false
-					}
-					resp.Body.Close()
-					return resp.StatusCode == http.StatusOK
-				})
-				return p
-			}
+			r := newUpgradeRig(t, target)
+			addr, start := r.addr, r.start
 			older := start("older")
 			require.Equal(t, http.StatusOK, write(t, addr, "first"))
 			require.NotEqual(t, http.StatusOK, write(t, addr, "full-1"))
