NVMe: a command whose data is late, aborted or damaged ends alone

What callers saw: a host sent the 128 KiB of one write at 64,000 bytes a second; after 1.2 s its connection was ended, and 2 or 3 other event-writes of the queue, run by the target, never had a completion.

Cause: the data had the class's deadline from the R2T on, however steadily it came, and a transfer could not outlive its command, so that a late one ended the whole connection and with it all commands of the queue.

Change: transfers are kept by tag, apart from commands (transfer.go, out of controller.go). Data has 2.5 s or the class's time, and a second for each 32 KiB that the connection brings, up to what the host owed. A late command fails alone, as not started; what still comes of its data is discarded. As many unfinished transfers as the queue has entries, then further ones are rejected as retryable. A stop rejects commands whose data is on its way as retryable.

TestWriteDataTimeout asked that the connection be closed at the timeout, which is the fault. TestTransferEndsAlone takes its place with the same checks (bytes held and released, nothing written) and asks besides for the command's own status and for all other commands' completions.

--- a/internal/datapath/nvme/controller.go
+++ b/internal/datapath/nvme/controller.go
@@ -112,6 +112,7 @@
 	closeOnce   sync.Once     // for closeReason and the nil in outgoing
 	closeReason string
 
+	bytesRead  atomic.Int64
 	keyRetired atomic.Bool // the host's certificate is no longer accepted: new commands are rejected
 	acceptedAt time.Time
 	connected  atomic.Bool // Connect has succeeded, and ctrl is set
@@ -124,22 +125,20 @@
 	sqhd         uint16
 	commandCount int
 	cmds         map[uint16]*pending // open commands by command id; nil once the connection is closed
-	lastTag      uint16
+	transfers    transfers
 }
 
 // pending is a command that has not been completed. Its fields are written by readLoop, under queue.mu where other goroutines
 // use them, except for unanswered and responses, which completePart writes under queue.mu.
 type pending struct {
-	cmd         command
-	io          *IO
-	ns          *Namespace       // as it was when the command was received
-	received    int              // bytes of the host's data
-	transferTag uint16           // of the R2T; 0: none was sent
-	dataTimer   *time.Timer      // closes the connection if the host's data is late
-	jobs        []*core.Job      // the command's parts, once they are submitted to the core
-	unanswered  int              // jobs without a response
-	responses   []core.Response  // to jobs, in their order
-	stats       *metrics.Request // nil: not counted
+	cmd        command
+	io         *IO
+	ns         *Namespace       // as it was when the command was received
+	transfer   *transfer        // of its data, while that is on its way; nil: none is
+	jobs       []*core.Job      // the command's parts, once they are submitted to the core
+	unanswered int              // jobs without a response
+	responses  []core.Response  // to jobs, in their order
+	stats      *metrics.Request // nil: not counted
 }
 
 // Serve accepts connections until Stop closes the listener.
@@ -165,7 +164,7 @@
 			c = tls.Server(c, s.opt.Certs.ServerConfig())
 		}
 		q := &queue{server: s, conn: c, outgoing: mailbox.New[[]byte](), closed: make(chan struct{}),
-			cmds: map[uint16]*pending{}, acceptedAt: time.Now()}
+			cmds: map[uint16]*pending{}, transfers: newTransfers(), acceptedAt: time.Now()}
 		s.mu.Lock()
 		full := len(s.queues) >= s.opt.MaxConns && !s.evictUnconnected()
 		if !full {
@@ -266,8 +265,8 @@
 func (s *Server) Delivering() bool { return s.rejectNew.Load() && s.openCommands.Load() == 0 }
 
 // Stop accepts connections for Shutdown.AcceptFor, and serves commands on those that are open until Shutdown.ServeFor. Then
-// it rejects new commands, waits for the open ones and closes all connections. If ctx ends first, it no longer waits for the
-// open commands and returns the context's error.
+// it rejects new commands and those whose data is still on its way, waits for the open ones and closes all connections. If ctx
+// ends first, it no longer waits for the open commands and returns the context's error.
 func (s *Server) Stop(ctx context.Context) error {
 	now := time.Now()
 	if !s.superseded.Load() {
@@ -292,6 +291,7 @@
 	}
 	s.mu.Unlock()
 	for _, q := range all {
+		q.rejectTransfers()
 		q.closeAfterWrites("LEAVING")
 	}
 	for _, q := range all {
@@ -356,7 +356,9 @@
 
 // drop releases and cancels a command that will not be completed, as its connection is closed.
 func (q *queue) drop(p *pending) {
+	q.mu.Lock()
 	q.release(p)
+	q.mu.Unlock()
 	q.cancelJobs(p)
 }
 
@@ -367,11 +369,12 @@
 	}
 }
 
-// release returns what an open command holds: its timer, its bytes and its place among the open commands.
+// release returns what an open command holds: its bytes and its place among the open commands. Data that is still on its way is discarded.
+// The caller holds mu.
 func (q *queue) release(p *pending) {
 	p.stats.End(metrics.Failure) // no effect if complete has counted it: otherwise its connection was closed
-	if p.dataTimer != nil {
-		p.dataTimer.Stop()
+	if p.transfer != nil {
+		q.transfers.abandon(p.transfer)
 	}
 	if p.io != nil {
 		q.server.bufferedBytes.Add(-int64(p.io.Bytes))
@@ -411,7 +414,7 @@
 // servePDUs negotiates the framing and handles PDUs until the connection fails or the host violates the protocol. The
 // handshake timeout covers everything up to a successful Connect.
 func (q *queue) servePDUs() error {
-	in := bufio.NewReaderSize(q.conn, 16<<10)
+	in := bufio.NewReaderSize(&countingReader{q.conn, &q.bytesRead}, 16<<10)
 	q.conn.SetDeadline(time.Now().Add(handshakeTimeout)) // for writes as well, as the TLS handshake writes
 	p, err := readPDU(in, framing{})
 	if err != nil {
@@ -572,8 +575,7 @@
 		inCapsule && (!needsHostData || len(data) != length || length > maxInCapsuleData), !inCapsule && len(data) > 0:
 		q.complete(p, stInvalidField|dnr, 0, nil)
 	case s.rejectNew.Load(), q.keyRetired.Load(), s.bufferedBytes.Load()+int64(length) > s.opt.MaxBufferedBytes:
-		// The command was not started: the host may retry it here or on another path.
-		q.complete(p, statusOf(core.Overloaded, q.ctrl.retryDelaysEnabled()), 0, nil)
+		q.reject(p)
 	default:
 		x.Bytes = length
 		// If the connection was closed meanwhile, the command was released: bytes that it took now would never be returned.
@@ -601,56 +603,6 @@
 	return nil
 }
 
-// requestData requests a command's data with an R2T. Only one R2T is outstanding for a command, which every host supports.
-// If the data is not complete within the timeout of the namespace's write class, the connection is closed.
-func (q *queue) requestData(p *pending) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.cmds[p.cmd.cid()] != p {
-		return
-	}
-	p.io.Data = make([]byte, p.io.Bytes)
-	q.lastTag++
-	p.transferTag = q.lastTag
-	p.dataTimer = time.AfterFunc(q.server.opt.Timeouts[p.ns.Write], func() { q.closeAfterWrites("HOST_DATA_LATE") })
-	q.send(typeR2T, 0, dataHead(p.cmd.cid(), p.transferTag, 0, uint32(p.io.Bytes)), nil)
-}
-
-// handleData handles a part of a command's data, which must be in order and within the requested range.
-func (q *queue) handleData(pd *pdu) error {
-	q.mu.Lock()
-	p := q.cmds[pd.u16(8)]
-	q.mu.Unlock()
-	protocolError := func(fes uint16, at uint32, cause string) error {
-		return &fatalError{fes: fes, fei: at, cause: cause, head: pd.head}
-	}
-	switch {
-	case p == nil || p.transferTag == 0 || p.dataTimer == nil:
-		return protocolError(fesInvalidHeader, 8, "data for a command that has no outstanding R2T")
-	case pd.u16(10) != p.transferTag:
-		return protocolError(fesInvalidHeader, 10, "transfer tag does not match the R2T")
-	}
-	offset, length := int64(pd.u32(12)), int64(pd.u32(16))
-	last := offset+length == int64(p.io.Bytes)
-	switch {
-	case length != int64(len(pd.data)) || length > maxH2CData || length == 0:
-		return protocolError(fesInvalidHeader, 16, "data length out of range or not that of the data")
-	case offset != int64(p.received) || offset+length > int64(p.io.Bytes):
-		return protocolError(fesOutOfRange, 12, "data out of order or beyond the requested range")
-	case last != (pd.flags&flagLast != 0):
-		return protocolError(fesInvalidHeader, 1, "last-PDU flag does not match the data offset and length")
-	case pd.dataError:
-		q.complete(p, stTransient, 0, nil)
-		return nil
-	}
-	copy(p.io.Data[offset:], pd.data)
-	if p.received += int(length); last {
-		p.dataTimer.Stop()
-		q.submit(p)
-	}
-	return nil
-}
-
 // submit submits the command to the core, split into parts if it spans several shards. From here on the command ends with
 // the core's responses, unless it is aborted or its connection is closed.
 func (q *queue) submit(p *pending) {
