--- a/internal/process/instance/feed_test.go
+++ b/internal/process/instance/feed_test.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	"spindlehitch/internal/controlplane/watchstream/distribution"
 	"spindlehitch/internal/controlplane/watchstream/targetmerge"
 	"spindlehitch/internal/datapath/targetlist"
+	"spindlehitch/internal/process/config"
 )
 
 func entryOf(id, state string, started int64) targetlist.Entry {
@@ -241,6 +244,35 @@
 	require.NoError(t, <-done)
 }
 
+// TestYieldedFeedReader guards against a process that goes on asking relays under the name of its successor, and overwrites its snapshot,
+// while it still serves clients of before: once it has yielded it calls no relay, and discovery's lists still reach it.
+func TestYieldedFeedReader(t *testing.T) {
+	var calls atomic.Int64
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(relay.Close)
+	lists := make(chan *targetlist.List, 1)
+	feed, err := newFeedComponent(&config.Feed{Fleet: "campus", Region: "north", Relays: []config.FeedRelay{{ID: "r", Region: "north", Addr: relay.Listener.Addr().String()}}},
+		nil, "n1", discardLog, func(l *targetlist.List) { lists <- l })
+	require.NoError(t, err)
+	require.NoError(t, feed.Start(t.Context()))
+	require.Eventually(t, func() bool { return calls.Load() >= 2 }, 30*time.Second, 10*time.Millisecond)
+	require.NoError(t, feed.YieldToSuccessor(t.Context()))
+	before := calls.Load()
+	feed.putDiscovery(&targetlist.List{Full: true, Targets: targetlist.Entries{entryOf("a", "SERVING", 5)}})
+	select {
+	case l := <-lists:
+		require.Len(t, l.Targets, 1)
+	case <-time.After(30 * time.Second):
+		t.Fatal("the list of discovery did not come")
+	}
+	time.Sleep(2 * watchstream.DefaultRelaySelectorOptions.RetryMax) // the longest wait between two calls
+	require.Equal(t, before, calls.Load())
+	require.NoError(t, feed.Stop(t.Context()))
+}
+
 // TestMergeDiscoveryAndFeed merges a short history of the feed with a discovery service that lags behind.
 func TestMergeDiscoveryAndFeed(t *testing.T) {
 	s := &feedStream{log: discardLog, targets: map[string]targetlist.Entry{}}
