--- a/internal/datapath/core/core.go
+++ b/internal/datapath/core/core.go
@@ -48,6 +48,9 @@
 	OnWritten   func()             // to be called once the response is written to the client; nil: not needed
 }
 
+// ResponseMargin is how long before the client's timeout a response must be decided, so that it is written in time.
+const ResponseMargin = 12 * time.Millisecond
+
 // Overloaded rejects a request that a front has no capacity for; the scheduler has not seen it.
 var Overloaded = Response{Status: Rejected, RetryAfter: time.Second}
 
--- a/internal/datapath/front/body.go
+++ b/internal/datapath/front/body.go
@@ -121,7 +121,7 @@
 	respondBy := func() time.Time {
 		since := arrival.mayBeWholeSince(body.received)
 		timeout := s.admission.Load().Shutdown.LimitTimeout(j.Timeout, since, s.terminatedAt.Load())
-		return since.Add(timeout - uploadMargin)
+		return since.Add(timeout - core.ResponseMargin)
 	}
 	up, err := s.openUpload(ctx, j, m, r.ContentLength, respondBy())
 	if err != nil {
--- a/internal/datapath/front/body_arrival.go
+++ b/internal/datapath/front/body_arrival.go
@@ -6,12 +6,8 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	// maxUnsentBytes is how much of a body the client's machine may hold unsent, by the usual bound of a socket's send buffer.
-	maxUnsentBytes = 4 << 20
-	// uploadMargin is how long before the client's timeout an upload ends, so that the response is written in time.
-	uploadMargin = 12 * time.Millisecond
-)
+// maxUnsentBytes is how much of a body the client's machine may hold unsent, by the usual bound of a socket's send buffer.
+const maxUnsentBytes = 4 << 20
 
 // bodyArrival estimates since when the client may have written the last byte of a body that is forwarded piece by piece. From then on its
 // timeout runs, although the byte may still be in a kernel's buffer, since no more is read from a client than its target takes. The
--- a/internal/datapath/front/conns.go
+++ b/internal/datapath/front/conns.go
@@ -601,33 +601,45 @@
 	}
 }
 
+// evictionRank is how readily a connection is evicted; the highest rank goes first.
+type evictionRank int
+
+const (
+	notEvictable    evictionRank = iota
+	newConn                      // has sent nothing yet; only if the table is full
+	stalledRequest               // its request has begun and stalled, the longest stalled first
+	idleConn                     // has had a response, the one idle longest first
+	silentConn                   // new, and has sent nothing for a while, the oldest first
+	rejectedRequest              // its request was rejected
+)
+
 // evictionCandidate returns the connection to evict for a new one, and the phase it was seen in: one whose request was rejected;
 // otherwise a new one that has sent nothing for a while, the oldest first; otherwise the one idle longest; otherwise one whose request
 // has begun and stalled, the longest stalled first. If the table is full, also one that is new and has sent nothing yet. It is never
 // one with an open request, nor one whose request keeps arriving, however slowly.
 func (t *connTable) evictionCandidate(except *clientConn, full bool) (candidate *clientConn, candidatePhase int32) {
 	now := time.Now()
-	rank := func(c *clientConn, phase int32) (int, time.Time) {
+	rank := func(c *clientConn, phase int32) (evictionRank, time.Time) {
 		unserved, quietFor := !c.served.Load(), now.Sub(c.idleSince)
 		stalledFor := min(quietFor, now.Sub(c.lastArrival()))
 		switch {
 		case phase == phaseDraining:
-			return 5, c.idleSince
+			return rejectedRequest, c.idleSince
 		case phase == phaseIdle && unserved && (quietFor > 6*silentTimeout || full && quietFor > silentTimeout):
-			return 4, c.idleSince
+			return silentConn, c.idleSince
 		case phase == phaseIdle && !unserved && (full || quietFor > minUnusedTime):
-			return 3, c.idleSince
+			return idleConn, c.idleSince
 		case phase == phaseReading && (full && stalledFor > stalledTimeout || stalledFor > 2*stalledTimeout):
-			return 2, now.Add(-stalledFor)
+			return stalledRequest, now.Add(-stalledFor)
 		case phase == phaseIdle && unserved && full:
-			return 1, c.idleSince
+			return newConn, c.idleSince
 		}
-		return 0, now
+		return notEvictable, now
 	}
-	bestRank, bestTime := 0, now
+	bestRank, bestTime := notEvictable, now
 	for c := range t.open {
 		phase := c.phase.Load()
-		if r, at := rank(c, phase); c != except && r > 0 && (r > bestRank || r == bestRank && at.Before(bestTime)) {
+		if r, at := rank(c, phase); c != except && r > notEvictable && (r > bestRank || r == bestRank && at.Before(bestTime)) {
 			candidate, candidatePhase, bestRank, bestTime = c, phase, r, at
 		}
 	}
--- a/internal/datapath/front/front.go
+++ b/internal/datapath/front/front.go
@@ -171,36 +171,54 @@
 		schedule.AcceptFor, schedule.ServeFor = 0, 0
 	}
 	core.SleepUntil(ctx, now.Add(schedule.AcceptFor))
-	if l := s.listener.Load(); l != nil {
-		// Connections left in the kernel's backlog would be reset when the listener is closed. After a handover the successor accepts them.
-		for until := time.Now().Add(backlogTimeout); !s.handedOver.Load() && listen.HasPending(*l) && ctx.Err() == nil && time.Now().Before(until); {
-			core.SleepUntil(ctx, time.Now().Add(time.Millisecond))
-		}
-		(*l).Close()
-		// A connection that was accepted in this moment may not be in conns yet: without it, its request would be dropped below.
-		select {
-		case <-*s.acceptEnded.Load():
-		case <-time.After(backlogTimeout):
-		case <-ctx.Done():
-		}
+	s.stopAccepting(ctx)
+	if s.handedOver.Load() {
+		s.awaitFirstRequests(ctx, now.Add(headerTimeout))
+	}
+	core.SleepUntil(ctx, now.Add(schedule.ServeFor))
+	s.closeConns(ctx, now, schedule)
+	return s.http.Shutdown(ctx)
+}
+
+// stopAccepting closes the listener. Without a handover it first accepts the connections in the backlog, for up to backlogTimeout: they
+// would be reset, whereas after a handover the successor accepts them.
+func (s *Server) stopAccepting(ctx context.Context) {
+	l := s.listener.Load()
+	if l == nil {
+		return
 	}
-	// After a handover clients connect to the successor: each connection is closed after its response, and new ones that have
-	// sent no request yet have headerTimeout to send one.
-	for until := now.Add(headerTimeout); s.handedOver.Load() && s.conns.closeServed() > 0 && ctx.Err() == nil && time.Now().Before(until); {
+	for until := time.Now().Add(backlogTimeout); !s.handedOver.Load() && listen.HasPending(*l) && ctx.Err() == nil && time.Now().Before(until); {
+		core.SleepUntil(ctx, time.Now().Add(time.Millisecond))
+	}
+	(*l).Close()
+	// A connection that was accepted in this moment may not be in conns yet: without it, its request would be dropped.
+	select {
+	case <-*s.acceptEnded.Load():
+	case <-time.After(backlogTimeout):
+	case <-ctx.Done():
+	}
+}
+
+// awaitFirstRequests waits, after a handover, for the requests of connections that have sent none yet, and closes each other connection once it
+// has had its response: their clients connect to the successor.
+func (s *Server) awaitFirstRequests(ctx context.Context, until time.Time) {
+	for s.conns.closeServed() > 0 && ctx.Err() == nil && time.Now().Before(until) {
 		core.SleepUntil(ctx, time.Now().Add(10*time.Millisecond))
 	}
-	core.SleepUntil(ctx, now.Add(schedule.ServeFor))
-	// http.Server.Shutdown drops requests that have been read but not started, and closes connections that it considers idle although
-	// a request is being read. So it is called last, when only connections remain that their clients do not close.
-	responseDeadline := now.Add(schedule.RespondWithin)
+}
+
+// closeConns closes each connection once it has no request, until none is left or only those that wait for their clients to close them,
+// past the time for responses. http.Server.Shutdown drops requests that have been read but not started, and closes connections that it
+// considers idle although a request is being read. So it is called after this, when only connections remain that their clients do not close.
+func (s *Server) closeConns(ctx context.Context, stoppedAt time.Time, schedule core.ShutdownSchedule) {
+	responseDeadline := stoppedAt.Add(schedule.RespondWithin)
 	for ctx.Err() == nil {
 		remaining, lingering := s.conns.closeForShutdown(s.dropsPartialRequests(schedule.ServeFor))
 		if remaining == 0 || remaining == lingering && time.Now().After(responseDeadline) {
-			break
+			return
 		}
 		core.SleepUntil(ctx, time.Now().Add(5*time.Millisecond))
 	}
-	return s.http.Shutdown(ctx)
 }
 
 // dropsPartialRequests reports whether a request of which only a part has come is dropped by now: those have partialRequestGrace once the
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -32,9 +32,6 @@
 	"spindlehitch/internal/process/handover"
 )
 
-// responseMargin is how long before the client's timeout a response must be decided, so that it is written in time.
-const responseMargin = 12 * time.Millisecond
-
 // Options are the parameters of an instance beside its configuration files.
 type Options struct {
 	Log *slog.Logger
@@ -187,7 +184,7 @@
 	}
 	up := upstream.NewRegistry(upstreamOptions, func(r core.Result) { in.core.Report(r) })
 	requestIDs := requestIDsFor(opt.requestIDs, cfg)
-	coreOptions := core.Options{MaxOpen: cfg.MaxOpenRequests, Margin: responseMargin, RequestIDs: requestIDs, OnEjectedCount: dataPathMetrics.SetEjected}
+	coreOptions := core.Options{MaxOpen: cfg.MaxOpenRequests, Margin: core.ResponseMargin, RequestIDs: requestIDs, OnEjectedCount: dataPathMetrics.SetEjected}
 	if tasks != nil {
 		coreOptions.OnEjectedTargets = tasks.runner.SetEjected
 	}
