A successor begins with the targets that its predecessor was told

What callers saw: discovery was down for 8 s, and a configuration that moved the second address came in that time. Until discovery answered, some 115 requests went to a target 7 to 14 s after the initiator was told that it drains.

Cause: what discovery tells was kept by one generation's watcher and scheduler; a successor began with its configuration's known, as old as that file.

Change: targetlist.Latest keeps the newest list with all changes, with the address of its service. A successor's watcher begins with its predecessor's. In an upgrade each older process writes the list to TMPDIR as a younger one joins, before it confirms that it reads the younger one's request IDs, for which the younger one waits in any case.

Cost: a second copy of the entries where there can be a successor, written once for each younger process that joins.

--- a/internal/datapath/discovery/discovery.go
+++ b/internal/datapath/discovery/discovery.go
@@ -83,6 +83,8 @@
 	client     http.Client
 	lists      *mailbox.Box[*targetlist.List]
 	addrs      *mailbox.Box[string]
+	offers     *mailbox.Box[*targetlist.List]
+	answered   bool // discovery has sent a valid list, or an offered one has taken its place
 	initiators atomic.Int64
 	version    int64 // of the list received last; -1: none
 	retryDelay backoff.ExponentialBackOff
@@ -91,24 +93,26 @@
 // Options are a watcher's settings at its start.
 type Options struct {
 	Addr       string
-	LastKnown  *targetlist.List // the list received in an earlier run; nil: none
+	LastKnown  *targetlist.List // the list received earlier, by this process or in an earlier run; nil: none
 	Initiators int              // see SetInitiators
 	Seed       uint64           // of the random pauses
 	Log        *slog.Logger
 }
 
 // New returns a watcher. It first delivers the last known list as a full one, if there is one, however old, and then every
-// list that discovery sends.
+// list that discovery sends. A last known list of another service has another's version: the full list is requested then.
 func New(opt Options, deliver func(*targetlist.List)) *Watcher {
 	w := &Watcher{opt: opt, deliver: deliver, log: opt.Log, rng: rand.New(rand.NewPCG(opt.Seed, opt.Seed)),
-		lists: mailbox.New[*targetlist.List](), addrs: mailbox.New[string](), version: -1,
+		lists: mailbox.New[*targetlist.List](), addrs: mailbox.New[string](), offers: mailbox.New[*targetlist.List](), version: -1,
 		retryDelay: backoff.ExponentialBackOff{InitialInterval: retryInitial, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: retryMax}}
 	w.SetInitiators(opt.Initiators)
 	if known := opt.LastKnown; known != nil {
 		full := *known
 		full.Full = true
 		w.lists.Put(&full)
-		w.version = *known.Version
+		if known.Origin == "" || known.Origin == opt.Addr {
+			w.version = *known.Version
+		}
 	}
 	// Each open call has a connection of its own, and the dial of a cancelled call goes on for a while, hence the 3 extra ones.
 	// Redirects are not followed: they count as failed calls.
@@ -124,6 +128,24 @@
 // SetAddr changes discovery's address. Open calls at the old address are cancelled and the full list is requested at the new one.
 func (w *Watcher) SetAddr(addr string) { w.addrs.Put(addr) }
 
+// Offer offers the list that another process of the same initiator was told. It is delivered if discovery has not answered this watcher yet.
+func (w *Watcher) Offer(l *targetlist.List) { w.offers.Put(l) }
+
+// takeOffer delivers an offered list if discovery has not answered yet, and reports whether its version is one of the service at addr.
+func (w *Watcher) takeOffer(l *targetlist.List, addr string) (sameService bool) {
+	if w.answered {
+		return false
+	}
+	w.answered = true
+	full := *l
+	full.Full = true
+	w.lists.Put(&full)
+	if sameService = l.Origin == addr; sameService {
+		w.version = *l.Version
+	}
+	return sameService
+}
+
 // Run calls discovery and delivers its lists until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.watch(ctx)
@@ -211,6 +233,10 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.offers.Wake():
+			for _, l := range w.offers.Take(nil) {
+				trusted = w.takeOffer(l, addr) || trusted
+			}
 		case <-timer.C:
 			if pending {
 				if watching { // other initiators' watches may have fallen silent too: spread the calls
@@ -268,9 +294,10 @@
 				if result.call.incremental && *l.Version == w.version && time.Until(result.call.waitUntil) > overdueAfter/10 {
 					timer.Reset(retryInitial) // the service does not wait: without a pause it would get thousands of calls a second
 				}
-				watching, trusted, pending, w.version = result.call.incremental, true, false, *l.Version
+				watching, trusted, pending, w.version, w.answered = result.call.incremental, true, false, *l.Version, true
 				failures, errored, overdue = 0, 0, 0
 				if l.Full || len(l.Targets) > 0 {
+					l.Origin = addr
 					w.lists.Put(l)
 				}
 			}
--- a/internal/datapath/targetlist/targetlist.go
+++ b/internal/datapath/targetlist/targetlist.go
@@ -28,6 +28,7 @@
 	Version *int64  `json:"version"`
 	Full    bool    `json:"full"`
 	Targets Entries `json:"servers"`
+	Origin  string  `json:"-"` // address of the service that sent it; empty: not known
 }
 
 // Entries are the targets of one list. Their decoder bounds how many are kept.
--- a/internal/datapath/targetlist/targetlist_test.go
+++ b/internal/datapath/targetlist/targetlist_test.go
@@ -138,3 +138,20 @@
 		})
 	}
 }
+
+// TestLatest applies lists and changes, and begins another one with the result: a removed target stays removed, and the list keeps the version and
+// the address that it came from.
+func TestLatest(t *testing.T) {
+	entry := func(id, state string) Entry { return Entry{ID: id, Addr: "127.0.0.1:1", State: state} }
+	version := func(n int64) *int64 { return &n }
+	first := NewLatest(nil)
+	require.Nil(t, first.Full())
+	require.Nil(t, NewLatest(first).Full())
+	first.Apply(&List{Version: version(1), Full: true, Origin: "a", Targets: Entries{entry("x", "SERVING"), entry("y", "SERVING")}})
+	first.Apply(&List{Version: version(2), Origin: "a", Targets: Entries{entry("y", "DELETED"), entry("x", "DRAINING"), entry("z", "SERVING")}})
+	second := NewLatest(first)
+	first.Apply(&List{Version: version(1), Full: true, Origin: "b"})
+	require.Equal(t, &List{Version: version(2), Full: true, Origin: "a", Targets: Entries{entry("x", "DRAINING"), entry("z", "SERVING")}}, second.Full())
+	require.Empty(t, first.Full().Targets)
+	require.Equal(t, "b", first.Full().Origin)
+}
--- a/internal/process/handover/decide.go
+++ b/internal/process/handover/decide.go
@@ -1,6 +1,6 @@
 // Package handover lets the processes of one initiator share its limits and hand clients over to a successor during an
-// upgrade, and tell each other the IDs of their requests. Each process publishes its state and its IDs in files of a folder that all of
-// them can read; there is no other channel between them.
+// upgrade, and tell each other the IDs of their requests and the list of targets. Each process publishes its state, its IDs and its list in
+// files of a folder that all of them can read; there is no other channel between them.
 package handover
 
 // Phase is a step in the life of a process.
--- a/internal/process/handover/exchange.go
+++ b/internal/process/handover/exchange.go
@@ -76,7 +76,11 @@
 	}
 	var followed []int64
 	for _, m := range others {
+		joins := x.peers[m.StartedAt] == nil && m.StartedAt > x.group.self.StartedAt
 		following, err := x.follow(m)
+		if joins && following { // before it is told that its journal is read, for which it waits
+			err = x.group.publishTargets()
+		}
 		switch {
 		case errors.Is(err, fs.ErrNotExist): // an older version of the program, or one that has yet to begin
 		case err != nil:
--- a/internal/process/handover/exchange_test.go
+++ b/internal/process/handover/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spindlehitch/internal/datapath/requestid"
+	"spindlehitch/internal/datapath/targetlist"
 )
 
 // sharingProcess is a member of a group with its request IDs.
@@ -21,12 +22,14 @@
 	stop context.CancelFunc
 }
 
-// startSharing has a process join the group and share its request IDs, as a start does, and follow the others from then on.
-func startSharing(t *testing.T, dir string, pid int) *sharingProcess {
+// startSharing has a process join the group and share its request IDs and targets (nil: none), as a start does, and follow the others from
+// then on.
+func startSharing(t *testing.T, dir string, pid int, targets func() *targetlist.List) *sharingProcess {
 	t.Helper()
 	g, err := join(dir, "n1", pid, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	p := &sharingProcess{Group: g, ids: requestid.New(time.Minute)}
+	g.ShareTargets(targets)
 	begun := time.Now()
 	require.NoError(t, g.ShareRequestIDs(t.Context(), p.ids))
 	require.Less(t, time.Since(begun), joinTimeout)
@@ -49,18 +52,18 @@
 func TestRequestIDsOverUpgrades(t *testing.T) {
 	dir := t.TempDir()
 	now := time.Now()
-	first := startSharing(t, dir, 101)
+	first := startSharing(t, dir, 101, nil)
 	require.True(t, first.ids.Claim("open at the first", now))
 	require.True(t, first.ids.Claim("ran at the first", now))
 	first.ids.Release("ran at the first", true, now)
 
-	second := startSharing(t, dir, 102)
+	second := startSharing(t, dir, 102, nil)
 	require.False(t, second.ids.Claim("open at the first", now))
 	require.False(t, second.ids.Claim("ran at the first", now))
 	require.True(t, second.ids.Claim("open at the second", now))
 	require.False(t, first.ids.Claim("open at the second", now))
 
-	third := startSharing(t, dir, 103)
+	third := startSharing(t, dir, 103, nil)
 	for _, id := range []string{"open at the first", "ran at the first", "open at the second"} {
 		require.False(t, third.ids.Claim(id, now), id)
 	}
@@ -71,7 +74,7 @@
 	second.Close()
 	require.Eventually(t, func() bool { v, err := third.Observe(); return err == nil && v.Processes == 1 }, time.Minute, time.Millisecond)
 
-	fourth := startSharing(t, dir, 104) // the third was alone, or has not noticed yet
+	fourth := startSharing(t, dir, 104, nil) // the third was alone, or has not noticed yet
 	for _, id := range []string{"open at the first", "ran at the first", "open at the second"} {
 		require.False(t, third.ids.Claim(id, now), id)
 		require.False(t, fourth.ids.Claim(id, now), id)
@@ -91,14 +94,14 @@
 	older, err := join(dir, "n1", 101, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	defer older.Close()
-	p := startSharing(t, dir, 102)
+	p := startSharing(t, dir, 102, nil)
 	require.True(t, p.ids.Claim("x", time.Now()))
 }
 
 // TestHungProcessIsNotAwaited starts a process beside one that does not read journals any more: it waits joinTimeout for it.
 func TestHungProcessIsNotAwaited(t *testing.T) {
 	dir := t.TempDir()
-	hung := startSharing(t, dir, 101)
+	hung := startSharing(t, dir, 101, nil)
 	defer hung.Close()
 	hung.stop()
 	g, err := join(dir, "n1", 102, slog.New(slog.DiscardHandler))
--- a/internal/process/handover/handover.go
+++ b/internal/process/handover/handover.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"spindlehitch/internal/datapath/targetlist"
 )
 
 const (
@@ -36,7 +38,8 @@
 	self   Member
 	lock   *os.File // locked by flock while the process lives
 
-	exchange atomic.Pointer[idExchange] // nil: this process's request IDs are not shared
+	exchange      atomic.Pointer[idExchange] // nil: this process's request IDs are not shared
+	latestTargets func() *targetlist.List    // nil: this process hands no targets over; set before exchange
 }
 
 // Join adds this process to the group. It holds its lock until Close or until the process ends. The folder must exist.
@@ -158,7 +161,7 @@
 	if unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) != nil {
 		return false
 	}
-	for _, suffix := range []string{stateSuffix, ".next", journalSuffix, journalSuffix + ".next", lockSuffix} {
+	for _, suffix := range []string{stateSuffix, ".next", journalSuffix, journalSuffix + ".next", targetsSuffix, targetsSuffix + ".next", lockSuffix} {
 		os.Remove(g.path(pid, suffix))
 	}
 	return true
@@ -212,6 +215,7 @@
 		x.close()
 		os.Remove(g.path(g.self.PID, journalSuffix))
 	}
+	os.Remove(g.path(g.self.PID, targetsSuffix))
 	os.Remove(g.path(g.self.PID, stateSuffix))
 	os.Remove(g.path(g.self.PID, lockSuffix))
 	g.lock.Close()
--- a/internal/process/instance/generation.go
+++ b/internal/process/instance/generation.go
@@ -8,6 +8,7 @@
 
 	"spindlehitch/internal/controlplane/agent"
 	"spindlehitch/internal/datapath/requestid"
+	"spindlehitch/internal/datapath/targetlist"
 	"spindlehitch/internal/process/config"
 )
 
@@ -74,12 +75,12 @@
 			switch {
 			case err != nil:
 			case current == nil:
-				next, err = startGeneration(processCtx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
+				next, err = startGeneration(processCtx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs, targets: targetlist.NewLatest(nil)})
 			default:
 				if reason = restartReason(current.cfg, cfg, current.op, op); reason == "" {
 					err = current.applyConfig(cfg)
 				} else {
-					next, err = startGeneration(processCtx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs})
+					next, err = startGeneration(processCtx, cfg, op, Options{Log: log, feed: processFeed, requestIDs: requestIDs, targets: targetlist.NewLatest(current.targets)})
 				}
 			}
 			if offered.result != nil {
@@ -103,9 +104,10 @@
 type generation struct {
 	cfg        *config.Config
 	op         *config.OperatorFile
-	changes    chan Change   // never closed
-	superseded chan struct{} // closed once a successor serves
-	done       chan error    // receives the result of Serve; never closed
+	targets    *targetlist.Latest // what discovery has told it, or its predecessor
+	changes    chan Change        // never closed
+	superseded chan struct{}      // closed once a successor serves
+	done       chan error         // receives the result of Serve; never closed
 }
 
 // parseEntry parses and checks an agent's entry, and the operator's file against it.
@@ -148,7 +150,7 @@
 
 // startGeneration starts a generation and waits until it listens at all its addresses. Opt has what the generations of a process share.
 func startGeneration(ctx context.Context, cfg *config.Config, op *config.OperatorFile, opt Options) (*generation, error) {
-	g := &generation{cfg, op, make(chan Change), make(chan struct{}), make(chan error, 1)}
+	g := &generation{cfg, op, opt.targets, make(chan Change), make(chan struct{}), make(chan error, 1)}
 	listening := make(chan struct{})
 	go func() {
 		opt.OnListening, opt.Changes, opt.superseded = func() { close(listening) }, g.changes, g.superseded
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -19,7 +19,6 @@
 	"spindlehitch/internal/datapath/budget"
 	"spindlehitch/internal/datapath/certs"
 	"spindlehitch/internal/datapath/core"
-	"spindlehitch/internal/datapath/discovery"
 	"spindlehitch/internal/datapath/front"
 	"spindlehitch/internal/datapath/nvme"
 	"spindlehitch/internal/datapath/requestid"
@@ -41,6 +40,7 @@
 	Changes     <-chan Change       // applied even while the instance stops; nil: none
 	feed        *feedStream         // shared by the process; nil: the instance has its own, if its operator's file has a feed
 	requestIDs  *requestid.Registry // shared by the process; nil: the instance has its own
+	targets     *targetlist.Latest  // what the process was told by discovery, kept for a successor; nil: there can be none in this process
 	superseded  <-chan struct{}     // closed once a successor in the same process serves; nil: there is none
 }
 
@@ -236,11 +236,12 @@
 		onList = feedComp.putDiscovery
 		in.components = append(in.components, feedComp) // before discovery, which needs it running
 	}
-	discoveryComp := newDiscoveryWatch(cfg, log, onList)
+	told := toldTargets(cfg, opt.targets)
+	discoveryComp := newDiscoveryWatch(cfg, told, log, onList)
 	in.components = append(in.components, discoveryComp)
 	in.components = append(in.components, &configApplier{instance: in, dataPath: dp, front: httpFront, limits: divider, accounts: recorder, discovery: discoveryComp})
 	if cfg.InheritedFD != "" {
-		in.group = newProcessGroup(cfg.Name, log, divider.setProcesses, requestIDs)
+		in.group = newProcessGroup(cfg.Name, log, divider.setProcesses, requestIDs, told, discoveryComp.watcher.Offer)
 		in.components = append(in.components, in.group)
 	}
 	// With NVMe, the HTTP front only serves the readiness page, since a target speaks only one protocol.
@@ -404,30 +405,3 @@
 
 // EmitMetrics implements metricsEmitter.
 func (q *quotaComponent) EmitMetrics(to statsd.ExtendedStatSender) { q.session.EmitMetrics(to) }
-
-// discoveryWatch follows discovery's list of targets.
-type discoveryWatch struct {
-	loop
-	watcher *discovery.Watcher
-}
-
-func newDiscoveryWatch(cfg *config.Config, log *slog.Logger, onList func(*targetlist.List)) *discoveryWatch {
-	watcher := discovery.New(discovery.Options{Addr: cfg.Discovery, LastKnown: cfg.LastKnownTargets, Initiators: discoverySharers(cfg), Seed: cfg.Seed, Log: log}, onList)
-	return &discoveryWatch{loop{run: watcher.Run}, watcher}
-}
-
-// discoverySharers is how many initiators poll the same discovery service; 0: the list is pushed, or each has its own service.
-func discoverySharers(cfg *config.Config) int {
-	if cfg.Policy.SubscribeToList {
-		return cfg.Policy.Initiators
-	}
-	return 0
-}
-
-// ApplyChange implements changeApplier.
-func (w *discoveryWatch) ApplyChange(c Change) error {
-	if c.Discovery != "" {
-		w.watcher.SetAddr(c.Discovery)
-	}
-	return nil
-}
--- a/internal/process/instance/process_group.go
+++ b/internal/process/instance/process_group.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"spindlehitch/internal/datapath/requestid"
+	"spindlehitch/internal/datapath/targetlist"
 	"spindlehitch/internal/process/handover"
 )
 
@@ -18,14 +19,16 @@
 	log            *slog.Logger
 	onProcessCount func(alive, draining int)
 	requestIDs     *requestid.Registry
-	superseded     chan struct{} // closed by watchGroup once a younger process serves
+	targets        *targetlist.Latest     // handed to younger processes
+	onTargets      func(*targetlist.List) // called with the list that an older process hands over
+	superseded     chan struct{}          // closed by watchGroup once a younger process serves
 	supersededOnce sync.Once
 	group          *handover.Group // nil: not joined
 	loop
 }
 
-func newProcessGroup(name string, log *slog.Logger, onProcessCount func(alive, draining int), requestIDs *requestid.Registry) *processGroup {
-	g := &processGroup{name: name, log: log, onProcessCount: onProcessCount, requestIDs: requestIDs, superseded: make(chan struct{})}
+func newProcessGroup(name string, log *slog.Logger, onProcessCount func(alive, draining int), requestIDs *requestid.Registry, targets *targetlist.Latest, onTargets func(*targetlist.List)) *processGroup {
+	g := &processGroup{name: name, log: log, onProcessCount: onProcessCount, requestIDs: requestIDs, targets: targets, onTargets: onTargets, superseded: make(chan struct{})}
 	g.run = g.watchGroup
 	return g
 }
@@ -39,9 +42,13 @@
 		return nil
 	}
 	g.group = joined
+	joined.ShareTargets(g.targets.Full)
 	if err := joined.ShareRequestIDs(ctx, g.requestIDs); err != nil {
 		g.logFailure(err)
 	}
+	if list := joined.HandedTargets(); list != nil {
+		g.onTargets(list)
+	}
 	return g.loop.Start(ctx)
 }
 
--- a/internal/testbed/faults/upgrade_test.go
+++ b/internal/testbed/faults/upgrade_test.go
@@ -70,11 +70,16 @@
 	t.Cleanup(func() { listener.Close() })
 	r.listener = listener.(*net.TCPListener)
 	r.addr = listener.Addr().String()
-	r.config = r.WriteFile("n.json", fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"settings":{"peersTotal":1,"tickUs":2000,
+	r.configure(discovery.Listener.Addr().String(), "null")
+	return r
+}
+
+// configure writes the configuration of the processes that start from now on: the address of discovery, and the last known list or null.
+func (r *upgradeRig) configure(discovery, known string) {
+	r.config = r.WriteFile("n.json", fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"known":%s,"settings":{"peersTotal":1,"tickUs":2000,
  "classes":[{"name":"event-write","promiseUs":1000000,"deadlineUs":3000000,"effect":"side_effect","worth":1}],
  "contracts":[{"name":"base","usualRate":1000,"reservation":1000,"parts":1,"pays":1}],"extra":{"meanUnits":1,"largest":8,"writes":[true]},"limits":{"sendCap":3}}}`,
-		r.addr, discovery.Listener.Addr()))
-	return r
+		r.addr, discovery, known))
 }
 
 // start starts a process and waits until it is ready.
