--- a/internal/datapath/nvme/transfer.go
+++ b/internal/datapath/nvme/transfer.go
@@ -129,13 +129,13 @@
 	}
 	p.io.Data = make([]byte, p.io.Bytes)
 	t := q.transfers.start(p, q.bytesRead.Load())
-	t.timer = time.AfterFunc(max(q.dataTimeout(p), dataTimeout), func() { q.failIfLate(t) })
+	t.timer = time.AfterFunc(max(q.classTimeout(p), dataTimeout), func() { q.failIfLate(t) })
 	q.send(typeR2T, 0, dataHead(t.cid, t.tag, 0, uint32(t.size)), nil)
 	q.mu.Unlock()
 }
 
-// dataTimeout returns the timeout of the write class of the command's namespace.
-func (q *queue) dataTimeout(p *pending) time.Duration { return q.server.opt.Timeouts[p.ns.Write] }
+// classTimeout returns the timeout of the write class of the command's namespace.
+func (q *queue) classTimeout(p *pending) time.Duration { return q.server.opt.Timeouts[p.ns.Write] }
 
 // failIfLate completes the command of a transfer whose data has not come by its deadline, as not started. Its connection and all
 // other commands go on.
@@ -146,7 +146,7 @@
 		q.mu.Unlock()
 		return
 	}
-	if wait := time.Until(t.deadline(q.bytesRead.Load(), q.dataTimeout(p))); wait > 0 {
+	if wait := time.Until(t.deadline(q.bytesRead.Load(), q.classTimeout(p))); wait > 0 {
 		t.timer.Reset(wait)
 		q.mu.Unlock()
 		return
