NVMe: a stop rejects all transfers before it ends the first queue

TestStopCompletesTransfers failed once in four runs under -race beside other work. Traced: a stop went queue by queue, and the end of the admin queue ends its I/O queues, so that one could end before its command whose data was on its way was completed. All are rejected first now. Eight at a time under -race: 15 failures in some 290 runs before, 160 of 160 passed after.

--- a/internal/datapath/nvme/controller.go
+++ b/internal/datapath/nvme/controller.go
@@ -229,6 +229,9 @@
 	s.mu.Unlock()
 	for _, q := range all {
 		q.rejectTransfers()
+	}
+	// The end of an admin queue ends its I/O queues: no command may be left on any by then.
+	for _, q := range all {
 		q.closeAfterWrites("LEAVING")
 	}
 	for _, q := range all {
