A process that joins the others is no longer taken for an ended one

Found by two runs of all checks beside load: TestHandedTargets and TestRequestIDsOverUpgrades waited 2 s for a process that never saw the younger one.

Cause: between opening and locking its lock file a process could be taken for an ended one by another that looked: that one removed the file, or held its lock for the moment in which the process tried it.

Change: whoever locks the file checks that it is still the one at its path; a process that joins tries again for 0.5 s.

--- a/internal/process/handover/handover.go
+++ b/internal/process/handover/handover.go
@@ -27,6 +27,9 @@
 	// maxFileBytes bounds what is read of a state file, and maxMembers how many other processes are observed.
 	maxFileBytes = 256
 	maxMembers   = 64
+	// lockTimeout is how long a process that joins tries to lock its file: another may hold the lock for a moment, to see whether it is free.
+	lockTimeout       = 500 * time.Millisecond
+	lockRetryInterval = time.Millisecond
 )
 
 // Group is one process's membership in the group of an initiator's processes.
@@ -51,16 +54,53 @@
 func join(dir, name string, pid int, log *slog.Logger) (*Group, error) {
 	g := &Group{dir: dir, prefix: "handover-" + url.PathEscape(name) + "-", log: log,
 		self: Member{StartedAt: time.Now().UnixNano(), PID: pid}}
-	f, err := os.OpenFile(g.path(g.self.PID, lockSuffix), os.O_RDWR|os.O_CREATE, 0o600)
+	for until := time.Now().Add(lockTimeout); ; time.Sleep(lockRetryInterval) {
+		f, err := lockFile(g.path(g.self.PID, lockSuffix), os.O_CREATE)
+		if err == nil {
+			g.lock = f
+			return g, g.writeState()
+		}
+		if !errors.Is(err, errLocked) && !errors.Is(err, errReplaced) || !time.Now().Before(until) {
+			return nil, fmt.Errorf("lock: %w", err)
+		}
+	}
+}
+
+// lockFile opens a lock file, with a flag for os.OpenFile, and locks it.
+func lockFile(path string, flag int) (*os.File, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|flag, 0o600)
 	if err != nil {
 		return nil, err
 	}
-	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+	switch err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); {
+	case errors.Is(err, unix.EWOULDBLOCK):
+		f.Close()
+		return nil, errLocked
+	case err != nil:
+		f.Close()
+		return nil, err
+	}
+	if !isFileAt(f, path) {
 		f.Close()
-		return nil, fmt.Errorf("lock: %w", err)
+		return nil, errReplaced
 	}
-	g.lock = f
-	return g, g.writeState()
+	return f, nil
+}
+
+var (
+	errLocked = errors.New("another process holds it")
+	// errReplaced means that the file was removed, and maybe another one made, between its opening and its locking.
+	errReplaced = errors.New("removed meanwhile")
+)
+
+// isFileAt reports whether an open file is the one at a path.
+func isFileAt(f *os.File, path string) bool {
+	opened, err := f.Stat()
+	if err != nil {
+		return false
+	}
+	current, err := os.Stat(path)
+	return err == nil && os.SameFile(opened, current)
 }
 
 const (
@@ -153,14 +193,11 @@
 
 // removeIfEnded reports whether a process has ended, which is so if its lock is free, and then removes its files.
 func (g *Group) removeIfEnded(pid int) bool {
-	f, err := os.OpenFile(g.path(pid, lockSuffix), os.O_RDWR, 0)
+	f, err := lockFile(g.path(pid, lockSuffix), 0)
 	if err != nil {
 		return errors.Is(err, os.ErrNotExist)
 	}
 	defer f.Close()
-	if unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB) != nil {
-		return false
-	}
 	for _, suffix := range []string{stateSuffix, ".next", journalSuffix, journalSuffix + ".next", targetsSuffix, targetsSuffix + ".next", lockSuffix} {
 		os.Remove(g.path(pid, suffix))
 	}
--- a/internal/process/handover/handover_test.go
+++ b/internal/process/handover/handover_test.go
@@ -7,9 +7,11 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"spindlehitch/internal/testbed/seeded"
@@ -180,3 +182,38 @@
 		_, _ = parseState(rapid.SliceOf(rapid.Byte()).Draw(t, "garbage"))
 	})
 }
+
+// TestJoinBesideWatcher guards against a process that the others never see, since one of them took its lock file for that of an ended process and removed it
+// in the moment between its opening and its locking.
+func TestJoinBesideWatcher(t *testing.T) {
+	const joins = 300
+	dir := t.TempDir()
+	g, err := join(dir, "n1", 1, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer g.Close()
+	ended := make(chan struct{})
+	var watchers sync.WaitGroup
+	defer watchers.Wait()
+	defer close(ended)
+	for range 2 {
+		watchers.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+					_, _ = g.others()
+				}
+			}
+		})
+	}
+	for i := range joins {
+		other, err := join(dir, "n1", 2+i, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		others, err := g.others()
+		require.NoError(t, err)
+		require.Len(t, others, 1, "join %d", i)
+		require.FileExists(t, other.path(2+i, lockSuffix))
+		other.Close()
+	}
+}
