Test: TestWriteRunsOnceDuringUpgrade waits for the older process's listener to close

Traced: the older process logs that it leaves some 2 ms before its listener is closed; a connection accepted in between was its own, and ended when the test killed it. The test waits for an idle connection's end now, which comes after that. Whether the older process rejects an ID that is open at the younger one was checked only if its connection had not been closed by then; the request is begun before the upgrade now, so that it is checked each time.

--- a/internal/testbed/faults/upgrade_test.go
+++ b/internal/testbed/faults/upgrade_test.go
@@ -117,8 +117,11 @@
 	return &writeClient{t, conn, bufio.NewReader(conn)}
 }
 
-func (c *writeClient) send(id string) {
-	fmt.Fprintf(c.conn, "PUT /event-write/0a00000000000001 HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTier: base\r\nRequest-Timeout-Ms: 3000\r\n"+
+func (c *writeClient) send(id string) { fmt.Fprint(c.conn, writeRequest(id)) }
+
+// writeRequest is the text of a write.
+func writeRequest(id string) string {
+	return fmt.Sprintf("PUT /event-write/0a00000000000001 HTTP/1.1\r\nHost: a\r\nRequest-Id: %s\r\nTier: base\r\nRequest-Timeout-Ms: 3000\r\n"+
 		"IO-Info: volume=00000003b4d60021,units=1,shard=0,hosts=1\r\nContent-Length: 1\r\n\r\nx", id)
 }
 
@@ -159,18 +162,22 @@
 			require.Equal(t, "slow-older", <-target.arrived)
 			sentAt := time.Now()
 
+			idle := newWriteClient(t, addr)
+			idle.send("warm-3")
+			require.Equal(t, http.StatusOK, idle.status())
+			begun := writeRequest("slow-younger")
+			fmt.Fprint(second.conn, begun[:10]) // the older process waits for the rest while it leaves
 			start("younger")
 			require.Less(t, time.Since(sentAt), slowWrite, "the younger process is ready too late for the test")
 			require.Equal(t, http.StatusConflict, write(t, addr, "slow-older"))
 			require.Equal(t, http.StatusConflict, write(t, addr, "first"), "it has run")
-			r.WaitFor("the older process takes no more clients", func() bool { return strings.Contains(older.Log(), "msg=leaving") })
+			// It ends the idle connection once its listener is closed; that it leaves is logged before.
+			r.WaitFor("the older process takes no more clients", func() bool { return strings.Contains(older.Log(), "reason=LEAVING") })
 			younger := newWriteClient(t, addr)
 			younger.send("slow-younger")
 			require.Equal(t, "slow-younger", <-target.arrived)
-			second.send("slow-younger")
-			if resp, err := http.ReadResponse(second.in, nil); err == nil { // the older process may have ended the connection by now
-				require.Equal(t, http.StatusConflict, resp.StatusCode)
-			}
+			fmt.Fprint(second.conn, begun[10:])
+			require.Equal(t, http.StatusConflict, second.status())
 			if killed {
 				older.Kill()
 			} else {
